--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: what honeyport promises, and how its parts behave."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,29 @@
+"""What behave runs around scenarios."""
+
+import asyncio
+import pathlib
+import shutil
+import tempfile
+
+from features.support import world
+from honeyport.telemetry import log as logs
+
+
+def before_all(context):
+    logs.configure('error', instance='test')
+
+
+def before_scenario(context, scenario):
+    context.folder = pathlib.Path(tempfile.mkdtemp(prefix='honeyport-test-'))
+    context.loop = asyncio.new_event_loop()
+    context.run = context.loop.run_until_complete
+    context.world = world.World(context.folder)
+
+
+def after_scenario(context, scenario):
+    context.run(context.world.stop())
+    context.loop.close()
+    if scenario.status.name == 'failed':
+        print(f'the logs of {scenario.name!r} are in {context.folder}')
+    else:
+        shutil.rmtree(context.folder, ignore_errors=True)
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,91 @@
+"""Steps that set a fleet up and look at it as a whole."""
+
+import behave
+
+from features.support import calls
+
+
+async def ready(world):
+    """Wait until every router serves."""
+    for name in world.routers:
+        if world.processes[name].poll() is not None:
+            continue
+        await world.until(
+            lambda name=name: healthy(world, name), f'{name} serves'
+        )
+
+
+async def healthy(world, name):
+    """Whether a router may take work."""
+    reply = await calls.send(world.address(name), calls.get('/healthz'))
+    return reply.status == 200
+
+
+async def start_fleet(world, control, routers, engines, services, **engine):
+    """Start all processes and put the first bundle in force."""
+    world.start_control(control)
+    for number in range(1, engines + 1):
+        world.start_engine(f'draft-llm-{number}', **engine)
+    for number in range(1, services + 1):
+        world.start_service(f'field-app-{number}')
+    for number in range(1, routers + 1):
+        world.start_router(f'router-{number}')
+    await world.roll()
+    await ready(world)
+    await world.until(lambda: settled(world), 'every engine has a steward')
+
+
+async def settled(world):
+    """Whether every backend server has a steward that admits work."""
+    for name in world.backends:
+        service = world.backends[name]['service']
+        path = f'/services/{service}/ping'
+        if service == 'field-app':
+            request = calls.get(path)
+            request = calls.http.Request(
+                method='GET',
+                path=path,
+                headers=[
+                    ('Honeyport-Account', 'district-1'),
+                    ('Honeyport-Placement', name),
+                    ('Honeyport-Deadline', '3'),
+                ],
+            )
+        else:
+            request = calls.chat(
+                'warm-up',
+                tokens=1,
+                Honeyport_Placement=name,
+                Honeyport_Deadline='3',
+            )
+        reply = await calls.send(world.address(world.routers[0]), request)
+        if reply.status != 200:
+            return False
+    world.executions.write_text('')
+    return True
+
+
+@behave.given(
+    'a fleet of {control:d} control replicas, {routers:d} routers, '
+    '{engines:d} engines and {services:d} services'
+)
+def step_fleet(context, control, routers, engines, services):
+    context.run(
+        start_fleet(context.world, control, routers, engines, services)
+    )
+
+
+@behave.given(
+    'a fleet of {control:d} control replicas, {routers:d} routers and '
+    '{engines:d} engines'
+)
+def step_fleet_engines(context, control, routers, engines):
+    context.run(start_fleet(context.world, control, routers, engines, 0))
+
+
+@behave.given(
+    'a fleet of {control:d} control replicas, {routers:d} routers and '
+    '{services:d} services'
+)
+def step_fleet_services(context, control, routers, services):
+    context.run(start_fleet(context.world, control, routers, 0, services))
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Scaffolding: processes, cuts and callers for the tests."""
--- /dev/null
+++ b/features/support/relay.py
@@ -0,0 +1,72 @@
+"""A loopback relay that can be cut: a partition in front of an address."""
+
+import asyncio
+import contextlib
+
+from honeyport import local
+from honeyport.settings import roles
+
+
+class Relay:
+    """Passes connections on until it is cut.
+
+    A cut relay keeps its connections open and passes nothing on, as a
+    network does that drops packets.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.address = local.free_address()
+        self._target = target
+        self._open = asyncio.Event()
+        self._open.set()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = roles.split(self.address)
+        self._server = await asyncio.start_server(self._accept, host, port)
+
+    def cut(self) -> None:
+        """Pass nothing on from now on."""
+        self._open.clear()
+
+    def mend(self) -> None:
+        """Pass on again what comes, and what had come."""
+        self._open.set()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._open.wait()
+            far = await asyncio.open_connection(*roles.split(self._target))
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pass(reader, far[1]))
+                group.create_task(self._pass(far[0], writer))
+        except* (OSError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+            self._tasks.discard(task)
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                await self._open.wait()
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/src/honeyport/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m honeyport``."""
+
+from honeyport import cli
+
+if __name__ == '__main__':
+    cli.main()
--- /dev/null
+++ b/src/honeyport/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of backend servers, one module for each kind."""
--- /dev/null
+++ b/src/honeyport/backend/engine.py
@@ -0,0 +1,94 @@
+"""Model engines: streamed answers that can be resumed and cancelled.
+
+An engine numbers the events of a stream and ends it with ``[DONE]``. A
+stream that was cut is asked for again, after the last event that came.
+"""
+
+import json
+
+from honeyport.backend import http
+from honeyport.backend import plain
+from honeyport.backend import registry
+from honeyport import errors
+from honeyport import exchange
+
+_PROBE_S = 1.0
+_CANCEL_S = 2.0
+_LAST_EVENT = b'data: [DONE]\n\n'
+_BUSY = (429, 503)
+
+
+@registry.register('engine')
+class EngineClient:
+    """A client of one engine."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self._name = name
+        self._pool = http.Pool(address)
+
+    async def answer(self, call: exchange.Call) -> exchange.Answer:
+        parts = self._pool.fetch(_request(call))
+        tail = b''
+        streamed = False
+        async for frame in plain.frames(self._name, parts):
+            if isinstance(frame, exchange.Head):
+                self._refuse(frame)
+                streamed = _is_stream(frame)
+            elif isinstance(frame, exchange.Data) and streamed:
+                tail = (tail + frame.payload)[-len(_LAST_EVENT) :]
+            elif isinstance(frame, exchange.End) and streamed:
+                self._check_end(tail)
+            yield frame
+
+    async def cancel(self, request_id: str) -> None:
+        request = http.Request(
+            method='DELETE', path=f'/v1/streams/{request_id}'
+        )
+        await http.read(self._pool, request, _CANCEL_S)
+
+    async def probe(self) -> registry.Load:
+        request = http.Request(method='GET', path='/load')
+        start, body = await http.read(self._pool, request, _PROBE_S)
+        if start.status != 200:
+            raise errors.BackendLost(f'{self._name}: status {start.status}')
+        report = json.loads(body)
+        return registry.Load(
+            report['running'], report['waiting'], report['age_s']
+        )
+
+    def close(self) -> None:
+        self._pool.close()
+
+    def _refuse(self, head: exchange.Head) -> None:
+        """Raise if the engine says that it did not take the request."""
+        if head.status in _BUSY:
+            raise errors.BackendFull(f'{self._name} is busy')
+        if head.status == 410:
+            raise errors.AnswerCut(f'{self._name} no longer has the stream')
+
+    def _check_end(self, tail: bytes) -> None:
+        if tail != _LAST_EVENT:
+            raise errors.AnswerCut(f'{self._name} ended without [DONE]')
+
+
+def _request(call: exchange.Call) -> http.Request:
+    headers = [*call.headers, *plain.identify(call)]
+    headers.append(('Honeyport-Chat', call.chat))
+    headers.append(('Honeyport-Priority', str(call.priority)))
+    if call.resumes:
+        path = f'/v1/streams/{call.request_id}?after={call.resume_after}'
+        return http.Request(method='GET', path=path, headers=headers)
+    return http.Request(
+        method=call.method,
+        path=call.path,
+        headers=headers,
+        body=call.body,
+        fresh=not call.repeatable,
+    )
+
+
+def _is_stream(head: exchange.Head) -> bool:
+    return any(
+        name.lower() == 'content-type' and value.startswith('text/event')
+        for name, value in head.headers
+    )
--- /dev/null
+++ b/src/honeyport/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""The signed, versioned configuration of the fleet."""
--- /dev/null
+++ b/src/honeyport/control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log and the state it holds."""
--- /dev/null
+++ b/src/honeyport/control/claims.py
@@ -0,0 +1,156 @@
+"""Claims: who may run a non-repeatable request, and what came of it.
+
+A key is a UUIDv7, so it tells when it was issued. All keys issued up to
+the *horizon* are forgotten and refused for ever: the horizon only moves
+forward, whatever clocks and retention settings do, so a forgotten key can
+never be taken for a new one.
+"""
+
+import typing
+import uuid
+
+import attrs
+
+from honeyport.wire import honeyport_pb2 as pb
+
+_Action = pb.ClaimRequest
+_State = pb.ClaimAnswer
+
+
+@attrs.define
+class Claim:
+    """One key's record."""
+
+    digest: str
+    holder: str
+    issued_s: float
+    done: bool = False
+    outcome: bytes = b''
+
+
+class Claims:
+    """The claims of the replicated state; changed only by log entries."""
+
+    def __init__(self) -> None:
+        self._claims: dict[str, Claim] = {}
+        self._now_s = 0.0
+        self._horizon_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def holder(self, key: str) -> str:
+        """Return who holds a key, or ``''``."""
+        claim = self._claims.get(key)
+        return claim.holder if claim else ''
+
+    def apply(self, batch: pb.ClaimBatch) -> list[pb.ClaimAnswer]:
+        """Carry out the requests of a log entry, in order."""
+        self._now_s = max(self._now_s, batch.now_s)
+        answers = []
+        for request in batch.requests:
+            state, outcome = self._apply_one(request)
+            answers.append(
+                pb.ClaimAnswer(id=request.id, state=state, outcome=outcome)
+            )
+        self._forget()
+        return answers
+
+    def save(self, state: pb.State) -> None:
+        """Write the claims into a snapshot."""
+        state.now_s = self._now_s
+        state.horizon_s = self._horizon_s
+        for key, claim in self._claims.items():
+            state.claims.add(key=key, **attrs.asdict(claim))
+
+    def restore(self, state: pb.State) -> None:
+        """Take the claims of a snapshot."""
+        self._now_s = state.now_s
+        self._horizon_s = state.horizon_s
+        self._claims = {
+            claim.key: Claim(
+                claim.digest,
+                claim.holder,
+                claim.issued_s,
+                claim.done,
+                claim.outcome,
+            )
+            for claim in state.claims
+        }
+
+    def _apply_one(
+        self, request: pb.ClaimRequest
+    ) -> tuple['pb.ClaimAnswer.State', bytes]:
+        if request.action == _Action.CLAIM:
+            return self._claim(request)
+        claim = self._claims.get(request.key)
+        if claim is None or claim.holder != request.holder:
+            return _State.OK, b''
+        if request.action == _Action.RECORD:
+            claim.done = True
+            claim.outcome = request.outcome
+        elif not claim.done:
+            del self._claims[request.key]
+        return _State.OK, b''
+
+    def _claim(
+        self, request: pb.ClaimRequest
+    ) -> tuple['pb.ClaimAnswer.State', bytes]:
+        issued_s = issue_time(request.key) or 0.0
+        horizon_s = self._now_s - request.retention_s
+        self._horizon_s = max(self._horizon_s, horizon_s)
+        if issued_s <= self._horizon_s:
+            return _State.EXPIRED, b''
+        claim = self._claims.get(request.key)
+        if claim is None:
+            self._claims[request.key] = Claim(
+                request.digest, request.holder, issued_s
+            )
+            return _State.GRANTED, b''
+        if claim.digest != request.digest:
+            return _State.MISMATCH, b''
+        if claim.done:
+            return _State.DONE, claim.outcome
+        if claim.holder == request.holder:
+            return _State.GRANTED, b''
+        return _State.RUNNING, b''
+
+    def _forget(self) -> None:
+        """Drop the claims behind the horizon, oldest first.
+
+        Keys come in nearly in the order of their issue; one that came
+        early in the order of time but late in the mapping is dropped a
+        little later, and is refused by the horizon all the same.
+        """
+        while self._claims:
+            key = next(iter(self._claims))
+            if self._claims[key].issued_s > self._horizon_s:
+                return
+            del self._claims[key]
+
+
+def issue_time(key: str) -> float | None:
+    """Return when a UUIDv7 was issued, in seconds since the epoch.
+
+    :returns: ``None`` if the key is not a UUIDv7 (RFC 9562, section 5.7)
+    """
+    try:
+        value = uuid.UUID(key)
+    except ValueError:
+        return None
+    if value.version != 7 or value.variant != uuid.RFC_4122:
+        return None
+    return (value.int >> 80) / 1000.0
+
+
+def new_key(now_s: float, random: typing.Callable[[int], int]) -> str:
+    """Return a UUIDv7.
+
+    :param now_s: seconds since the epoch
+    :param random: returns that many random bits, such as
+        ``secrets.randbits``
+    """
+    value = (int(now_s * 1000) & ((1 << 48) - 1)) << 80
+    value |= 0x7 << 76 | random(12) << 64
+    value |= 0b10 << 62 | random(62)
+    return str(uuid.UUID(int=value))
--- /dev/null
+++ b/src/honeyport/control/fleet.py
@@ -0,0 +1,193 @@
+"""The routers as the leader sees them: leases, view and loads.
+
+All of this is soft: a new leader learns it from the routers, and waits
+out every lease its predecessor may have granted before it changes who is
+in the view.
+"""
+
+import collections
+import typing
+
+import attrs
+
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.wire import honeyport_pb2 as pb
+
+_TERM_SHIFT = 24  # a view's number is its leader's term and a counter
+
+
+@attrs.define
+class Router:
+    """One router's session."""
+
+    member: pb.Member
+    expires: float
+    heard: float
+    config_version: int = 0
+    view: int = 0
+    loads: dict[str, pb.PoolLoad] = attrs.field(factory=dict)
+    residuals: dict[str, int] = attrs.field(factory=dict)
+    down: frozenset[str] = frozenset()
+
+
+class Fleet:
+    """The routers of one leadership.
+
+    :param term: the leader's term
+    :param stable_at: loop time from which the view may change
+    """
+
+    def __init__(self, term: int, stable_at: float) -> None:
+        self._stable_at = stable_at
+        self._routers: dict[str, Router] = {}
+        self._view = pb.View(number=term << _TERM_SHIFT)
+        self._listed: dict[str, str] = {}
+
+    @property
+    def view(self) -> pb.View:
+        """The latest view; without members before the first."""
+        return self._view
+
+    @property
+    def routers(self) -> list[Router]:
+        """All routers whose lease stands, by name."""
+        return [self._routers[name] for name in sorted(self._routers)]
+
+    def alive(self, router: str, incarnation: str) -> bool:
+        """Whether this incarnation of a router holds a lease."""
+        found = self._routers.get(router)
+        return found is not None and found.member.incarnation == incarnation
+
+    def greet(self, hello: pb.Hello, now: float, lease_s: float) -> Router:
+        """Take up a router's session."""
+        member = pb.Member(
+            router=hello.router,
+            incarnation=hello.incarnation,
+            domain=hello.domain,
+            address=hello.address,
+            peer_address=hello.peer_address,
+        )
+        router = Router(
+            member,
+            now + lease_s,
+            now,
+            config_version=hello.config_version,
+            view=hello.view,
+        )
+        self._routers[hello.router] = router
+        return router
+
+    def report(
+        self, router: Router, report: pb.Report, now: float, lease_s: float
+    ) -> None:
+        """Take a report; it renews the lease."""
+        router.expires = max(router.expires, now + lease_s)
+        router.heard = now
+        router.config_version = report.config_version
+        router.view = report.view
+        router.member.leaving = report.leaving
+        router.loads = {load.service: load for load in report.loads}
+        router.residuals = {
+            load.backend: load.running for load in report.residuals
+        }
+        router.down = frozenset(report.down)
+
+    def holds(self, router: Router) -> bool:
+        """Whether this session's router still has its lease."""
+        return self._routers.get(router.member.router) is router
+
+    def leave(self, router: Router) -> None:
+        """Forget a router that has finished its work."""
+        if self.holds(router):
+            del self._routers[router.member.router]
+
+    def list_instances(self, listed: dict[str, str]) -> None:
+        """Take what the platform's instance list says."""
+        self._listed = listed
+
+    def refresh(self, now: float) -> bool:
+        """Drop lapsed routers; return whether there is a new view."""
+        for name, router in list(self._routers.items()):
+            if router.expires <= now:
+                logs.emit(events.ROUTER_EXPIRED, router=name)
+                del self._routers[name]
+        if now < self._stable_at:
+            return False
+        members = [
+            router.member
+            for router in self.routers
+            if self._listed.get(router.member.router) != 'leaving'
+        ]
+        staying = [member for member in members if not member.leaving]
+        if _identities(staying) == _identities(self._view.members):
+            return False
+        view = pb.View(number=self._view.number + 1)
+        view.members.extend(staying)
+        self._view = view
+        logs.emit(events.VIEW_CHANGED, view=view.number, routers=len(staying))
+        return True
+
+    def settled(self) -> int:
+        """Return the highest view that every router with a lease has."""
+        if not self._view.members:
+            return 0
+        reached = [router.view for router in self._routers.values()]
+        return min([self._view.number, *reached])
+
+    def settled_version(self) -> int:
+        """Return the lowest version in force on a router with a lease."""
+        return min(
+            (router.config_version for router in self._routers.values()),
+            default=0,
+        )
+
+    def loads(self) -> pb.Loads:
+        """Return what the reports add up to."""
+        loads = pb.Loads(
+            settled=self.settled(), settled_version=self.settled_version()
+        )
+        for service, (running, waiting) in self._totals().items():
+            loads.totals.add(service=service, running=running, waiting=waiting)
+        residuals: collections.Counter[str] = collections.Counter()
+        down: set[str] = set()
+        for router in self._routers.values():
+            residuals.update(router.residuals)
+            down.update(router.down)
+        for backend, running in residuals.items():
+            loads.residuals.add(backend=backend, running=running)
+        loads.down.extend(sorted(down))
+        loads.leaving.extend(
+            sorted(
+                name
+                for name, state in self._listed.items()
+                if state == 'leaving'
+            )
+        )
+        return loads
+
+    def in_force(self, version: int, now: float) -> bool:
+        """Whether every router that may serve applies a version."""
+        if now < self._stable_at:
+            return False
+        return all(
+            router.config_version >= version
+            for router in self._routers.values()
+        )
+
+    def _totals(self) -> dict[str, tuple[int, int]]:
+        totals: dict[str, tuple[int, int]] = {}
+        for router in self._routers.values():
+            for service, load in router.loads.items():
+                running, waiting = totals.get(service, (0, 0))
+                totals[service] = (
+                    running + load.running,
+                    waiting + load.waiting,
+                )
+        return totals
+
+
+def _identities(
+    members: typing.Iterable[pb.Member],
+) -> list[tuple[str, str]]:
+    return sorted((member.router, member.incarnation) for member in members)
--- /dev/null
+++ b/src/honeyport/control/links.py
@@ -0,0 +1,71 @@
+"""gRPC between control replicas."""
+
+import collections.abc
+import typing
+
+import grpc
+
+from honeyport.control import replica
+from honeyport.wire import channels
+from honeyport.wire import honeyport_pb2 as pb
+from honeyport.wire import honeyport_pb2_grpc as rpc
+
+_INSTALL_S = 30.0
+
+Answer = typing.TypeVar('Answer')
+
+
+class GrpcLink:
+    """A link to the replica at an address."""
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._stub = rpc.ReplicaStub(channels.connect(address))
+
+    async def vote(self, request: pb.VoteRequest) -> pb.VoteAnswer:
+        return await _call(self._stub.Vote(request, timeout=self._timeout_s))
+
+    async def append(self, request: pb.AppendRequest) -> pb.AppendAnswer:
+        return await _call(self._stub.Append(request, timeout=self._timeout_s))
+
+    async def install(self, request: pb.InstallRequest) -> pb.AppendAnswer:
+        return await _call(self._stub.Install(request, timeout=_INSTALL_S))
+
+    async def identify(self) -> pb.IdentifyAnswer:
+        return await _call(
+            self._stub.Identify(pb.IdentifyRequest(), timeout=self._timeout_s)
+        )
+
+
+class ReplicaServicer(rpc.ReplicaServicer):
+    """Hands requests of other replicas to ours."""
+
+    def __init__(self, node: replica.Replica) -> None:
+        self._node = node
+
+    async def Vote(
+        self, request: pb.VoteRequest, context: grpc.aio.ServicerContext
+    ) -> pb.VoteAnswer:
+        return await self._node.on_vote(request)
+
+    async def Append(
+        self, request: pb.AppendRequest, context: grpc.aio.ServicerContext
+    ) -> pb.AppendAnswer:
+        return await self._node.on_append(request)
+
+    async def Install(
+        self, request: pb.InstallRequest, context: grpc.aio.ServicerContext
+    ) -> pb.AppendAnswer:
+        return await self._node.on_install(request)
+
+    async def Identify(
+        self, request: pb.IdentifyRequest, context: grpc.aio.ServicerContext
+    ) -> pb.IdentifyAnswer:
+        return await self._node.on_identify()
+
+
+async def _call(call: collections.abc.Awaitable[Answer]) -> Answer:
+    try:
+        return await call
+    except grpc.aio.AioRpcError as error:
+        raise ConnectionError(error.code().name) from None
--- /dev/null
+++ b/src/honeyport/control/machine.py
@@ -0,0 +1,103 @@
+"""The replicated state: what committed log entries add up to."""
+
+import typing
+
+import attrs
+
+from honeyport.bundle import entries as bundle_entries
+from honeyport.control import claims
+from honeyport.wire import honeyport_pb2 as pb
+
+_HISTORY = 1000
+
+Result = typing.Any
+
+
+@attrs.frozen
+class Accepted:
+    """A version of the bundle that was committed."""
+
+    version: int = 0
+    digest: str = ''
+    entries: bundle_entries.Entries = attrs.field(factory=dict)
+    signatures: dict[str, str] = attrs.field(factory=dict)
+
+
+class Machine:
+    """Applies entries in the order of the log."""
+
+    def __init__(self) -> None:
+        self._accepted = Accepted()
+        self._history: dict[int, str] = {}
+        self._claims = claims.Claims()
+
+    @property
+    def accepted(self) -> Accepted:
+        """The accepted bundle; version 0 before the first."""
+        return self._accepted
+
+    @property
+    def history(self) -> dict[int, str]:
+        """The digests of recent versions."""
+        return dict(self._history)
+
+    @property
+    def claims(self) -> claims.Claims:
+        """The claims."""
+        return self._claims
+
+    def apply(self, entry: pb.Entry) -> Result:
+        """Apply an entry; return what its proposer wants to know."""
+        kind = entry.WhichOneof('command')
+        if kind == 'bundle':
+            return self._accept(entry.bundle)
+        if kind == 'claims':
+            return self._claims.apply(entry.claims)
+        return None
+
+    def save(self) -> pb.State:
+        """Return a snapshot of the state."""
+        accepted = self._accepted
+        state = pb.State(
+            version=accepted.version,
+            digest=accepted.digest,
+            entries=accepted.entries,
+            signatures=accepted.signatures,
+        )
+        for version, digest in self._history.items():
+            state.receipts.add(version=version, digest=digest)
+        self._claims.save(state)
+        return state
+
+    def restore(self, state: pb.State) -> None:
+        """Take the state of a snapshot."""
+        self._accepted = Accepted(
+            state.version,
+            state.digest,
+            dict(state.entries),
+            dict(state.signatures),
+        )
+        self._history = {
+            receipt.version: receipt.digest for receipt in state.receipts
+        }
+        self._claims.restore(state)
+
+    def _accept(self, command: pb.AcceptBundle) -> bool:
+        """Accept a version if it follows the accepted one."""
+        if command.version != self._accepted.version + 1:
+            return self._history.get(command.version) == command.digest
+        delta = bundle_entries.Delta(
+            command.base,
+            command.version,
+            dict(command.put),
+            tuple(command.removed),
+        )
+        self._accepted = Accepted(
+            command.version,
+            command.digest,
+            bundle_entries.apply(self._accepted.entries, delta),
+            dict(command.signatures),
+        )
+        self._history[command.version] = command.digest
+        self._history.pop(command.version - _HISTORY, None)
+        return True
--- /dev/null
+++ b/src/honeyport/control/sessions.py
@@ -0,0 +1,300 @@
+"""The leader's side of the routers' streams.
+
+One task reads a router's messages and one writes; both end with the
+stream, and all end with the leadership.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import json
+import time
+import zlib
+
+import attrs
+import grpc
+
+from honeyport.bundle import entries as bundle_entries
+from honeyport.bundle import model
+from honeyport.control import fleet
+from honeyport.control import machine
+from honeyport.control import replica
+from honeyport import errors
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
+from honeyport.wire import honeyport_pb2 as pb
+from honeyport.wire import honeyport_pb2_grpc as rpc
+from honeyport.wire import outbox
+
+_TICK_S = 0.05
+_KEPT_VERSIONS = 50
+_State = pb.ClaimAnswer
+
+_Batches = collections.abc.AsyncIterator[pb.RouterBatch]
+
+
+@attrs.define
+class Session:
+    """One router's stream."""
+
+    router: fleet.Router
+    outbox: outbox.Outbox[pb.ControlItem]
+    sent_version: int
+    sent_view: int
+    sent_loads: bytes = b''
+
+
+@attrs.frozen
+class _Waiting:
+    session: Session
+    request: pb.ClaimRequest
+
+
+class Sessions(rpc.SessionServicer):
+    """All streams of routers to this replica."""
+
+    def __init__(
+        self, node: replica.Replica, counters: metrics.Metrics
+    ) -> None:
+        self._node = node
+        self._metrics = counters
+        self._sessions: dict[str, Session] = {}
+        self._fleet = fleet.Fleet(0, 0.0)
+        self._term = 0
+        self._versions: dict[int, bundle_entries.Entries] = {}
+        self._bundle: model.Bundle | None = None
+        self._claims: outbox.Outbox[_Waiting] = outbox.Outbox()
+        self._in_force = 0
+        self._loads = pb.Loads()
+        self._encoded_loads = b''
+        counters.gauge('control_sessions', lambda: len(self._sessions))
+        counters.gauge('control_claims', lambda: len(node.machine.claims))
+
+    @property
+    def fleet(self) -> fleet.Fleet:
+        """The routers of this leadership."""
+        return self._fleet
+
+    @property
+    def bundle(self) -> model.Bundle | None:
+        """The accepted bundle, or ``None`` before the first."""
+        accepted = self._node.machine.accepted
+        if not accepted.version:
+            return None
+        if self._bundle is None or self._bundle.version != accepted.version:
+            self._bundle = bundle_entries.join(
+                accepted.version, accepted.entries
+            )
+        return self._bundle
+
+    @property
+    def in_force(self) -> bool:
+        """Whether the accepted version is in force everywhere."""
+        version = self._node.machine.accepted.version
+        return self._node.leads and self._fleet.in_force(version, _now())
+
+    async def Attach(
+        self,
+        request_iterator: _Batches,
+        context: grpc.aio.ServicerContext,
+    ) -> collections.abc.AsyncIterator[pb.ControlBatch]:
+        first = await anext(aiter(request_iterator), None)
+        if first is None or not first.items[0].HasField('hello'):
+            return
+        if not self._node.leads or self._term != self._node.term:
+            yield pb.ControlBatch(items=[self._redirect()])
+            return
+        session = self._open(first.items[0].hello)
+        reader = asyncio.create_task(self._read(session, request_iterator))
+        try:
+            while items := await session.outbox.take():
+                yield pb.ControlBatch(items=items)
+        finally:
+            reader.cancel()
+            self._close(session)
+
+    async def run(self) -> None:
+        """Watch leadership, leases and the accepted version."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self._watch_leadership()
+            if self._node.leads and self._term == self._node.term:
+                self._tick()
+
+    async def run_claims(self) -> None:
+        """Commit claims, many at a time."""
+        while True:
+            waiting = await self._claims.take()
+            if waiting:
+                await self._commit_claims(waiting)
+
+    def _watch_leadership(self) -> None:
+        if self._node.role == replica.LEADER:
+            if self._term != self._node.term and self._node.leads:
+                self._begin()
+        elif self._term:
+            self._end()
+
+    def _begin(self) -> None:
+        self._term = self._node.term
+        stable_at = self._node.led_since + self._lease_s()
+        self._fleet = fleet.Fleet(self._term, stable_at)
+
+    def _end(self) -> None:
+        self._term = 0
+        for session in self._sessions.values():
+            session.outbox.put(self._redirect())
+            session.outbox.close()
+        self._sessions.clear()
+
+    def _open(self, hello: pb.Hello) -> Session:
+        former = self._sessions.pop(hello.router, None)
+        if former is not None:
+            former.outbox.close()
+        router = self._fleet.greet(hello, _now(), self._lease_s())
+        session = Session(
+            router,
+            outbox.Outbox(),
+            sent_version=hello.config_version,
+            sent_view=0,
+        )
+        self._sessions[hello.router] = session
+        if not self._knows(hello):
+            session.sent_version = 0
+        return session
+
+    def _knows(self, hello: pb.Hello) -> bool:
+        """Whether the router holds a version that deltas can start from."""
+        history = self._node.machine.history
+        same = history.get(hello.config_version) == hello.config_digest
+        return same and hello.config_version in self._versions
+
+    def _close(self, session: Session) -> None:
+        name = session.router.member.router
+        if self._sessions.get(name) is session:
+            del self._sessions[name]
+        session.outbox.close()
+
+    async def _read(self, session: Session, batches: _Batches) -> None:
+        with contextlib.suppress(grpc.RpcError):
+            async for batch in batches:
+                if session.outbox.closed:
+                    return
+                for item in batch.items:
+                    self._take(session, item)
+        if session.router.member.leaving:
+            self._fleet.leave(session.router)
+        session.outbox.close()
+
+    def _take(self, session: Session, item: pb.RouterItem) -> None:
+        if item.HasField('report'):
+            self._report(session, item.report)
+        elif item.HasField('claim'):
+            self._claims.put(_Waiting(session, item.claim))
+
+    def _report(self, session: Session, report: pb.Report) -> None:
+        """Answer a report, if we are still in charge."""
+        self._metrics.count('control_reports')
+        if not self._node.leads:
+            return
+        if not self._fleet.holds(session.router):
+            session.outbox.close()  # it lapsed; it has to attach anew
+            return
+        self._fleet.report(session.router, report, _now(), self._lease_s())
+        answer = pb.ReportAnswer(
+            number=report.number, lease_ms=int(self._lease_s() * 1000)
+        )
+        session.outbox.put(pb.ControlItem(answer=answer))
+        if self._encoded_loads != session.sent_loads:
+            session.sent_loads = self._encoded_loads
+            session.outbox.put(pb.ControlItem(loads=self._loads))
+
+    def _tick(self) -> None:
+        self._fleet.refresh(_now())
+        self._loads = self._fleet.loads()
+        self._encoded_loads = self._loads.SerializeToString(deterministic=True)
+        self._keep_version()
+        for session in list(self._sessions.values()):
+            self._send_news(session)
+        version = self._node.machine.accepted.version
+        if version > self._in_force and self.in_force:
+            self._in_force = version
+            logs.emit(events.BUNDLE_IN_FORCE, version=version)
+
+    def _send_news(self, session: Session) -> None:
+        view = self._fleet.view
+        if view.members and view.number != session.sent_view:
+            session.sent_view = view.number
+            session.outbox.put(pb.ControlItem(view=view))
+        accepted = self._node.machine.accepted
+        if accepted.version != session.sent_version:
+            config = self._config(session.sent_version, accepted)
+            session.sent_version = accepted.version
+            session.outbox.put(pb.ControlItem(config=config))
+
+    def _keep_version(self) -> None:
+        accepted = self._node.machine.accepted
+        if accepted.version not in self._versions:
+            self._versions[accepted.version] = accepted.entries
+            self._versions.pop(accepted.version - _KEPT_VERSIONS, None)
+
+    def _config(self, base: int, accepted: machine.Accepted) -> pb.Config:
+        config = pb.Config(version=accepted.version, digest=accepted.digest)
+        old = self._versions.get(base) if base else None
+        if old is None:
+            text = bundle_entries.canonical(accepted.entries)
+            config.snapshot = zlib.compress(text.encode())
+            return config
+        delta = bundle_entries.difference(
+            base, old, accepted.version, accepted.entries
+        )
+        config.base = base
+        config.put.update(delta.put)
+        config.removed.extend(delta.removed)
+        return config
+
+    async def _commit_claims(self, waiting: list[_Waiting]) -> None:
+        batch = pb.ClaimBatch(now_s=time.time())
+        live = [one for one in waiting if not one.session.outbox.closed]
+        batch.requests.extend(one.request for one in live)
+        try:
+            answers = await self._node.propose(batch)
+        except errors.HoneyportError:
+            answers = [
+                pb.ClaimAnswer(id=one.request.id, state=_State.FAILED)
+                for one in live
+            ]
+        self._metrics.count('control_claims_committed', len(live))
+        for one, answer in zip(live, answers, strict=True):
+            if answer.state == _State.RUNNING:
+                answer.state = self._holder_state(one.request.key)
+            one.session.outbox.put(pb.ControlItem(claim=answer))
+
+    def _holder_state(self, key: str) -> 'pb.ClaimAnswer.State':
+        """Tell a claim that runs from one whose holder is gone."""
+        holder = self._node.machine.claims.holder(key)
+        router, _, rest = holder.partition('/')
+        incarnation, _, _ = rest.partition('/')
+        if self._fleet.alive(router, incarnation):
+            return _State.RUNNING
+        return _State.UNKNOWN
+
+    def _lease_s(self) -> float:
+        bundle = self.bundle
+        timing = bundle.timing if bundle else model.Timing()
+        return timing.lease_ms / 1000
+
+    def _redirect(self) -> pb.ControlItem:
+        return pb.ControlItem(
+            redirect=pb.Redirect(leader=self._node.leader_address)
+        )
+
+
+def read_snapshot(config: pb.Config) -> bundle_entries.Entries:
+    """Return the entries of a snapshot."""
+    return json.loads(zlib.decompress(config.snapshot))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/honeyport/exchange.py
@@ -0,0 +1,95 @@
+"""A request on its way and the frames of its answer.
+
+Wherever an answer is produced (an engine's client, a hop to another
+router) it is an asynchronous iterator of frames: one ``Head``, any number
+of ``Data`` in order, one ``End``. What goes wrong is raised. An answer
+without its ``End`` is not whole.
+"""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+NOT_RESUMED = -1
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """One request.
+
+    :param deadline: loop time at which its caller gives up
+    :param key: the idempotency key of a non-repeatable request, or ``''``
+    :param resume_after: number of the last event that the caller has;
+        0 if it has none, ``NOT_RESUMED`` if this is not a resumption
+    :param parent: the ``traceparent`` of the span around it
+    :param wait: whether to queue for room
+    :param linger: whether to go on for a while without a caller
+    """
+
+    request_id: str
+    service: str
+    account: str
+    chat: str
+    method: str
+    path: str
+    deadline: float
+    headers: Headers = ()
+    body: bytes = b''
+    attempt: int = 1
+    key: str = ''
+    resume_after: int = NOT_RESUMED
+    parent: str = ''
+    priority: int = 0
+    wait: bool = False
+    linger: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether running it twice does no harm."""
+        return not self.key
+
+    @property
+    def resumes(self) -> bool:
+        """Whether this asks for the rest of a stream."""
+        return self.resume_after != NOT_RESUMED
+
+    def left(self) -> float:
+        """Return the seconds until the deadline."""
+        return self.deadline - asyncio.get_running_loop().time()
+
+
+@attrs.frozen
+class Head:
+    """The beginning of an answer."""
+
+    status: int
+    headers: Headers
+    backend: str
+    recorded: bool = False  # the outcome of an earlier run
+
+
+@attrs.frozen
+class Data:
+    """A part of the answer's body; numbered 1, 2, 3, ..."""
+
+    number: int
+    payload: bytes
+
+
+@attrs.frozen
+class End:
+    """The end of a whole answer.
+
+    :param frames: how many ``Data`` frames there were
+    :param length: the bytes of all their payloads
+    """
+
+    frames: int
+    length: int
+
+
+Frame = Head | Data | End
+Answer = collections.abc.AsyncGenerator[Frame, None]
--- /dev/null
+++ b/src/honeyport/local.py
@@ -0,0 +1,174 @@
+"""``honeyport local``: a whole small site in one process, with a try-out."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import socket
+import tempfile
+import typing
+
+import attrs
+
+from honeyport.bundle import entries
+from honeyport.bundle import model
+from honeyport.bundle import signing
+from honeyport import client
+from honeyport.control import daemon as control_daemon
+from honeyport.router import daemon as router_daemon
+from honeyport.settings import roles
+from honeyport.standin import engine
+from honeyport.standin import service
+from honeyport import supervisor
+from honeyport.telemetry import log as logs
+
+_DOMAIN = 'thu-duc'
+_ACCOUNT = 'try-out'
+_READY_S = 20.0
+_QUESTION = [{'role': 'user', 'content': 'The swing has a cracked bolt.'}]
+
+
+@attrs.frozen
+class Site:
+    """The addresses of a local site."""
+
+    router: str
+    engines: tuple[str, ...]
+    service: str
+
+
+def run(keep: bool = False) -> None:
+    """Start a site, send two requests through it, and stop.
+
+    :param keep: go on serving until interrupted
+    """
+    logs.configure('warning', instance='local')
+    with tempfile.TemporaryDirectory(prefix='honeyport-') as folder:
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(_run(pathlib.Path(folder), keep))
+
+
+async def _run(folder: pathlib.Path, keep: bool) -> None:
+    tree = supervisor.Supervisor('local')
+    try:
+        site = await start(folder, tree)
+        print(f'router on http://{site.router}')
+        await try_out(site)
+        if keep:
+            await asyncio.Event().wait()
+    finally:
+        await tree.stop()
+    print('stopped')
+
+
+async def start(folder: pathlib.Path, tree: supervisor.Supervisor) -> Site:
+    """Start one control replica, one router and three backend servers."""
+    site = Site(
+        free_address(), (free_address(), free_address()), free_address()
+    )
+    control = free_address()
+    for number, address in enumerate(site.engines, 1):
+        await engine.start(
+            roles.Engine(
+                name=f'draft-llm-{number}', domain=_DOMAIN, listen=address
+            ),
+            tree,
+        )
+    await service.start(
+        roles.Service(name='field-app-1', domain=_DOMAIN, listen=site.service),
+        tree,
+    )
+    public = signing.new_key(str(folder), 'local')
+    signed = _bundle(site, public)
+    signed = signing.sign(signed, str(folder / 'local.pem'))
+    seed = folder / 'bundle.json'
+    seed.write_text(signed.to_json(), encoding='utf-8')
+    await control_daemon.start(
+        roles.Control(
+            name='control',
+            domain=_DOMAIN,
+            listen=control,
+            data=str(folder / 'data'),
+            members={'control': control},
+            signers={'local': public},
+            seed=str(seed),
+            election_ms=100,
+            heartbeat_ms=30,
+        ),
+        tree,
+    )
+    router = await router_daemon.start(
+        roles.Router(
+            name='router',
+            domain=_DOMAIN,
+            listen=site.router,
+            peer_listen=free_address(),
+            control=(control,),
+        ),
+        tree,
+    )
+    async with asyncio.timeout(_READY_S):
+        while not router.state.version or router.state.lease_left <= 0:
+            await asyncio.sleep(0.02)
+    return site
+
+
+async def try_out(site: Site) -> None:
+    """Send a chat and a filing; print the answers and who gave them."""
+    caller = client.Client([site.router], _ACCOUNT)
+    try:
+        print('chat:')
+        body = b''
+        async for payload in caller.chat('draft-llm', 'yard-17', _QUESTION):
+            body += payload
+        print('  ' + _text(body))
+        print(f'  served by {caller.placement("draft-llm", "yard-17")}')
+        print('filing:')
+        filed = await caller.call(
+            'field-app', 'POST', '/reports', b'{"yard": 17}'
+        )
+        print(f'  {filed.status} {filed.body.decode()}')
+    finally:
+        caller.close()
+
+
+def free_address() -> str:
+    """Return a loopback address whose port the system chose."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def _bundle(site: Site, public: str) -> signing.Signed:
+    backends: dict[str, typing.Any] = {
+        f'draft-llm-{number}': model.Backend(
+            service='draft-llm', address=address, domain=_DOMAIN
+        )
+        for number, address in enumerate(site.engines, 1)
+    }
+    backends['field-app-1'] = model.Backend(
+        service='field-app', address=site.service, domain=_DOMAIN
+    )
+    bundle = model.Bundle(
+        version=1,
+        signers=model.Signers(keys={'local': public}),
+        models={'draft': model.Model(version='1')},
+        services={
+            'draft-llm': model.Service(kind=model.ENGINE, model='draft'),
+            'field-app': model.Service(kind=model.SERVICE),
+        },
+        backends=backends,
+        accounts={_ACCOUNT: model.Account()},
+        timing=model.Timing(report_ms=100, lease_ms=1000),
+    )
+    return signing.Signed(1, entries.split(bundle), {})
+
+
+def _text(stream: bytes) -> str:
+    """Return the words of a streamed answer."""
+    words = []
+    for line in stream.decode().splitlines():
+        if line.startswith('data: {'):
+            chunk = json.loads(line[len('data: ') :])
+            words.append(chunk['choices'][0]['delta']['content'])
+    return ' '.join(words)
--- /dev/null
+++ b/src/honeyport/router/__init__.py
@@ -0,0 +1,1 @@
+"""The processes between callers and backend servers."""
--- /dev/null
+++ b/src/honeyport/router/dispatch.py
@@ -0,0 +1,200 @@
+"""From a call to the backend server that answers it.
+
+Candidates come in the order of the chat's rendezvous hash, after the one
+that the caller's placement hint names. The first one with room under the
+bound takes the call; if none has, the call queues at the first.
+"""
+
+import asyncio
+import contextlib
+
+import attrs
+
+from honeyport import errors
+from honeyport import exchange
+from honeyport.router import fleetstate
+from honeyport.router import placement
+from honeyport.router import relay
+from honeyport.router import resume
+from honeyport.router import retries
+from honeyport.router import steward
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
+
+_CANDIDATES = 6
+_HANDOVER_PAUSE_S = 0.05
+_HANDOVER_S = 4.0  # longest wait for a new steward
+_RESUMES = 5
+
+_ELSEWHERE = (errors.BackendFull, errors.NotSent, errors.NotReady)
+_CUT = (errors.AnswerCut, errors.BackendLost, errors.PeerLost)
+
+
+class Dispatcher:
+    """Sends calls on, here or over a hop."""
+
+    def __init__(
+        self,
+        name: str,
+        state: fleetstate.FleetState,
+        local: steward.Steward,
+        links: relay.Links,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._name = name
+        self._state = state
+        self._steward = local
+        self._links = links
+        self._metrics = counters
+        self._budget = retries.Budget()
+
+    def candidates(self, service: str, chat: str, hint: str) -> list[str]:
+        """Return the backend servers for a chat, the best one first.
+
+        :raises errors.UnknownService: if the bundle has no such service
+        """
+        pool = self._state.pool(service)
+        usable = self._state.usable(pool)
+        ranked = placement.rank(chat, usable, _CANDIDATES)
+        if hint in usable:
+            ranked = [hint, *(name for name in ranked if name != hint)]
+        return ranked
+
+    async def answer(
+        self, call: exchange.Call, hint: str = ''
+    ) -> exchange.Answer:
+        """Yield the answer of whichever backend server takes the call."""
+        self._budget.earn()
+        loop = asyncio.get_running_loop()
+        until = min(call.deadline, loop.time() + _HANDOVER_S)
+        while True:
+            self._state.check_lease()
+            try:
+                async for frame in self._try_all(call, hint):
+                    yield frame
+                return
+            except (errors.NotReady, errors.NotSent) as error:
+                if self._state.lease_left <= 0 or loop.time() > until:
+                    raise errors.Overloaded(
+                        error.detail, retry_after=1.0
+                    ) from None
+            await asyncio.sleep(_HANDOVER_PAUSE_S)
+
+    async def _try_all(
+        self, call: exchange.Call, hint: str
+    ) -> exchange.Answer:
+        names = self.candidates(call.service, call.chat, hint)
+        if not names:
+            raise errors.NotSent(f'no backend server of {call.service} is up')
+        plan = [(name, False) for name in names] + [(names[0], True)]
+        problem: errors.HoneyportError | None = None
+        for name, wait in plan:
+            started = False
+            try:
+                attempt = attrs.evolve(call, wait=wait)
+                async for frame in self._whole(attempt, name):
+                    started = True
+                    yield frame
+                return
+            except _ELSEWHERE as error:
+                problem = error
+            except (errors.BackendLost, errors.PeerLost) as error:
+                if started or not self._may_repeat(call):
+                    raise
+                problem = error
+        assert problem is not None
+        raise problem
+
+    def _may_repeat(self, call: exchange.Call) -> bool:
+        if not call.repeatable:
+            return False
+        self._metrics.count('retries')
+        return self._budget.spend()
+
+    async def _whole(
+        self, call: exchange.Call, backend: str
+    ) -> exchange.Answer:
+        """Yield an answer; resume a stream of events that is cut."""
+        offset = resume.Offset(max(0, call.resume_after))
+        number = length = 0
+        streamed = headed = False
+        current = call
+        for attempt in range(1, _RESUMES + 1):
+            try:
+                async for frame in self._send(current, backend):
+                    if isinstance(frame, exchange.Head):
+                        streamed = _is_stream(frame)
+                        if not headed:
+                            yield frame
+                        headed = True
+                    elif isinstance(frame, exchange.Data):
+                        payload = frame.payload
+                        if streamed:
+                            payload = offset.take(payload)
+                        number += 1
+                        length += len(payload)
+                        yield exchange.Data(number, payload)
+                yield exchange.End(number, length)
+                return
+            except _CUT as error:
+                resumable = headed and streamed and call.repeatable
+                if not resumable or attempt == _RESUMES:
+                    raise
+                self._note_cut(call, backend, error)
+            except _ELSEWHERE as error:
+                if not headed:
+                    raise
+                if attempt == _RESUMES:
+                    raise errors.AnswerCut(error.detail) from None
+                await asyncio.sleep(_HANDOVER_PAUSE_S * 2**attempt)
+            offset.restart()
+            current = attrs.evolve(
+                call,
+                attempt=call.attempt + attempt,
+                resume_after=offset.last_event,
+                wait=True,
+            )
+
+    def _note_cut(
+        self,
+        call: exchange.Call,
+        backend: str,
+        error: errors.HoneyportError,
+    ) -> None:
+        self._metrics.count('resumed')
+        logs.emit(
+            events.ANSWER_RESUMED,
+            request=call.request_id,
+            backend=backend,
+            cause=error.code,
+        )
+
+    async def _send(
+        self, call: exchange.Call, backend: str
+    ) -> exchange.Answer:
+        """Send a call to the steward of a backend server."""
+        name = self._state.steward(backend)
+        answer = self._route(call, backend, name)
+        async with contextlib.aclosing(answer):
+            async for frame in answer:
+                yield frame
+
+    def _route(
+        self, call: exchange.Call, backend: str, name: str
+    ) -> exchange.Answer:
+        if name == self._name:
+            self._metrics.count('hops', kind='none')
+            return self._steward.answer(call, backend)
+        member = self._state.members.get(name)
+        if member is None:
+            raise errors.NotReady(f'nobody stewards {backend} yet')
+        self._metrics.count('hops', kind='one')
+        return self._links.get(member.peer_address).answer(call, backend)
+
+
+def _is_stream(head: exchange.Head) -> bool:
+    return any(
+        name.lower() == 'content-type' and value.startswith('text/event')
+        for name, value in head.headers
+    )
--- /dev/null
+++ b/src/honeyport/router/fleetstate.py
@@ -0,0 +1,238 @@
+"""What a router knows of the fleet: bundle, view, loads and its lease."""
+
+import asyncio
+
+import attrs
+
+from honeyport.bundle import entries as bundle_entries
+from honeyport.bundle import model
+from honeyport.control import sessions
+from honeyport import errors
+from honeyport.router import placement
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.wire import honeyport_pb2 as pb
+
+_DRIFT = 0.9  # of a lease: room for a clock that runs slow
+
+
+@attrs.frozen
+class Pool:
+    """The backend servers of one service."""
+
+    service: model.Service
+    names: tuple[str, ...]
+
+
+class FleetState:
+    """The latest of everything; changed by the session alone."""
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._digest = ''
+        self._entries: bundle_entries.Entries = {}
+        self._bundle: model.Bundle | None = None
+        self._pools: dict[str, Pool] = {}
+        self._view = pb.View()
+        self._settled = 0
+        self._settled_version = 0
+        self._stewards: dict[str, str] = {}
+        self._members: dict[str, pb.Member] = {}
+        self._lease_until = float('-inf')
+        self._totals: dict[str, pb.PoolLoad] = {}
+        self._residuals: dict[str, int] = {}
+        self._down: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
+
+    @property
+    def version(self) -> int:
+        """The version in force here; 0 before the first."""
+        return self._version
+
+    @property
+    def digest(self) -> str:
+        """The digest of that version."""
+        return self._digest
+
+    @property
+    def bundle(self) -> model.Bundle:
+        """The bundle in force here.
+
+        :raises errors.NotReady: before the first
+        """
+        if self._bundle is None:
+            raise errors.NotReady('no configuration yet', retry_after=1.0)
+        return self._bundle
+
+    @property
+    def view(self) -> int:
+        """The number of the latest view."""
+        return self._view.number
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether every router with a lease has our view and version.
+
+        Only then has each given up what went to another.
+        """
+        return (
+            self._settled >= self._view.number > 0
+            and self._settled_version >= self._version
+        )
+
+    @property
+    def members(self) -> dict[str, pb.Member]:
+        """The routers of the view, by name."""
+        return self._members
+
+    @property
+    def lease_left(self) -> float:
+        """Seconds until this router must stop taking work."""
+        return self._lease_until - asyncio.get_running_loop().time()
+
+    @property
+    def timing(self) -> model.Timing:
+        """Periods and leases; the defaults before the first bundle."""
+        return self._bundle.timing if self._bundle else model.Timing()
+
+    def check_lease(self) -> None:
+        """Raise :class:`errors.NotReady` if new work may not start."""
+        if self._bundle is None:
+            raise errors.NotReady('no configuration yet', retry_after=1.0)
+        if self.lease_left <= 0:
+            raise errors.NotReady(
+                'cut off from control', retry_after=self._lease_s()
+            )
+
+    def pool(self, service: str) -> Pool:
+        """Return a service's backend servers.
+
+        :raises errors.UnknownService: if the bundle does not name it
+        """
+        if self._bundle is None:
+            raise errors.NotReady('no configuration yet', retry_after=1.0)
+        found = self._pools.get(service)
+        if found is None:
+            raise errors.UnknownService(f'no service {service!r}')
+        return found
+
+    def usable(self, pool: Pool) -> list[str]:
+        """Return the pool's backend servers that may get new work."""
+        if not self._down and not self._leaving:
+            return list(pool.names)
+        return [
+            name
+            for name in pool.names
+            if name not in self._down and name not in self._leaving
+        ]
+
+    def is_leaving(self, backend: str) -> bool:
+        """Whether a backend server gets no new work any more."""
+        return backend in self._leaving
+
+    def steward(self, backend: str) -> str:
+        """Return the router that stewards a backend server, or ``''``.
+
+        A router of the same failure domain goes first, so that losing a
+        domain moves few backend servers of the others.
+        """
+        found = self._stewards.get(backend)
+        if found is None:
+            found = self._choose_steward(backend)
+            self._stewards[backend] = found
+        return found
+
+    def total(self, service: str) -> pb.PoolLoad:
+        """Return the reported load of a service on all routers."""
+        return self._totals.get(service) or pb.PoolLoad(service=service)
+
+    def residual(self, backend: str) -> int:
+        """Return what former stewards still have running there."""
+        return self._residuals.get(backend, 0)
+
+    def apply_config(self, config: pb.Config) -> bool:
+        """Take a version; return whether it is in force now.
+
+        A lower version than the one in force is never taken, and neither
+        is one whose digest does not match its entries.
+        """
+        if config.version <= self._version:
+            logs.emit(
+                events.CONFIG_STALE, version=config.version, has=self._version
+            )
+            return False
+        if config.snapshot:
+            entries = sessions.read_snapshot(config)
+        elif config.base == self._version:
+            entries = bundle_entries.apply(
+                self._entries,
+                bundle_entries.Delta(
+                    config.base,
+                    config.version,
+                    dict(config.put),
+                    tuple(config.removed),
+                ),
+            )
+        else:
+            return False
+        if bundle_entries.digest(config.version, entries) != config.digest:
+            return False
+        self._entries = entries
+        self._bundle = bundle_entries.join(config.version, entries)
+        self._version = config.version
+        self._digest = config.digest
+        self._pools = _pools(self._bundle)
+        self._stewards.clear()
+        logs.emit(events.CONFIG_APPLIED, version=self._version)
+        return True
+
+    def apply_view(self, view: pb.View) -> bool:
+        """Take a view; return whether it is newer."""
+        if view.number <= self._view.number:
+            return False
+        self._view = view
+        self._members = {member.router: member for member in view.members}
+        self._stewards.clear()
+        return True
+
+    def apply_loads(self, loads: pb.Loads) -> None:
+        """Take the fleet's loads."""
+        self._totals = {total.service: total for total in loads.totals}
+        self._residuals = {
+            load.backend: load.running for load in loads.residuals
+        }
+        self._settled = loads.settled
+        self._settled_version = loads.settled_version
+        self._down = frozenset(loads.down)
+        self._leaving = frozenset(loads.leaving)
+
+    def renew(self, sent: float, lease_ms: int) -> None:
+        """Take a lease that counts from the sending of the report."""
+        until = sent + lease_ms / 1000 * _DRIFT
+        self._lease_until = max(self._lease_until, until)
+
+    def _lease_s(self) -> float:
+        return self.timing.lease_ms / 1000
+
+    def _choose_steward(self, backend: str) -> str:
+        bundle = self._bundle
+        if bundle is None or backend not in bundle.backends:
+            return ''
+        domain = bundle.backends[backend].domain
+        near = [
+            member.router
+            for member in self._view.members
+            if member.domain == domain
+        ]
+        best = placement.rank(backend, near or self._members, 1)
+        return best[0] if best else ''
+
+
+def _pools(bundle: model.Bundle) -> dict[str, Pool]:
+    names: dict[str, list[str]] = {name: [] for name in bundle.services}
+    for name, backend in bundle.backends.items():
+        names[backend.service].append(name)
+    return {
+        service: Pool(bundle.services[service], tuple(sorted(found)))
+        for service, found in names.items()
+    }
--- /dev/null
+++ b/src/honeyport/router/frames.py
@@ -0,0 +1,115 @@
+"""Calls and frames as messages between routers."""
+
+import asyncio
+
+from honeyport import errors
+from honeyport import exchange
+from honeyport.wire import honeyport_pb2 as pb
+
+
+def encode_call(call: exchange.Call, backend: str) -> pb.Open:
+    """Return the message that opens a stream."""
+    return pb.Open(
+        request_id=call.request_id,
+        attempt=call.attempt,
+        backend=backend,
+        service=call.service,
+        account=call.account,
+        chat=call.chat,
+        method=call.method,
+        path=call.path,
+        headers=_encode_headers(call.headers),
+        body=call.body,
+        deadline_s=call.left(),
+        idempotency_key=call.key,
+        resume_after=call.resume_after + 1,
+        traceparent=call.parent,
+        priority=call.priority,
+        wait=call.wait,
+        linger=call.linger,
+    )
+
+
+def decode_call(message: pb.Open) -> exchange.Call:
+    """Return the call of a message."""
+    now = asyncio.get_running_loop().time()
+    return exchange.Call(
+        request_id=message.request_id,
+        attempt=message.attempt,
+        service=message.service,
+        account=message.account,
+        chat=message.chat,
+        method=message.method,
+        path=message.path,
+        headers=_decode_headers(message.headers),
+        body=message.body,
+        deadline=now + message.deadline_s,
+        key=message.idempotency_key,
+        resume_after=message.resume_after - 1,
+        parent=message.traceparent,
+        priority=message.priority,
+        wait=message.wait,
+        linger=message.linger,
+    )
+
+
+def encode_frame(stream: int, frame: exchange.Frame) -> pb.Frame:
+    """Return the message of a frame."""
+    if isinstance(frame, exchange.Data):
+        data = pb.Data(number=frame.number, payload=frame.payload)
+        return pb.Frame(stream=stream, data=data)
+    if isinstance(frame, exchange.Head):
+        head = pb.Head(
+            status=frame.status,
+            headers=_encode_headers(frame.headers),
+            backend=frame.backend,
+        )
+        return pb.Frame(stream=stream, head=head)
+    end = pb.End(frames=frame.frames, length=frame.length)
+    return pb.Frame(stream=stream, end=end)
+
+
+def decode_frame(message: pb.Frame) -> exchange.Frame:
+    """Return the frame of a message.
+
+    :raises errors.HoneyportError: if it says that the call failed
+    """
+    kind = message.WhichOneof('body')
+    if kind == 'data':
+        return exchange.Data(message.data.number, message.data.payload)
+    if kind == 'head':
+        head = message.head
+        return exchange.Head(
+            head.status, _decode_headers(head.headers), head.backend
+        )
+    if kind == 'end':
+        return exchange.End(message.end.frames, message.end.length)
+    raise decode_failure(message.failure)
+
+
+def encode_failure(stream: int, error: errors.HoneyportError) -> pb.Frame:
+    """Return the message of an error."""
+    failure = pb.Failure(
+        code=error.code,
+        detail=error.detail,
+        retry_after_s=error.retry_after or 0.0,
+        settled=error.settled,
+    )
+    return pb.Frame(stream=stream, failure=failure)
+
+
+def decode_failure(message: pb.Failure) -> errors.HoneyportError:
+    """Return the error of a message."""
+    error = errors.by_code(message.code)(
+        message.detail, retry_after=message.retry_after_s or None
+    )
+    error.settled = message.settled
+    return error
+
+
+def _encode_headers(headers: exchange.Headers) -> list[pb.Header]:
+    return [pb.Header(name=name, value=value) for name, value in headers]
+
+
+def _decode_headers(headers: object) -> exchange.Headers:
+    return tuple((one.name, one.value) for one in headers)
--- /dev/null
+++ b/src/honeyport/router/session.py
@@ -0,0 +1,240 @@
+"""A router's stream to the leading control replica.
+
+One task holds the stream: it finds the leader, reads what comes, and ends
+when the stream does. Another one writes a report every period, and at
+once when something changed that the fleet waits for.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import typing
+import uuid
+
+import attrs
+import grpc
+
+from honeyport.router import fleetstate
+from honeyport.settings import roles
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.wire import channels
+from honeyport.wire import honeyport_pb2 as pb
+from honeyport.wire import honeyport_pb2_grpc as rpc
+from honeyport.wire import outbox
+
+_PAUSE_S = 0.1
+_ATTACH_S = 1.0
+_SOONEST_S = 0.02  # between two reports, however much changes
+
+Fill = typing.Callable[[pb.Report], None]
+OnView = typing.Callable[[bool], None]
+
+
+@attrs.define
+class _Pending:
+    request: pb.ClaimRequest
+    future: asyncio.Future[pb.ClaimAnswer]
+
+
+class Session:
+    """The stream, whichever replica it leads to.
+
+    :param fill: adds loads to a report
+    :param on_view: called after a view was applied, with whether it
+        follows the one before without a gap
+    """
+
+    def __init__(
+        self,
+        settings: roles.Router,
+        state: fleetstate.FleetState,
+        fill: Fill,
+        on_view: OnView,
+    ) -> None:
+        self._settings = settings
+        self._state = state
+        self._fill = fill
+        self._on_view = on_view
+        self._incarnation = uuid.uuid4().hex[:12]
+        self._outbox: outbox.Outbox[pb.RouterItem] | None = None
+        self._leader = ''
+        self._numbers = itertools.count(1)
+        self._sent: dict[int, float] = {}
+        self._news = asyncio.Event()
+        self._leaving = False
+        self._claim_ids = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._gap = True
+
+    @property
+    def incarnation(self) -> str:
+        """Tells this run of the process from any other."""
+        return self._incarnation
+
+    @property
+    def attached(self) -> bool:
+        """Whether there is a stream to a leader."""
+        return self._outbox is not None
+
+    def hurry(self) -> None:
+        """Send the next report at once."""
+        self._news.set()
+
+    def leave(self) -> None:
+        """Say in all further reports that this router is leaving."""
+        self._leaving = True
+        self.hurry()
+
+    async def claim(self, request: pb.ClaimRequest) -> pb.ClaimAnswer:
+        """Have a claim request committed; sent again on a new stream."""
+        request.id = next(self._claim_ids)
+        future = asyncio.get_running_loop().create_future()
+        self._pending[request.id] = _Pending(request, future)
+        if self._outbox is not None:
+            self._outbox.put(pb.RouterItem(claim=request))
+        try:
+            return await future
+        finally:
+            self._pending.pop(request.id, None)
+
+    async def run(self) -> None:
+        """Keep a stream to the leader until cancelled."""
+        addresses = itertools.cycle(self._settings.control)
+        while True:
+            address = self._leader or next(addresses)
+            self._leader = ''
+            try:
+                await self._attach(address)
+            except grpc.RpcError:
+                pass
+            if not self._leader:
+                await asyncio.sleep(_PAUSE_S)
+
+    async def _attach(self, address: str) -> None:
+        channel = channels.connect(address)
+        box: outbox.Outbox[pb.RouterItem] = outbox.Outbox()
+        box.put(pb.RouterItem(hello=self._hello()))
+        reporter = None
+        try:
+            call = rpc.SessionStub(channel).Attach(_batches(box))
+            first = await asyncio.wait_for(call.read(), _ATTACH_S)
+            if first is grpc.aio.EOF or self._redirected(first):
+                return
+            self._begin(box)
+            reporter = asyncio.create_task(self._report(box))
+            self._take(first)
+            while (batch := await call.read()) is not grpc.aio.EOF:
+                if self._redirected(batch):
+                    return
+                self._take(batch)
+        except TimeoutError:
+            return
+        finally:
+            if reporter is not None:
+                await self._end(reporter, box)
+            box.close()
+            await channel.close()
+
+    def _begin(self, box: outbox.Outbox[pb.RouterItem]) -> None:
+        self._outbox = box
+        self._sent.clear()
+        self._gap = True
+        for pending in list(self._pending.values()):
+            box.put(pb.RouterItem(claim=pending.request))
+
+    async def _end(
+        self,
+        reporter: asyncio.Task[None],
+        box: outbox.Outbox[pb.RouterItem],
+    ) -> None:
+        self._outbox = None
+        reporter.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await reporter
+        logs.emit(events.SESSION_LOST)
+
+    def _redirected(self, batch: pb.ControlBatch) -> bool:
+        for item in batch.items:
+            if item.HasField('redirect'):
+                self._leader = item.redirect.leader
+                return True
+        return False
+
+    def _take(self, batch: pb.ControlBatch) -> None:
+        for item in batch.items:
+            kind = item.WhichOneof('item')
+            if kind == 'answer':
+                self._take_answer(item.answer)
+            elif kind == 'config':
+                if self._state.apply_config(item.config):
+                    self.hurry()
+            elif kind == 'view':
+                self._take_view(item.view)
+            elif kind == 'loads':
+                self._state.apply_loads(item.loads)
+            elif kind == 'claim':
+                self._take_claim(item.claim)
+
+    def _take_answer(self, answer: pb.ReportAnswer) -> None:
+        sent = self._sent.pop(answer.number, None)
+        if sent is not None:
+            self._state.renew(sent, answer.lease_ms)
+
+    def _take_view(self, view: pb.View) -> None:
+        """Apply a view and acknowledge it at once.
+
+        The first view of a stream follows the last one known only if it
+        is the same: views in between may have passed us by.
+        """
+        followed = not self._gap or view.number == self._state.view
+        self._gap = False
+        if self._state.apply_view(view) or not followed:
+            self._on_view(followed)
+        self.hurry()
+
+    def _take_claim(self, answer: pb.ClaimAnswer) -> None:
+        pending = self._pending.get(answer.id)
+        if pending is None or pending.future.done():
+            return
+        if answer.state == pb.ClaimAnswer.FAILED:
+            return  # sent again on the next stream
+        pending.future.set_result(answer)
+
+    async def _report(self, box: outbox.Outbox[pb.RouterItem]) -> None:
+        while True:
+            number = next(self._numbers)
+            report = pb.Report(
+                number=number,
+                config_version=self._state.version,
+                view=self._state.view,
+                leaving=self._leaving,
+            )
+            self._fill(report)
+            self._sent[number] = asyncio.get_running_loop().time()
+            self._sent.pop(number - 100, None)
+            box.put(pb.RouterItem(report=report))
+            await asyncio.sleep(_SOONEST_S)
+            period = self._state.timing.report_ms / 1000 - _SOONEST_S
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._news.wait(), max(period, 0.0))
+            self._news.clear()
+
+    def _hello(self) -> pb.Hello:
+        return pb.Hello(
+            router=self._settings.name,
+            incarnation=self._incarnation,
+            domain=self._settings.domain,
+            address=self._settings.listen,
+            peer_address=self._settings.peer_listen,
+            config_version=self._state.version,
+            config_digest=self._state.digest,
+            view=self._state.view,
+        )
+
+
+async def _batches(
+    box: outbox.Outbox[pb.RouterItem],
+) -> typing.AsyncIterator[pb.RouterBatch]:
+    while items := await box.take():
+        yield pb.RouterBatch(items=items)
--- /dev/null
+++ b/src/honeyport/router/steward.py
@@ -0,0 +1,358 @@
+"""Admission to the backend servers that this router stewards.
+
+All work for a backend server passes its steward, so the count of what
+runs there is exact and its queue is the one place for fair shares.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import attrs
+
+from honeyport.backend import registry
+from honeyport.bundle import model
+from honeyport import errors
+from honeyport import exchange
+from honeyport.router import fleetstate
+from honeyport.router import placement
+from honeyport.router import shares
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
+from honeyport.wire import honeyport_pb2 as pb
+
+_DOWN_AFTER = 2  # failed connections in a row
+_BACKOFF = 0.7  # of the limit, when the backend server says it is busy
+_FIRST_SERVICE_S = 0.5  # guess of a request's time before one was seen
+_SMOOTHING = 0.1
+
+
+@attrs.define
+class Slot:
+    """One backend server under this router's care.
+
+    :param ready: whether no other router can still be sending to it
+    :param foreign: requests of a former steward that it may still run
+    """
+
+    name: str
+    backend: model.Backend
+    client: registry.Client
+    queue: shares.FairQueue = attrs.field(init=False)
+    running: int = 0
+    ready: bool = False
+    owned: bool = False
+    foreign: int = 0
+    probed: bool = False
+    failures: int = 0
+    limit: float = 0.0
+    service_s: float = _FIRST_SERVICE_S
+
+    def __attrs_post_init__(self) -> None:
+        self.queue = shares.FairQueue(self.give_back)
+
+    def give_back(self) -> None:
+        """Count one request less."""
+        self.running -= 1
+
+    @property
+    def down(self) -> bool:
+        """Whether it does not answer."""
+        return self.failures >= _DOWN_AFTER
+
+
+Wake = collections.abc.Callable[[], None]
+
+
+class Steward:
+    """The slots of this router.
+
+    :param hurry: called when the fleet should hear of our load soon
+    """
+
+    def __init__(
+        self,
+        name: str,
+        state: fleetstate.FleetState,
+        counters: metrics.Metrics,
+        hurry: Wake,
+    ) -> None:
+        self._name = name
+        self._state = state
+        self._metrics = counters
+        self._hurry = hurry
+        self._slots: dict[str, Slot] = {}
+        self._reported: dict[str, int] = {}
+        self._parting: set[asyncio.Task[None]] = set()
+        counters.gauge('steward_slots', lambda: len(self._owned()))
+        counters.gauge('steward_running', lambda: self.running)
+
+    @property
+    def running(self) -> int:
+        """Requests that run on backend servers through us."""
+        return sum(slot.running for slot in self._slots.values())
+
+    def regard_view(self, followed: bool) -> None:
+        """Take and leave backend servers as the view says.
+
+        What we had in the view just before, and have still, we keep; all
+        else has to wait until the view is settled.
+        """
+        for slot in self._slots.values():
+            if not followed:
+                slot.ready = False
+        self.regard_bundle()
+
+    def regard_bundle(self) -> None:
+        """Bring the slots in line with view and bundle."""
+        try:
+            backends = self._state.bundle.backends
+        except errors.NotReady:
+            return
+        for name, backend in backends.items():
+            mine = self._state.steward(name) == self._name
+            slot = self._slots.get(name)
+            if slot is not None and slot.backend.address != backend.address:
+                self._leave(slot)
+                self._drop(slot)
+                slot = None
+            if slot is not None:
+                slot.backend = backend
+            if mine and (slot is None or not slot.owned):
+                self._take(name, backend)
+            elif not mine and slot is not None and slot.owned:
+                self._leave(slot)
+        for name in [n for n in self._slots if n not in backends]:
+            self._leave(self._slots[name])
+            self._drop(self._slots[name])
+
+    def fill(self, report: pb.Report) -> None:
+        """Add our loads to a report."""
+        running: dict[str, int] = {}
+        waiting: dict[str, int] = {}
+        for slot in self._slots.values():
+            service = slot.backend.service
+            running[service] = running.get(service, 0) + slot.running
+            waiting[service] = waiting.get(service, 0) + len(slot.queue)
+            if slot.running and not slot.owned:
+                report.residuals.add(backend=slot.name, running=slot.running)
+            if slot.owned and slot.down:
+                report.down.append(slot.name)
+        for service, count in running.items():
+            report.loads.add(
+                service=service, running=count, waiting=waiting[service]
+            )
+        self._reported = running
+
+    async def answer(
+        self, call: exchange.Call, backend: str
+    ) -> exchange.Answer:
+        """Admit a call, send it, and yield its answer's frames.
+
+        :raises errors.HoneyportError: see ``ran`` of the error
+        """
+        slot = await self._admit(call, backend)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        abandoned = True
+        answer = slot.client.answer(call)
+        try:
+            async with contextlib.aclosing(answer):
+                async for frame in answer:
+                    if isinstance(frame, exchange.Head):
+                        self._answered(slot)
+                    elif isinstance(frame, exchange.End):
+                        abandoned = False
+                    yield frame
+        except errors.HoneyportError as error:
+            abandoned = False
+            self._failed(slot, error)
+            raise
+        finally:
+            if abandoned and call.repeatable:
+                self._part(slot, call, started)
+            else:
+                self._release(slot, loop.time() - started)
+
+    async def watch(self) -> None:
+        """Probe the owned backend servers, spread over the period."""
+        while True:
+            period_s = self._state.timing.probe_ms / 1000
+            owned = self._owned()
+            if not owned:
+                await asyncio.sleep(period_s)
+                continue
+            async with asyncio.TaskGroup() as group:
+                for slot in owned:
+                    group.create_task(self._probe(slot))
+                    await asyncio.sleep(period_s / len(owned))
+
+    async def settle(self) -> None:
+        """Make slots ready once the view they came with is settled."""
+        while True:
+            await asyncio.sleep(0.02)
+            for slot in list(self._slots.values()):
+                if slot.owned and not slot.ready and self._settled():
+                    await self._probe(slot)
+                    slot.ready = True
+                self._admit_waiting(slot)
+
+    def _settled(self) -> bool:
+        return self._state.is_settled and self._state.lease_left > 0
+
+    def _owned(self) -> list[Slot]:
+        return [slot for slot in self._slots.values() if slot.owned]
+
+    def _take(self, name: str, backend: model.Backend) -> None:
+        slot = self._slots.get(name)
+        if slot is None:
+            kind = self._state.bundle.services[backend.service].kind
+            client = registry.create(kind, name, backend.address)
+            slot = Slot(name, backend, client, limit=backend.slots)
+            self._slots[name] = slot
+        slot.owned = True
+        slot.ready = False
+        slot.probed = False
+        logs.emit(events.ENGINE_TAKEN, backend=name)
+
+    def _leave(self, slot: Slot) -> None:
+        if slot.owned:
+            slot.owned = False
+            slot.ready = False
+            logs.emit(events.ENGINE_LEFT, backend=slot.name)
+        while slot.queue.pop(room=False):
+            pass
+
+    def _drop(self, slot: Slot) -> None:
+        if self._slots.get(slot.name) is slot:
+            del self._slots[slot.name]
+        if not slot.running:
+            slot.client.close()
+
+    async def _admit(self, call: exchange.Call, backend: str) -> Slot:
+        """Return the slot once the call may run there, counted in."""
+        while True:
+            self._state.check_lease()
+            slot = self._slots.get(backend)
+            if slot is None or not slot.owned:
+                raise errors.NotReady(
+                    f'{self._name} does not steward {backend}',
+                    retry_after=0.1,
+                )
+            if slot.down or self._state.is_leaving(backend):
+                raise errors.NotSent(f'{backend} takes no new work')
+            if not len(slot.queue) and self._has_room(slot):
+                slot.running += 1
+                return slot
+            if not call.wait:
+                raise errors.BackendFull(f'{backend} is at its bound')
+            if await self._queue(slot, call):
+                return slot
+
+    async def _queue(self, slot: Slot, call: exchange.Call) -> bool:
+        """Wait for a turn, or refuse at once if none can come in time."""
+        share = self._share(call.account)
+        ahead = slot.queue.ahead(call.account, share)
+        wait_s = (ahead + 1) * slot.service_s / max(1, self._limit(slot))
+        full = len(slot.queue) >= self._state.bundle.limits.queue
+        if full or wait_s > call.left():
+            self._metrics.count('refused', service=call.service)
+            raise errors.Overloaded(retry_after=max(wait_s, 0.1))
+        self._hurry()
+        return await slot.queue.wait(call.account, share, call.left())
+
+    def _share(self, account: str) -> float:
+        found = self._state.bundle.accounts.get(account)
+        return found.share if found else 1.0
+
+    def _has_room(self, slot: Slot) -> bool:
+        if not slot.ready:
+            return False
+        foreign = max(slot.foreign, self._state.residual(slot.name))
+        return slot.running + foreign < self._limit(slot)
+
+    def _limit(self, slot: Slot) -> int:
+        """The most requests that may run on a backend server now."""
+        service = slot.backend.service
+        most = max(1, int(min(slot.limit, slot.backend.slots)))
+        pool = self._state.pool(service)
+        if pool.service.kind != model.ENGINE:
+            return most
+        count = len(self._state.usable(pool))
+        bounded = placement.bound(
+            self._state.bundle.limits.bound, self._total(service), count
+        )
+        return min(most, bounded)
+
+    def _total(self, service: str) -> int:
+        """What runs on all engines: others' as reported, ours as it is."""
+        reported = self._state.total(service).running
+        others = max(0, reported - self._reported.get(service, 0))
+        ours = sum(
+            slot.running
+            for slot in self._slots.values()
+            if slot.backend.service == service
+        )
+        return others + ours
+
+    def _release(self, slot: Slot, seconds: float) -> None:
+        slot.running -= 1
+        slot.service_s += _SMOOTHING * (seconds - slot.service_s)
+        self._admit_waiting(slot)
+
+    def _admit_waiting(self, slot: Slot) -> None:
+        while len(slot.queue) and self._has_room(slot):
+            slot.running += 1
+            if not slot.queue.pop(room=True):
+                slot.running -= 1
+                return
+
+    def _answered(self, slot: Slot) -> None:
+        if slot.down:
+            logs.emit(events.BACKEND_UP, backend=slot.name)
+        slot.failures = 0
+        slot.limit = min(slot.backend.slots, slot.limit + 1 / slot.limit)
+
+    def _failed(self, slot: Slot, error: errors.HoneyportError) -> None:
+        if isinstance(error, errors.BackendFull):
+            slot.limit = max(1.0, slot.limit * _BACKOFF)
+        elif isinstance(error, errors.NotSent | errors.BackendLost):
+            self._unreachable(slot)
+
+    def _unreachable(self, slot: Slot) -> None:
+        slot.failures += 1
+        if slot.failures == _DOWN_AFTER:
+            logs.emit(events.BACKEND_DOWN, backend=slot.name)
+            self._hurry()
+
+    def _part(self, slot: Slot, call: exchange.Call, started: float) -> None:
+        """See to an answer whose caller has gone; the slot stays taken."""
+        task = asyncio.create_task(self._abandon(slot, call, started))
+        self._parting.add(task)
+        task.add_done_callback(self._parting.discard)
+
+    async def _abandon(
+        self, slot: Slot, call: exchange.Call, started: float
+    ) -> None:
+        """Have the engine stop, at once or after the time to come back."""
+        if call.linger:
+            await asyncio.sleep(self._state.timing.linger_ms / 1000)
+        with contextlib.suppress(errors.HoneyportError):
+            await slot.client.cancel(call.request_id)
+        loop = asyncio.get_running_loop()
+        self._release(slot, loop.time() - started)
+
+    async def _probe(self, slot: Slot) -> None:
+        """Ask for the load; a former steward's requests show in it."""
+        try:
+            load = await slot.client.probe()
+        except (errors.HoneyportError, ValueError, KeyError):
+            self._unreachable(slot)
+            return
+        self._answered(slot)
+        if not slot.probed:
+            slot.probed = True
+            slot.foreign = max(0, load.running - slot.running)
+        else:
+            slot.foreign = min(slot.foreign, load.running)
--- /dev/null
+++ b/src/honeyport/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked YAML settings, one attrs class for each role."""
--- /dev/null
+++ b/src/honeyport/settings/roles.py
@@ -0,0 +1,139 @@
+"""The settings of each role."""
+
+import attrs
+
+from honeyport.settings import document
+from honeyport.telemetry import log as logs
+
+_EXPORTERS = ('none', 'console')
+
+
+@attrs.frozen(kw_only=True)
+class Common:
+    """What every process is told."""
+
+    name: str = document.field('the name of this instance, unique')
+    domain: str = document.field('its failure domain')
+    log_level: str = document.field(
+        'the lowest level that is logged',
+        'info',
+        check=document.one_of(*logs.LEVELS),
+    )
+    traces: str = document.field(
+        'where spans go', 'none', check=document.one_of(*_EXPORTERS)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Router(Common):
+    """A router: callers, peers, engines."""
+
+    listen: str = document.field(
+        'where callers connect', check=document.address
+    )
+    peer_listen: str = document.field(
+        'where other routers connect', check=document.address
+    )
+    control: tuple[str, ...] = document.field(
+        'the addresses of the control replicas, IP:PORT each'
+    )
+    drain_s: float = document.field(
+        'longest wait for requests in flight at a stop, in seconds',
+        600.0,
+        check=document.at_least(0),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Control(Common):
+    """A control replica."""
+
+    listen: str = document.field(
+        'where routers, operators and other replicas connect',
+        check=document.address,
+    )
+    http_listen: str = document.field(
+        'where /metrics and /healthz are served',
+        '127.0.0.1:0',
+        check=document.address,
+    )
+    data: str = document.field('the data folder')
+    members: dict[str, str] = document.field(
+        'the founding replicas: name to IP:PORT, this one included'
+    )
+    signers: dict[str, str] = document.field(
+        'who may sign the first bundle: key name to public key'
+    )
+    threshold: int = document.field(
+        'how many signatures the first bundle needs',
+        1,
+        check=document.at_least(1),
+    )
+    seed: str | None = document.field(
+        'a signed bundle to submit while there is none', None
+    )
+    instance_list: str | None = document.field(
+        "IP:PORT of the platform's instance list", None
+    )
+    election_ms: int = document.field(
+        'shortest election timeout in milliseconds; the longest is twice it',
+        600,
+        check=document.at_least(50),
+    )
+    heartbeat_ms: int = document.field(
+        'pause between heartbeats of the leader in milliseconds',
+        120,
+        check=document.at_least(10),
+    )
+    snapshot_entries: int = document.field(
+        'log entries after which a snapshot is taken',
+        2000,
+        check=document.at_least(10),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Engine(Common):
+    """A stand-in engine."""
+
+    listen: str = document.field('where it serves', check=document.address)
+    slots: int = document.field('requests it runs at once', 8)
+    token_ms: float = document.field('milliseconds between tokens', 5.0)
+    first_token_ms: float = document.field(
+        'milliseconds until the first token of a cached prefix', 10.0
+    )
+    miss_ms: float = document.field(
+        'milliseconds more where the prefix is not cached', 40.0
+    )
+    cache_chats: int = document.field('chats whose prefix fits', 200)
+    load_lag_s: float = document.field('how old its load report is', 0.5)
+    checks_fencing: bool = document.field(
+        'whether it refuses orders with an old fencing number', True
+    )
+    executions: str = document.field('file for the log of executions', '')
+
+
+@attrs.frozen(kw_only=True)
+class Service(Common):
+    """A stand-in plain service."""
+
+    listen: str = document.field('where it serves', check=document.address)
+    work_ms: float = document.field('milliseconds of work a call', 5.0)
+    executions: str = document.field('file for the log of executions', '')
+
+
+@attrs.frozen(kw_only=True)
+class InstanceList(Common):
+    """A stand-in for the platform's lagging list of instances."""
+
+    listen: str = document.field('where it serves', check=document.address)
+    lag_s: float = document.field('how old its answers are', 2.0)
+    instances: dict[str, str] = document.field(
+        'name to state: live or leaving', factory=dict
+    )
+
+
+def split(address: str) -> tuple[str, int]:
+    """Return the host and the port of ``IP:PORT``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/src/honeyport/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that honeyport meets."""
--- /dev/null
+++ b/src/honeyport/standin/engine.py
@@ -0,0 +1,403 @@
+"""A stand-in for a model engine.
+
+It streams numbered events, keeps the prefixes of a few chats, reports its
+load late, resumes and cancels streams, exports and imports prefixes, and
+takes orders, with or without a check of the fencing number.
+"""
+
+import asyncio
+import collections
+import hashlib
+import json
+import typing
+
+import attrs
+from tornado import iostream
+from tornado import web
+
+from honeyport.settings import roles
+from honeyport.standin import executions
+from honeyport import supervisor
+from honeyport.telemetry import status
+
+_ORPHAN_S = 4.0  # a stream without a reader is given up
+_KEPT_S = 30.0  # a finished stream can be read again
+_WORDS = (
+    'the bolt is cracked and must be changed before the yard opens again '
+    'check the plan at the next stop and keep the permit at hand'
+).split()
+
+
+@attrs.define
+class Stream:
+    """One answer, written once and read by whoever asks for it."""
+
+    request_id: str
+    events: list[bytes] = attrs.field(factory=list)
+    done: bool = False
+    cancelled: bool = False
+    readers: int = 0
+    grown: asyncio.Condition = attrs.field(factory=asyncio.Condition)
+    task: asyncio.Task[None] | None = None
+
+
+class Engine:
+    """Runs streams, a few at a time."""
+
+    def __init__(self, settings: roles.Engine) -> None:
+        self._settings = settings
+        self._room = asyncio.Semaphore(settings.slots)
+        self._log = executions.Executions(settings.executions, settings.name)
+        self._streams: dict[str, Stream] = {}
+        self._cache: collections.OrderedDict[str, bool] = (
+            collections.OrderedDict()
+        )
+        self._history: collections.deque[tuple[float, int, int]] = (
+            collections.deque(maxlen=4096)
+        )
+        self._cache_events: list[dict[str, typing.Any]] = []
+        self.running = 0
+        self.waiting = 0
+        self.fence = 0
+        self.models: dict[str, str] = {}
+        self.role = 'mixed'
+
+    @property
+    def busy(self) -> bool:
+        """Whether a new request would have to wait too long."""
+        return self.waiting >= self._settings.slots
+
+    @property
+    def settings(self) -> roles.Engine:
+        """How this engine was set up."""
+        return self._settings
+
+    @property
+    def cache_events(self) -> list[dict[str, typing.Any]]:
+        """What was cached and evicted, in order."""
+        return self._cache_events
+
+    def stream(self, request_id: str) -> Stream | None:
+        """Return a stream that is running or was finished lately."""
+        return self._streams.get(request_id)
+
+    def start(
+        self, request_id: str, key: str, chat: str, body: dict[str, typing.Any]
+    ) -> tuple[Stream, bool]:
+        """Start a stream; return it, and whether the prefix was cached."""
+        hit = chat in self._cache
+        self.cache(chat)
+        stream = Stream(request_id)
+        self._streams[request_id] = stream
+        stream.task = asyncio.create_task(
+            self._generate(stream, key, chat, body, hit)
+        )
+        return stream, hit
+
+    async def cancel(self, request_id: str) -> bool:
+        """Stop a stream; return whether it was running."""
+        stream = self._streams.get(request_id)
+        if stream is None or stream.done or stream.task is None:
+            return False
+        stream.cancelled = True
+        stream.task.cancel()
+        return True
+
+    def cache(self, chat: str) -> None:
+        """Keep a chat's prefix; the one used least lately goes."""
+        if chat not in self._cache:
+            self._cache_events.append({'event': 'stored', 'chat': chat})
+        self._cache[chat] = True
+        self._cache.move_to_end(chat)
+        while len(self._cache) > self._settings.cache_chats:
+            gone, _ = self._cache.popitem(last=False)
+            self._cache_events.append({'event': 'evicted', 'chat': gone})
+
+    def has_cached(self, chat: str) -> bool:
+        """Whether a chat's prefix is kept."""
+        return chat in self._cache
+
+    def load(self) -> dict[str, typing.Any]:
+        """Return the load as it was a while ago."""
+        now = asyncio.get_running_loop().time()
+        lag_s = self._settings.load_lag_s
+        running = waiting = 0
+        for when, was_running, was_waiting in self._history:
+            if when > now - lag_s:
+                break
+            running, waiting = was_running, was_waiting
+        return {'running': running, 'waiting': waiting, 'age_s': lag_s}
+
+    def note_load(self) -> None:
+        """Remember the load for the late reports."""
+        now = asyncio.get_running_loop().time()
+        self._history.append((now, self.running, self.waiting))
+
+    async def _generate(
+        self,
+        stream: Stream,
+        key: str,
+        chat: str,
+        body: dict[str, typing.Any],
+        hit: bool,
+    ) -> None:
+        self.waiting += 1
+        entered = False
+        try:
+            async with self._room:
+                self.waiting -= 1
+                entered = True
+                self.running += 1
+                self.note_load()
+                self._write_log('start', stream, key, chat=chat, hit=hit)
+                await self._tokens(stream, body, hit)
+        except asyncio.CancelledError:
+            stream.cancelled = True
+            self._write_log('cancel', stream, key)
+        finally:
+            if entered:
+                self.running -= 1
+            else:
+                self.waiting -= 1
+            self.note_load()
+            await self._finish(stream)
+        if not stream.cancelled:
+            self._write_log('end', stream, key, **_summary(stream))
+
+    async def _tokens(
+        self, stream: Stream, body: dict[str, typing.Any], hit: bool
+    ) -> None:
+        settings = self._settings
+        first_ms = settings.first_token_ms + (0 if hit else settings.miss_ms)
+        await asyncio.sleep(first_ms / 1000)
+        text = answer_words(body)
+        orphaned = 0.0
+        for number, word in enumerate(text, 1):
+            await self._add(stream, _event(number, stream.request_id, word))
+            await asyncio.sleep(settings.token_ms / 1000)
+            orphaned = 0.0 if stream.readers else orphaned
+            orphaned += settings.token_ms / 1000
+            if orphaned > _ORPHAN_S:
+                raise asyncio.CancelledError
+        await self._add(stream, b'data: [DONE]\n\n')
+
+    async def _add(self, stream: Stream, event: bytes) -> None:
+        async with stream.grown:
+            stream.events.append(event)
+            stream.grown.notify_all()
+
+    async def _finish(self, stream: Stream) -> None:
+        async with stream.grown:
+            stream.done = True
+            stream.grown.notify_all()
+        loop = asyncio.get_running_loop()
+        loop.call_later(_KEPT_S, self._forget, stream)
+
+    def _forget(self, stream: Stream) -> None:
+        if self._streams.get(stream.request_id) is stream:
+            del self._streams[stream.request_id]
+
+    def _write_log(
+        self, event: str, stream: Stream, key: str, **fields: typing.Any
+    ) -> None:
+        self._log.write(event, request_id=stream.request_id, key=key, **fields)
+
+
+class Handler(web.RequestHandler):
+    """Base: every handler knows the engine."""
+
+    def initialize(self, engine: Engine) -> None:
+        self._engine = engine
+
+
+class ChatHandler(Handler):
+    """``POST /v1/chat/completions``."""
+
+    async def post(self) -> None:
+        if self._engine.busy:
+            self.set_status(503)
+            return
+        body = json.loads(self.request.body)
+        headers = self.request.headers
+        request_id = headers.get('X-Request-Id', '')
+        stream, hit = self._engine.start(
+            request_id,
+            headers.get('Idempotency-Key', ''),
+            headers.get('Honeyport-Chat', ''),
+            body,
+        )
+        self.set_header('X-Cache', 'hit' if hit else 'miss')
+        if body.get('stream'):
+            await send_events(self, stream, 0)
+        else:
+            await self._send_whole(stream)
+
+    async def _send_whole(self, stream: Stream) -> None:
+        async with stream.grown:
+            await stream.grown.wait_for(lambda: stream.done)
+        if stream.cancelled:
+            self.set_status(503)
+            return
+        words = [json.loads(e.split(b'data: ')[1]) for e in stream.events[:-1]]
+        content = ' '.join(
+            word['choices'][0]['delta']['content'] for word in words
+        )
+        message = {'role': 'assistant', 'content': content}
+        self.write(
+            {'id': stream.request_id, 'choices': [{'message': message}]}
+        )
+
+
+class StreamHandler(Handler):
+    """``/v1/streams/ID``: resume with GET, cancel with DELETE."""
+
+    async def get(self, request_id: str) -> None:
+        stream = self._engine.stream(request_id)
+        if stream is None or stream.cancelled:
+            self.set_status(410)
+            return
+        await send_events(self, stream, int(self.get_argument('after', '0')))
+
+    async def delete(self, request_id: str) -> None:
+        found = await self._engine.cancel(request_id)
+        self.set_status(200 if found else 404)
+
+
+class LoadHandler(Handler):
+    """``GET /load``: late."""
+
+    def get(self) -> None:
+        self.write(self._engine.load())
+
+
+class CacheHandler(Handler):
+    """``GET /cache/events?after=N``: with every seventh one missing."""
+
+    def get(self) -> None:
+        after = int(self.get_argument('after', '0'))
+        events = [
+            {'number': number, **event}
+            for number, event in enumerate(self._engine.cache_events, 1)
+            if number > after and number % 7
+        ]
+        self.write({'events': events[:1000]})
+
+
+class PrefixHandler(Handler):
+    """``/kv/CHAT``: export with GET, import with PUT."""
+
+    def get(self, chat: str) -> None:
+        if not self._engine.has_cached(chat):
+            self.set_status(404)
+            return
+        self.write(hashlib.sha256(chat.encode()).digest() * 64)
+
+    def put(self, chat: str) -> None:
+        self._engine.cache(chat)
+
+
+class OrderHandler(Handler):
+    """``POST /orders``: load, unload or change role; ``GET``: the state."""
+
+    def get(self) -> None:
+        self.write(
+            {
+                'models': self._engine.models,
+                'role': self._engine.role,
+                'fence': self._engine.fence,
+            }
+        )
+
+    def post(self) -> None:
+        order = json.loads(self.request.body)
+        engine = self._engine
+        fence = int(order['fence'])
+        if engine.settings.checks_fencing and fence < engine.fence:
+            self.set_status(409)
+            self.write({'fence': engine.fence})
+            return
+        engine.fence = max(engine.fence, fence)
+        if order['action'] == 'load':
+            engine.models[order['model']] = order['version']
+        elif order['action'] == 'unload':
+            engine.models.pop(order['model'], None)
+        elif order['action'] == 'role':
+            engine.role = order['role']
+        self.get()
+
+
+async def send_events(
+    handler: web.RequestHandler, stream: Stream, after: int
+) -> None:
+    """Write a stream's events from a number on, as they come."""
+    handler.set_header('Content-Type', 'text/event-stream')
+    position = after
+    stream.readers += 1
+    try:
+        while True:
+            async with stream.grown:
+                while len(stream.events) <= position and not stream.done:
+                    await stream.grown.wait()
+            events = stream.events[position:]
+            position += len(events)
+            if events:
+                handler.write(b''.join(events))
+                await handler.flush()
+            elif stream.done:
+                break
+        if stream.cancelled:
+            handler.request.connection.stream.close()
+    except iostream.StreamClosedError:
+        pass
+    finally:
+        stream.readers -= 1
+
+
+def answer_words(body: dict[str, typing.Any]) -> list[str]:
+    """Return the words of an answer; the same for the same question."""
+    count = int(body.get('max_tokens', 16))
+    text = json.dumps(body['messages'], sort_keys=True)
+    seed = int.from_bytes(hashlib.sha256(text.encode()).digest()[:4], 'big')
+    return [_WORDS[(seed + i * i) % len(_WORDS)] for i in range(count)]
+
+
+def application(engine: Engine) -> web.Application:
+    """Return the engine's HTTP application."""
+    arguments = {'engine': engine}
+    return web.Application(
+        [
+            ('/v1/chat/completions', ChatHandler, arguments),
+            ('/v1/streams/([^/]+)', StreamHandler, arguments),
+            ('/load', LoadHandler, arguments),
+            ('/cache/events', CacheHandler, arguments),
+            ('/kv/(.+)', PrefixHandler, arguments),
+            ('/orders', OrderHandler, arguments),
+        ],
+        log_function=lambda _: None,
+    )
+
+
+async def start(settings: roles.Engine, tree: supervisor.Supervisor) -> Engine:
+    """Serve a stand-in engine."""
+    engine = Engine(settings)
+    host, port = roles.split(settings.listen)
+    server = application(engine).listen(port, host)
+    tree.on_stop('http', status.closer(server))
+    return engine
+
+
+def _event(number: int, request_id: str, word: str) -> bytes:
+    chunk = {
+        'id': request_id,
+        'object': 'chat.completion.chunk',
+        'choices': [{'index': 0, 'delta': {'content': word}}],
+    }
+    return f'id: {number}\ndata: {json.dumps(chunk)}\n\n'.encode()
+
+
+def _summary(stream: Stream) -> dict[str, typing.Any]:
+    whole = b''.join(stream.events)
+    return {
+        'bytes': len(whole),
+        'digest': hashlib.sha256(whole).hexdigest(),
+    }
--- /dev/null
+++ b/src/honeyport/standin/service.py
@@ -0,0 +1,85 @@
+"""A stand-in for a plain service, such as the one that files permits."""
+
+import asyncio
+import hashlib
+import json
+
+from tornado import web
+
+from honeyport.settings import roles
+from honeyport.standin import executions
+from honeyport import supervisor
+from honeyport.telemetry import status
+
+
+class CallHandler(web.RequestHandler):
+    """Does its work, logs it, and answers with a digest of the request.
+
+    ``?close=1`` closes the connection after the work, without an answer;
+    ``?slow=MS`` takes that much longer.
+    """
+
+    def initialize(
+        self, log: executions.Executions, settings: roles.Service
+    ) -> None:
+        self._executions = log
+        self._settings = settings
+
+    async def get(self) -> None:
+        await self._work()
+
+    async def post(self) -> None:
+        await self._work()
+
+    async def put(self) -> None:
+        await self._work()
+
+    async def delete(self) -> None:
+        await self._work()
+
+    async def _work(self) -> None:
+        headers = self.request.headers
+        request_id = headers.get('X-Request-Id', '')
+        key = headers.get('Idempotency-Key', '')
+        self._executions.write('start', request_id=request_id, key=key)
+        slow_ms = float(self.get_query_argument('slow', '0'))
+        await asyncio.sleep((self._settings.work_ms + slow_ms) / 1000)
+        body = json.dumps(
+            {
+                'served_by': self._settings.name,
+                'path': self.request.path,
+                'received': hashlib.sha256(self.request.body).hexdigest(),
+            }
+        )
+        self._executions.write(
+            'end',
+            request_id=request_id,
+            key=key,
+            bytes=len(body),
+            digest=hashlib.sha256(body.encode()).hexdigest(),
+        )
+        if self.get_query_argument('close', ''):
+            self.request.connection.stream.close()
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.write(body)
+
+
+class HealthHandler(web.RequestHandler):
+    """``GET /healthz``."""
+
+    def get(self) -> None:
+        self.write('ok')
+
+
+async def start(settings: roles.Service, tree: supervisor.Supervisor) -> None:
+    """Serve a stand-in service."""
+    log = executions.Executions(settings.executions, settings.name)
+    arguments = {'log': log, 'settings': settings}
+    application = web.Application(
+        [('/healthz', HealthHandler), ('/.*', CallHandler, arguments)],
+        log_function=lambda _: None,
+    )
+    host, port = roles.split(settings.listen)
+    server = application.listen(port, host)
+    tree.on_stop('http', status.closer(server))
--- /dev/null
+++ b/src/honeyport/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs with numbered events, metrics and traces."""
--- /dev/null
+++ b/src/honeyport/telemetry/log.py
@@ -0,0 +1,44 @@
+"""JSON log lines with numbered events."""
+
+import logging
+import sys
+import typing
+
+import structlog
+
+from honeyport.telemetry import events
+
+LEVELS = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+
+
+def configure(level: str = 'info', **bound: typing.Any) -> None:
+    """Send log lines of a level and above to standard error.
+
+    :param level: one of ``LEVELS``
+    :param bound: fields that every line carries, such as the instance
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(**bound)
+
+
+def emit(event: events.Event, **fields: typing.Any) -> None:
+    """Write one line for an event of the catalogue."""
+    logger = structlog.get_logger()
+    write = getattr(logger, event.level)
+    write(event.name, number=event.number, **fields)
--- /dev/null
+++ b/src/honeyport/telemetry/traces.py
@@ -0,0 +1,68 @@
+"""A span for each hop; a no-op that costs nothing when switched off.
+
+The OpenTelemetry SDK is imported only when an exporter is set, since it
+takes several megabytes.
+"""
+
+import contextlib
+import typing
+
+_PARENT = 'traceparent'
+
+
+class Tracer:
+    """The switched-off tracer."""
+
+    @contextlib.contextmanager
+    def span(
+        self, name: str, parent: str = '', **attributes: str
+    ) -> typing.Iterator[str]:
+        """Open a span.
+
+        :param name: the hop, such as ``entry`` or ``steward``
+        :param parent: a W3C ``traceparent`` value, or ``''``
+        :returns: the ``traceparent`` value for the next hop
+        """
+        yield parent
+
+
+class OpenTelemetryTracer(Tracer):
+    """Spans through the OpenTelemetry SDK."""
+
+    def __init__(self, service: str, exporter: typing.Any) -> None:
+        from opentelemetry.sdk import resources
+        from opentelemetry.sdk import trace
+        from opentelemetry.sdk.trace import export
+        from opentelemetry.trace.propagation import tracecontext
+
+        resource = resources.Resource.create({'service.name': service})
+        provider = trace.TracerProvider(resource=resource)
+        provider.add_span_processor(export.BatchSpanProcessor(exporter))
+        self._provider = provider
+        self._tracer = provider.get_tracer('honeyport')
+        self._propagator = tracecontext.TraceContextTextMapPropagator()
+
+    @contextlib.contextmanager
+    def span(
+        self, name: str, parent: str = '', **attributes: str
+    ) -> typing.Iterator[str]:
+        context = self._propagator.extract({_PARENT: parent})
+        with self._tracer.start_as_current_span(
+            name, context=context, attributes=attributes
+        ):
+            carrier: dict[str, str] = {}
+            self._propagator.inject(carrier)
+            yield carrier.get(_PARENT, parent)
+
+
+def create(exporter: str, service: str) -> Tracer:
+    """Return the tracer of a process.
+
+    :param exporter: ``none`` or ``console``
+    :param service: the process's name in the spans
+    """
+    if exporter == 'none':
+        return Tracer()
+    from opentelemetry.sdk.trace import export
+
+    return OpenTelemetryTracer(service, export.ConsoleSpanExporter())
--- /dev/null
+++ b/src/honeyport/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between honeyport processes."""
