Routers that leave together get an empty view and end

Cause: a view without members was never sent, so two routers whose leaving reached the leader in one tick each waited for a view without itself, up to the drain limit. Change: whether there was a view is told by its number. Test first: 'the last routers leave together' timed out before, passes after.

--- /dev/null
+++ b/features/steps/failure_steps.py
@@ -0,0 +1,108 @@
+"""Steps that kill, freeze, stop and cut, and look at what is left."""
+
+import asyncio
+import signal
+
+import behave
+
+from features.steps import serving_steps
+from features.support import calls
+
+_LONG_TOKENS = 150
+
+
+@behave.given('{count:d} long answers are running through "{router}"')
+def step_long_answers(context, count, router):
+    context.run(start_long(context, count, router))
+
+
+async def start_long(context, count, router):
+    """Start answers that take a while; return once all have begun."""
+    world = context.world
+    before = len(world.ran())
+    context.running = [
+        asyncio.ensure_future(
+            calls.send(
+                world.address(router),
+                calls.chat(f'long-{number}', tokens=_LONG_TOKENS),
+            )
+        )
+        for number in range(count)
+    ]
+    world.tasks += context.running
+    await world.until(
+        lambda: len(world.ran()) >= before + count, 'the answers run'
+    )
+
+
+@behave.when('"{name}" gets SIGTERM')
+def step_term(context, name):
+    context.world.signal(name, signal.SIGTERM)
+
+
+@behave.given('"{name}" freezes')
+@behave.when('"{name}" freezes')
+def step_freeze(context, name):
+    context.world.signal(name, signal.SIGSTOP)
+
+
+@behave.when('"{name}" wakes after {pause:d} ms')
+def step_wake(context, name, pause):
+    context.run(asyncio.sleep(pause / 1000))
+    context.world.signal(name, signal.SIGCONT)
+
+
+@behave.when('all routers get SIGTERM')
+def step_term_all(context):
+    for name in context.world.routers:
+        context.world.signal(name, signal.SIGTERM)
+
+
+@behave.then('"{name}" ends with code {code:d}')
+def step_ends(context, name, code):
+    assert context.run(context.world.wait_exit(name)) == code
+
+
+@behave.then('all routers end with code {code:d} within {seconds:d} seconds')
+def step_all_end(context, code, seconds):
+    world = context.world
+    for name in world.routers:
+        waiting = asyncio.wait_for(world.wait_exit(name), seconds)
+        assert context.run(waiting) == code
+
+
+@behave.then('every running answer is whole and is what the engine wrote')
+def step_running_whole(context):
+    replies = context.run(calls.together(*context.running))
+    for reply in replies:
+        serving_steps.check_written(context, reply)
+
+
+@behave.when('a caller sends a chat turn to "{router}"')
+def step_turn(context, router):
+    context.run(asyncio.sleep(0.1))
+    serving_steps.send(context, router, calls.chat('yard-9'))
+
+
+@behave.then('every engine serves through "{router}"')
+def step_engines_serve(context, router):
+    world = context.world
+    context.run(
+        world.until(
+            lambda: engines_serve(world, router), 'every engine serves'
+        )
+    )
+
+
+async def engines_serve(world, router):
+    """Whether every engine answers through a router."""
+    for name in world.backends:
+        request = calls.chat(
+            'probe', Honeyport_Placement=name, Honeyport_Deadline='3'
+        )
+        reply = await calls.send(world.address(router), request)
+        if not reply.whole or reply.headers['Honeyport-Placement'] != name:
+            return False
+    return True
+
+
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -41,7 +41,8 @@
     def __init__(self, term: int, stable_at: float) -> None:
         self._stable_at = stable_at
         self._routers: dict[str, Router] = {}
-        self._view = pb.View(number=term << _TERM_SHIFT)
+        self._base_view = term << _TERM_SHIFT
+        self._view = pb.View(number=self._base_view)
         self._listed: dict[str, str] = {}
 
     @property
@@ -49,6 +50,11 @@
         """The latest view; without members before the first."""
         return self._view
 
+    @property
+    def has_view(self) -> bool:
+        """Whether there was a view in this leadership, empty or not."""
+        return self._view.number != self._base_view
+
     @property
     def routers(self) -> list[Router]:
         """All routers whose lease stands, by name."""
@@ -130,7 +136,7 @@
 
     def settled(self) -> int:
         """Return the highest view that every router with a lease has."""
-        if not self._view.members:
+        if not self.has_view:
             return 0
         reached = [router.view for router in self._routers.values()]
         return min([self._view.number, *reached])
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -224,7 +224,7 @@
 
     def _send_news(self, session: Session) -> None:
         view = self._fleet.view
-        if view.members and view.number != session.sent_view:
+        if self._fleet.has_view and view.number != session.sent_view:
             session.sent_view = view.number
             session.outbox.put(pb.ControlItem(view=view))
         accepted = self._node.machine.accepted
