The bound holds under lagging reports

Cause: a steward took the others' load as the fleet's total less its own last report, though the total held an older one; a killed router's report raised the mean until its lease lapsed; and load that moved between two routers was counted twice for a report's time. Ruled out: the hand-over (the engines over their bound had not changed hands). Change: the leader tells each router what all others have, without reports older than three periods; a steward counts of its own what it had at its last reports, and the lesser of the last two things heard.

--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -16,6 +16,7 @@
 
 _BOUND = 1.25
 _LAG_S = 0.4  # reports, the leader's tick and the way back
+_TRANSIT_S = 0.05  # from the steward to the engine's log
 _SURGE_TOKENS = 40
 
 
@@ -80,7 +81,8 @@
     """Return the starts at which an engine was over its bound.
 
     The bound is on the mean, which a steward knows a little late: the
-    highest mean of the time that a report takes counts.
+    highest mean of the time that a report takes counts. A steward counts
+    what it has sent; the engine logs it when it starts, a moment later.
     """
     count = len(world.backends)
     lines = sorted(
@@ -89,19 +91,23 @@
     )
     running = dict.fromkeys(world.backends, 0)
     totals = []
-    over = []
+    starts = []
     for line in lines:
         step = 1 if line['event'] == 'start' else -1
         running[line['instance']] += step
         totals.append((line['time'], sum(running.values())))
-        if step < 0:
-            continue
+        if step > 0:
+            starts.append((line['time'], line['instance'], dict(running)))
+    over = []
+    for when, name, then in starts:
         recent = max(
-            total for when, total in totals if when >= line['time'] - _LAG_S
+            total
+            for at, total in totals
+            if when - _LAG_S <= at <= when + _TRANSIT_S
         )
         allowed = math.ceil(_BOUND * max(recent, 1) / count)
-        if running[line['instance']] > allowed:
-            over.append((line['instance'], dict(running), allowed))
+        if then[name] > allowed:
+            over.append((name, then, allowed))
     return over
 
 
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -27,6 +27,7 @@
     config_version: int = 0
     view: int = 0
     loads: dict[str, pb.PoolLoad] = attrs.field(factory=dict)
+    counted: dict[str, pb.PoolLoad] = attrs.field(factory=dict)
     residuals: dict[str, int] = attrs.field(factory=dict)
     down: frozenset[str] = frozenset()
 
@@ -44,6 +45,10 @@
         self._base_view = term << _TERM_SHIFT
         self._view = pb.View(number=self._base_view)
         self._listed: dict[str, str] = {}
+        self._totals: dict[str, int] = {}
+        self._residuals: collections.Counter[str] = collections.Counter()
+        self._down: list[str] = []
+        self._leaving: list[str] = []
 
     @property
     def view(self) -> pb.View:
@@ -145,28 +150,49 @@
             default=0,
         )
 
-    def loads(self) -> pb.Loads:
-        """Return what the reports add up to."""
-        loads = pb.Loads(
-            settled=self.settled(), settled_version=self.settled_version()
-        )
-        for service, (running, waiting) in self._totals().items():
-            loads.totals.add(service=service, running=running, waiting=waiting)
-        residuals: collections.Counter[str] = collections.Counter()
+    def summarize(self, now: float, fresh_s: float) -> None:
+        """Add up the reports; :meth:`loads` then tells each router.
+
+        A load that was reported too long ago counts as none: it must not
+        raise the mean that the bound is a multiple of.
+
+        :param fresh_s: how old a report may be
+        """
+        self._totals = {}
+        self._residuals = collections.Counter()
         down: set[str] = set()
         for router in self._routers.values():
-            residuals.update(router.residuals)
+            self._residuals.update(router.residuals)
             down.update(router.down)
-        for backend, running in residuals.items():
-            loads.residuals.add(backend=backend, running=running)
-        loads.down.extend(sorted(down))
-        loads.leaving.extend(
-            sorted(
-                name
-                for name, state in self._listed.items()
-                if state == 'leaving'
+            router.counted = (
+                router.loads if router.heard >= now - fresh_s else {}
             )
+            for service, load in router.counted.items():
+                self._totals[service] = (
+                    self._totals.get(service, 0) + load.running
+                )
+        self._down = sorted(down)
+        self._leaving = sorted(
+            name for name, state in self._listed.items() if state == 'leaving'
+        )
+
+    def loads(self, router: Router) -> pb.Loads:
+        """Return what all other routers have running, for one of them."""
+        loads = pb.Loads(
+            settled=self.settled(), settled_version=self.settled_version()
         )
+        for service in sorted(self._totals):
+            own = router.counted.get(service)
+            others = self._totals[service] - (own.running if own else 0)
+            loads.others.add(service=service, running=others)
+        for backend in sorted(self._residuals):
+            others = self._residuals[backend] - router.residuals.get(
+                backend, 0
+            )
+            if others > 0:
+                loads.residuals.add(backend=backend, running=others)
+        loads.down.extend(self._down)
+        loads.leaving.extend(self._leaving)
         return loads
 
     def in_force(self, version: int, now: float) -> bool:
@@ -178,17 +204,6 @@
             for router in self._routers.values()
         )
 
-    def _totals(self) -> dict[str, tuple[int, int]]:
-        totals: dict[str, tuple[int, int]] = {}
-        for router in self._routers.values():
-            for service, load in router.loads.items():
-                running, waiting = totals.get(service, (0, 0))
-                totals[service] = (
-                    running + load.running,
-                    waiting + load.waiting,
-                )
-        return totals
-
 
 def _identities(
     members: typing.Iterable[pb.Member],
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -29,6 +29,7 @@
 
 _TICK_S = 0.05
 _KEPT_VERSIONS = 50
+_FRESH_REPORTS = 3
 _State = pb.ClaimAnswer
 
 _Batches = collections.abc.AsyncIterator[pb.RouterBatch]
@@ -66,8 +67,6 @@
         self._bundle: model.Bundle | None = None
         self._claims: outbox.Outbox[_Waiting] = outbox.Outbox()
         self._in_force = 0
-        self._loads = pb.Loads()
-        self._encoded_loads = b''
         counters.gauge('control_sessions', lambda: len(self._sessions))
         counters.gauge('control_claims', lambda: len(node.machine.claims))
 
@@ -206,14 +205,19 @@
             number=report.number, lease_ms=int(self._lease_s() * 1000)
         )
         session.outbox.put(pb.ControlItem(answer=answer))
-        if self._encoded_loads != session.sent_loads:
-            session.sent_loads = self._encoded_loads
-            session.outbox.put(pb.ControlItem(loads=self._loads))
+        self._send_loads(session)
+
+    def _send_loads(self, session: Session) -> None:
+        """Tell a router the others' loads, if they changed."""
+        loads = self._fleet.loads(session.router)
+        encoded = loads.SerializeToString()
+        if encoded != session.sent_loads:
+            session.sent_loads = encoded
+            session.outbox.put(pb.ControlItem(loads=loads))
 
     def _tick(self) -> None:
         self._fleet.refresh(_now())
-        self._loads = self._fleet.loads()
-        self._encoded_loads = self._loads.SerializeToString(deterministic=True)
+        self._fleet.summarize(_now(), self._fresh_s())
         self._keep_version()
         for session in list(self._sessions.values()):
             self._send_news(session)
@@ -280,6 +284,11 @@
             return _State.RUNNING
         return _State.UNKNOWN
 
+    def _fresh_s(self) -> float:
+        """How old a router's load may be to count."""
+        timing = self.bundle.timing if self.bundle else model.Timing()
+        return _FRESH_REPORTS * timing.report_ms / 1000 + _TICK_S
+
     def _lease_s(self) -> float:
         bundle = self.bundle
         timing = bundle.timing if bundle else model.Timing()
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -39,7 +39,8 @@
         self._stewards: dict[str, str] = {}
         self._members: dict[str, pb.Member] = {}
         self._lease_until = float('-inf')
-        self._totals: dict[str, pb.PoolLoad] = {}
+        self._others: dict[str, int] = {}
+        self._others_before: dict[str, int] = {}
         self._residuals: dict[str, int] = {}
         self._down: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
@@ -147,9 +148,14 @@
             self._stewards[backend] = found
         return found
 
-    def total(self, service: str) -> pb.PoolLoad:
-        """Return the reported load of a service on all routers."""
-        return self._totals.get(service) or pb.PoolLoad(service=service)
+    def others(self, service: str) -> int:
+        """Return what surely runs through all other routers.
+
+        It is the lesser of the last two things heard.
+        """
+        return min(
+            self._others.get(service, 0), self._others_before.get(service, 0)
+        )
 
     def residual(self, backend: str) -> int:
         """Return what former stewards still have running there."""
@@ -206,7 +212,8 @@
 
     def apply_loads(self, loads: pb.Loads) -> None:
         """Take the fleet's loads."""
-        self._totals = {total.service: total for total in loads.totals}
+        self._others_before = self._others
+        self._others = {load.service: load.running for load in loads.others}
         self._residuals = {
             load.backend: load.running for load in loads.residuals
         }
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 
@@ -26,6 +27,7 @@
 _BACKOFF = 0.7  # of the limit, when the backend server says it is busy
 _FIRST_SERVICE_S = 0.5  # guess of a request's time before one was seen
 _SMOOTHING = 0.1
+_REMEMBERED = 2  # reports of ours that the others' loads may be as old as
 
 
 @attrs.define
@@ -83,7 +85,9 @@
         self._metrics = counters
         self._hurry = hurry
         self._slots: dict[str, Slot] = {}
-        self._reported: dict[str, int] = {}
+        self._reported: collections.deque[dict[str, int]] = collections.deque(
+            maxlen=_REMEMBERED
+        )
         self._parting: set[asyncio.Task[None]] = set()
         counters.gauge('steward_slots', lambda: len(self._owned()))
         counters.gauge('steward_running', lambda: self.running)
@@ -143,7 +147,7 @@
             report.loads.add(
                 service=service, running=count, waiting=waiting[service]
             )
-        self._reported = running
+        self._reported.append(running)
 
     async def answer(
         self, call: exchange.Call, backend: str
@@ -286,15 +290,21 @@
         return min(most, bounded)
 
     def _total(self, service: str) -> int:
-        """What runs on all engines: others' as reported, ours as it is."""
-        reported = self._state.total(service).running
-        others = max(0, reported - self._reported.get(service, 0))
+        """What surely runs on all engines.
+
+        What others report is a little old, and may have moved to us since;
+        so of ours, too, only what ran then counts: the least of now and
+        our last reports. The sum errs on the low side, and the bound with
+        it.
+        """
         ours = sum(
             slot.running
             for slot in self._slots.values()
             if slot.backend.service == service
         )
-        return others + ours
+        for reported in self._reported:
+            ours = min(ours, reported.get(service, 0))
+        return self._state.others(service) + ours
 
     def _release(self, slot: Slot, seconds: float) -> None:
         slot.running -= 1
