A change of configuration costs its own size, not the bundle's

Cause: every router hashed and parsed all entries at each change, and looked for the steward of every backend server. Change: the digest is a tree of hashes in 256 buckets; the bundle is rebuilt from the changed entries; the steward test stops at the first better candidate; only changes of backend servers look at slots.

--- a/src/honeyport/bundle/entries.py
+++ b/src/honeyport/bundle/entries.py
@@ -1,22 +1,36 @@
 """A bundle as keyed entries: canonical form, digest and deltas.
 
 Every entry is a key such as ``backends/draft-1`` and its value as
-canonical JSON. The digest covers all entries in the order of their keys,
-so two bundles are the same exactly if their digests are.
+canonical JSON. The digest is the root of a tree of hashes: entries fall
+into buckets by their keys' hashes, and the root covers all buckets, so a
+change costs its own buckets and the root, however large the bundle.
 """
 
+import collections.abc
 import hashlib
 import json
 import typing
 
 import attrs
+import xxhash
 
 from honeyport.bundle import model
 
 Entries = dict[str, str]
 
-_KEYED = ('services', 'backends', 'models', 'accounts')
-_SINGLE = ('signers', 'timing', 'limits')
+_KEYED: dict[str, typing.Any] = {
+    'services': model.Service,
+    'backends': model.Backend,
+    'models': model.Model,
+    'accounts': model.Account,
+}
+_SINGLE: dict[str, typing.Any] = {
+    'signers': model.Signers,
+    'timing': model.Timing,
+    'limits': model.Limits,
+}
+_BUCKETS = 256
+_EMPTY = hashlib.sha256(b'').digest()
 
 
 @attrs.frozen
@@ -29,6 +43,62 @@
     removed: tuple[str, ...]
 
 
+class EntrySet:
+    """All entries of a version; never changed, shared between versions.
+
+    :param entries: key to canonical JSON
+    """
+
+    def __init__(self, entries: Entries) -> None:
+        self._entries = entries
+        self._keys: dict[int, frozenset[str]] = _bucket_keys(entries)
+        self._hashes = [_EMPTY] * _BUCKETS
+        for bucket in self._keys:
+            self._hashes[bucket] = self._hash(bucket)
+
+    @property
+    def entries(self) -> Entries:
+        """The entries; not to be changed."""
+        return self._entries
+
+    def digest(self, version: int) -> str:
+        """Return the digest of these entries as a version."""
+        root = hashlib.sha256(f'honeyport {version}\n'.encode())
+        root.update(b''.join(self._hashes))
+        return root.hexdigest()
+
+    def apply(self, delta: Delta) -> 'EntrySet':
+        """Return the entries after a delta."""
+        changed = EntrySet.__new__(EntrySet)
+        changed._entries = dict(self._entries)
+        changed._keys = dict(self._keys)
+        changed._hashes = list(self._hashes)
+        touched = set()
+        for key in delta.removed:
+            changed._entries.pop(key, None)
+            bucket = _bucket(key)
+            touched.add(bucket)
+            changed._keys[bucket] = changed._keys.get(bucket, frozenset()) - {
+                key
+            }
+        for key, value in delta.put.items():
+            changed._entries[key] = value
+            bucket = _bucket(key)
+            touched.add(bucket)
+            changed._keys[bucket] = changed._keys.get(bucket, frozenset()) | {
+                key
+            }
+        for bucket in touched:
+            changed._hashes[bucket] = changed._hash(bucket)
+        return changed
+
+    def _hash(self, bucket: int) -> bytes:
+        found = sorted(self._keys[bucket])
+        pairs = [(key, self._entries[key]) for key in found]
+        text = canonical(pairs) if pairs else ''
+        return hashlib.sha256(text.encode()).digest()
+
+
 def split(bundle: model.Bundle) -> Entries:
     """Return the entries of a bundle."""
     entries = {
@@ -43,23 +113,34 @@
 
 def join(version: int, entries: Entries) -> model.Bundle:
     """Return the bundle that entries make up."""
-    tree: dict[str, typing.Any] = {'version': version}
-    for section in _KEYED:
-        tree[section] = {}
-    for key, text in entries.items():
+    empty = model.Bundle(
+        version=version,
+        signers=model.Signers(keys={}),
+        services={},
+        backends={},
+    )
+    return rejoin(empty, Delta(0, version, entries, ()))
+
+
+def rejoin(bundle: model.Bundle, delta: Delta) -> model.Bundle:
+    """Return a bundle after a delta; what did not change is shared."""
+    sections = {name: dict(getattr(bundle, name)) for name in _KEYED}
+    singles = {name: getattr(bundle, name) for name in _SINGLE}
+    for key in delta.removed:
+        section, _, name = key.partition('/')
+        sections[section].pop(name, None)
+    for key, text in delta.put.items():
         section, _, name = key.partition('/')
-        value = json.loads(text)
         if name:
-            tree[section][name] = value
+            sections[section][name] = _structure(_KEYED[section], text)
         else:
-            tree[section] = value
-    return _structure(tree)
+            singles[section] = _structure(_SINGLE[section], text)
+    return model.Bundle(version=delta.version, **sections, **singles)
 
 
 def digest(version: int, entries: Entries) -> str:
-    """Return the SHA-256 of a version's entries, in hexadecimal."""
-    whole = canonical({'version': version, 'entries': entries})
-    return hashlib.sha256(whole.encode()).hexdigest()
+    """Return the digest of a version's entries, in hexadecimal."""
+    return EntrySet(entries).digest(version)
 
 
 def difference(base: int, old: Entries, version: int, new: Entries) -> Delta:
@@ -69,17 +150,6 @@
     return Delta(base, version, put, removed)
 
 
-def apply(entries: Entries, delta: Delta) -> Entries:
-    """Return the entries after a delta."""
-    result = {
-        key: value
-        for key, value in entries.items()
-        if key not in delta.removed
-    }
-    result.update(delta.put)
-    return result
-
-
 def canonical(value: typing.Any) -> str:
     """Return JSON with sorted keys and no spaces."""
     return json.dumps(
@@ -87,25 +157,23 @@
     )
 
 
-def _structure(tree: dict[str, typing.Any]) -> model.Bundle:
-    return model.Bundle(
-        version=tree['version'],
-        signers=model.Signers(**tree['signers']),
-        timing=model.Timing(**tree['timing']),
-        limits=model.Limits(**tree['limits']),
-        services=_build(model.Service, tree['services']),
-        backends=_build(model.Backend, tree['backends']),
-        models={
-            name: model.Model(
-                version=value['version'], adapters=tuple(value['adapters'])
-            )
-            for name, value in tree['models'].items()
-        },
-        accounts=_build(model.Account, tree['accounts']),
-    )
+def _structure(cls: typing.Any, text: str) -> typing.Any:
+    """Return the attrs object that an entry's JSON stands for."""
+    values = json.loads(text)
+    lists = {key for key, value in values.items() if isinstance(value, list)}
+    for key in lists:
+        values[key] = tuple(values[key])
+    return cls(**values)
+
+
+def _bucket(key: str) -> int:
+    return xxhash.xxh3_64_intdigest(key.encode()) % _BUCKETS
 
 
-def _build(
-    cls: typing.Any, section: dict[str, dict[str, typing.Any]]
-) -> dict[str, typing.Any]:
-    return {name: cls(**value) for name, value in section.items()}
+def _bucket_keys(
+    entries: collections.abc.Iterable[str],
+) -> dict[int, frozenset[str]]:
+    keys: dict[int, set[str]] = {}
+    for key in entries:
+        keys.setdefault(_bucket(key), set()).add(key)
+    return {bucket: frozenset(found) for bucket, found in keys.items()}
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -19,9 +19,16 @@
 
     version: int = 0
     digest: str = ''
-    entries: bundle_entries.Entries = attrs.field(factory=dict)
+    contents: bundle_entries.EntrySet = attrs.field(
+        factory=lambda: bundle_entries.EntrySet({})
+    )
     signatures: dict[str, str] = attrs.field(factory=dict)
 
+    @property
+    def entries(self) -> bundle_entries.Entries:
+        """The entries of the version."""
+        return self.contents.entries
+
 
 class Machine:
     """Applies entries in the order of the log."""
@@ -74,7 +81,7 @@
         self._accepted = Accepted(
             state.version,
             state.digest,
-            dict(state.entries),
+            bundle_entries.EntrySet(dict(state.entries)),
             dict(state.signatures),
         )
         self._history = {
@@ -95,7 +102,7 @@
         self._accepted = Accepted(
             command.version,
             command.digest,
-            bundle_entries.apply(self._accepted.entries, delta),
+            self._accepted.contents.apply(delta),
             dict(command.signatures),
         )
         self._history[command.version] = command.digest
--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -59,7 +59,7 @@
             self._counters,
         )
         self._guard = claims.Guard(settings.name, self._state, self._session)
-        self._version = 0
+        self._layout = 0
 
     @property
     def state(self) -> fleetstate.FleetState:
@@ -139,11 +139,11 @@
                     yield frame
 
     async def _watch_bundle(self) -> None:
-        """Bring slots and links in line with a new version."""
+        """Bring slots in line with changed backend servers."""
         while True:
             await asyncio.sleep(_POLL_S)
-            if self._version != self._state.version:
-                self._version = self._state.version
+            if self._layout != self._state.layout:
+                self._layout = self._state.layout
                 self._steward.regard_bundle()
 
     def _on_view(self, followed: bool) -> None:
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -30,7 +30,7 @@
     def __init__(self) -> None:
         self._version = 0
         self._digest = ''
-        self._entries: bundle_entries.Entries = {}
+        self._contents = bundle_entries.EntrySet({})
         self._bundle: model.Bundle | None = None
         self._pools: dict[str, Pool] = {}
         self._view = pb.View()
@@ -38,6 +38,8 @@
         self._settled_version = 0
         self._stewards: dict[str, str] = {}
         self._members: dict[str, pb.Member] = {}
+        self._near: dict[str, list[str]] = {}
+        self._layout = 0
         self._lease_until = float('-inf')
         self._others: dict[str, int] = {}
         self._others_before: dict[str, int] = {}
@@ -91,6 +93,11 @@
         """The peer addresses of all routers with a lease."""
         return {member.peer_address for member in self._view.members}
 
+    @property
+    def layout(self) -> int:
+        """Counts the changes to services and backend servers."""
+        return self._layout
+
     @property
     def lease_left(self) -> float:
         """Seconds until this router must stop taking work."""
@@ -148,6 +155,13 @@
             self._stewards[backend] = found
         return found
 
+    def is_steward(self, name: str, backend: str) -> bool:
+        """Whether a router stewards a backend server."""
+        if name not in self._members:
+            return False
+        candidates = self._candidates(backend)
+        return name in candidates and placement.wins(name, backend, candidates)
+
     def others(self, service: str) -> int:
         """Return what surely runs through all other routers.
 
@@ -172,28 +186,34 @@
                 events.CONFIG_STALE, version=config.version, has=self._version
             )
             return False
+        delta = bundle_entries.Delta(
+            config.base,
+            config.version,
+            dict(config.put),
+            tuple(config.removed),
+        )
         if config.snapshot:
             entries = sessions.read_snapshot(config)
+            contents = bundle_entries.EntrySet(entries)
         elif config.base == self._version:
-            entries = bundle_entries.apply(
-                self._entries,
-                bundle_entries.Delta(
-                    config.base,
-                    config.version,
-                    dict(config.put),
-                    tuple(config.removed),
-                ),
-            )
+            contents = self._contents.apply(delta)
         else:
             return False
-        if bundle_entries.digest(config.version, entries) != config.digest:
+        if contents.digest(config.version) != config.digest:
             return False
-        self._entries = entries
-        self._bundle = bundle_entries.join(config.version, entries)
+        self._contents = contents
+        if config.snapshot or self._bundle is None:
+            self._bundle = bundle_entries.join(config.version, entries)
+        else:
+            self._bundle = bundle_entries.rejoin(self._bundle, delta)
         self._version = config.version
         self._digest = config.digest
-        self._pools = _pools(self._bundle)
-        self._stewards.clear()
+        if config.snapshot or any(
+            map(_moves_work, (*delta.put, *delta.removed))
+        ):
+            self._pools = _pools(self._bundle)
+            self._stewards.clear()
+            self._layout += 1
         logs.emit(events.CONFIG_APPLIED, version=self._version)
         return True
 
@@ -207,6 +227,9 @@
             for member in view.members
             if not member.leaving
         }
+        self._near = {}
+        for member in self._members.values():
+            self._near.setdefault(member.domain, []).append(member.router)
         self._stewards.clear()
         return True
 
@@ -231,18 +254,21 @@
         return self.timing.lease_ms / 1000
 
     def _choose_steward(self, backend: str) -> str:
-        bundle = self._bundle
-        if bundle is None or backend not in bundle.backends:
-            return ''
-        domain = bundle.backends[backend].domain
-        near = [
-            member.router
-            for member in self._members.values()
-            if member.domain == domain
-        ]
-        best = placement.rank(backend, near or self._members, 1)
+        best = placement.rank(backend, self._candidates(backend), 1)
         return best[0] if best else ''
 
+    def _candidates(self, backend: str) -> list[str]:
+        """Return the routers that may steward a backend server."""
+        if self._bundle is None or backend not in self._bundle.backends:
+            return []
+        domain = self._bundle.backends[backend].domain
+        return self._near.get(domain) or list(self._members)
+
+
+def _moves_work(key: str) -> bool:
+    """Whether an entry says which backend servers there are."""
+    return key.startswith(('backends/', 'services/'))
+
 
 def _pools(bundle: model.Bundle) -> dict[str, Pool]:
     names: dict[str, list[str]] = {name: [] for name in bundle.services}
--- a/src/honeyport/router/placement.py
+++ b/src/honeyport/router/placement.py
@@ -35,6 +35,24 @@
     return [name for _, name in heapq.nlargest(most, scored)]
 
 
+def wins(
+    name: str, key: str, candidates: collections.abc.Iterable[str]
+) -> bool:
+    """Whether a candidate is the best one for a key.
+
+    Most candidates lose against one of the first few, so this is much
+    cheaper than ranking all.
+    """
+    hashed = xxhash.xxh3_64_intdigest
+    encoded = key.encode()
+    mine = (hashed(encoded, seed_of(name)), name)
+    return not any(
+        (hashed(encoded, seed_of(other)), other) > mine
+        for other in candidates
+        if other != name
+    )
+
+
 def bound(multiple: float, total: int, count: int) -> int:
     """Return the most load that one of ``count`` engines may carry.
 
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -115,7 +115,7 @@
         except errors.NotReady:
             return
         for name, backend in backends.items():
-            mine = self._state.steward(name) == self._name
+            mine = self._state.is_steward(self._name, name)
             slot = self._slots.get(name)
             if slot is not None and slot.backend.address != backend.address:
                 self._leave(slot)
