A router at rest waits for news instead of polling

Cause: two loops polled every 20 ms whether slots could be settled and whether the bundle had changed. Change: both run when control has said something.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,11 +7,12 @@
 
 import yaml
 
+from bench import control
 from bench import hops
 from bench import registry
 from honeyport.telemetry import log as logs
 
-REGISTERED = (hops,)
+REGISTERED = (hops, control)
 
 _FOLDER = pathlib.Path(__file__).parent
 _RESULTS = _FOLDER / 'results.json'
--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -49,7 +49,12 @@
             settings.name, self._state, self._counters, self._hurry
         )
         self._session = session.Session(
-            settings, self._state, self._steward.fill, self._on_view
+            settings,
+            self._state,
+            self._steward.fill,
+            self._on_view,
+            self._on_news,
+            self._counters,
         )
         self._dispatcher = dispatch.Dispatcher(
             settings.name,
@@ -82,7 +87,6 @@
         tree.task('session', self._session.run)
         tree.task('settle', self._steward.settle)
         tree.task('probes', self._steward.watch)
-        tree.task('bundle', self._watch_bundle)
         server = self._listen()
         tree.on_stop('http', status.closer(server))
         tree.on_stop('drain', self._drain)
@@ -138,13 +142,12 @@
                 async for frame in answer:
                     yield frame
 
-    async def _watch_bundle(self) -> None:
-        """Bring slots in line with changed backend servers."""
-        while True:
-            await asyncio.sleep(_POLL_S)
-            if self._layout != self._state.layout:
-                self._layout = self._state.layout
-                self._steward.regard_bundle()
+    def _on_news(self) -> None:
+        """Bring slots in line with what control said."""
+        if self._layout != self._state.layout:
+            self._layout = self._state.layout
+            self._steward.regard_bundle()
+        self._steward.notice()
 
     def _on_view(self, followed: bool) -> None:
         self._steward.regard_view(followed)
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -18,6 +18,7 @@
 from honeyport.settings import roles
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
 from honeyport.wire import channels
 from honeyport.wire import honeyport_pb2 as pb
 from honeyport.wire import honeyport_pb2_grpc as rpc
@@ -29,6 +30,7 @@
 
 Fill = typing.Callable[[pb.Report], None]
 OnView = typing.Callable[[bool], None]
+OnNews = typing.Callable[[], None]
 
 
 @attrs.define
@@ -43,6 +45,7 @@
     :param fill: adds loads to a report
     :param on_view: called after a view was applied, with whether it
         follows the one before without a gap
+    :param on_news: called after each message was taken in
     """
 
     def __init__(
@@ -51,11 +54,15 @@
         state: fleetstate.FleetState,
         fill: Fill,
         on_view: OnView,
+        on_news: OnNews,
+        counters: metrics.Metrics,
     ) -> None:
         self._settings = settings
         self._state = state
         self._fill = fill
         self._on_view = on_view
+        self._on_news = on_news
+        self._metrics = counters
         self._incarnation = uuid.uuid4().hex[:12]
         self._outbox: outbox.Outbox[pb.RouterItem] | None = None
         self._leader = ''
@@ -117,7 +124,7 @@
         box.put(pb.RouterItem(hello=self._hello()))
         reporter = None
         try:
-            call = rpc.SessionStub(channel).Attach(_batches(box))
+            call = rpc.SessionStub(channel).Attach(self._batches(box))
             first = await asyncio.wait_for(call.read(), _ATTACH_S)
             if first is grpc.aio.EOF or self._redirected(first):
                 return
@@ -162,6 +169,9 @@
         return False
 
     def _take(self, batch: pb.ControlBatch) -> None:
+        self._metrics.count(
+            'control_bytes', batch.ByteSize(), direction='received'
+        )
         for item in batch.items:
             kind = item.WhichOneof('item')
             if kind == 'answer':
@@ -175,6 +185,7 @@
                 self._state.apply_loads(item.loads)
             elif kind == 'claim':
                 self._take_claim(item.claim)
+        self._on_news()
 
     def _take_answer(self, answer: pb.ReportAnswer) -> None:
         sent = self._sent.pop(answer.number, None)
@@ -220,6 +231,16 @@
                 await asyncio.wait_for(self._news.wait(), max(period, 0.0))
             self._news.clear()
 
+    async def _batches(
+        self, box: outbox.Outbox[pb.RouterItem]
+    ) -> typing.AsyncIterator[pb.RouterBatch]:
+        while items := await box.take():
+            batch = pb.RouterBatch(items=items)
+            self._metrics.count(
+                'control_bytes', batch.ByteSize(), direction='sent'
+            )
+            yield batch
+
     def _hello(self) -> pb.Hello:
         return pb.Hello(
             router=self._settings.name,
@@ -231,10 +252,3 @@
             config_digest=self._state.digest,
             view=self._state.view,
         )
-
-
-async def _batches(
-    box: outbox.Outbox[pb.RouterItem],
-) -> typing.AsyncIterator[pb.RouterBatch]:
-    while items := await box.take():
-        yield pb.RouterBatch(items=items)
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -88,6 +88,7 @@
         self._reported: collections.deque[dict[str, int]] = collections.deque(
             maxlen=_REMEMBERED
         )
+        self._news = asyncio.Event()
         self._parting: set[asyncio.Task[None]] = set()
         counters.gauge('steward_slots', lambda: len(self._owned()))
         counters.gauge('steward_running', lambda: self.running)
@@ -192,10 +193,15 @@
                     group.create_task(self._probe(slot))
                     await asyncio.sleep(period_s / len(owned))
 
+    def notice(self) -> None:
+        """Look again at what may be admitted: something changed."""
+        self._news.set()
+
     async def settle(self) -> None:
         """Make slots ready once the view they came with is settled."""
         while True:
-            await asyncio.sleep(0.02)
+            await self._news.wait()
+            self._news.clear()
             for slot in list(self._slots.values()):
                 if slot.owned and not slot.ready and self._settled():
                     await self._probe(slot)
