Orders to engines, and two faults that random histories brought out

Orders: the leader alone reads what engines have loaded and orders what is missing, fenced by its term, few at a time below the weight store's limit, never so many that the rest pass the bound.

Cause: a replica that may not vote returned from its election timeout at once and for ever, and held up its whole event loop. Found by the first random history that lost a disk (the run hung; the replica spun). Change: the timer is set anew whatever comes of it.

Cause: a router went on waiting for a frozen leader until gRPC's keepalive, long after its lease. Ruled out: the election, which took 1.3 s. Change: a stream that is silent for half a lease is given up. Test first: 'an order of a former leader does no harm' waited in vain.

Also: a returning chat waits up to warm_wait_ms for room where its prefix is.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,9 +10,10 @@
 from bench import control
 from bench import hops
 from bench import registry
+from bench import reuse
 from honeyport.telemetry import log as logs
 
-REGISTERED = (hops, control)
+REGISTERED = (hops, control, reuse)
 
 _FOLDER = pathlib.Path(__file__).parent
 _RESULTS = _FOLDER / 'results.json'
--- /dev/null
+++ b/features/support/simulation.py
@@ -0,0 +1,250 @@
+"""Control replicas on a virtual clock and an in-memory link.
+
+Nothing here waits: the clock jumps to the next timer. With one seed a run
+is the same every time.
+"""
+
+import asyncio
+import random
+import selectors
+import typing
+import uuid
+
+import attrs
+
+from honeyport.control import replica
+from honeyport.control import storage
+from honeyport import errors
+from honeyport.wire import honeyport_pb2 as pb
+
+_TIMEOUT_S = 0.3
+_DELAY_S = 0.02
+_OPTIONS = replica.Options(
+    election_s=0.3, heartbeat_s=0.06, snapshot_entries=12
+)
+
+
+class _Selector(selectors.SelectSelector):
+    """Lets time pass instead of waiting."""
+
+    now = 0.0
+
+    def select(self, timeout: float | None = None) -> list[typing.Any]:
+        if timeout is None:
+            raise AssertionError('nothing is left that could happen')
+        self.now += max(timeout, 0.0)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock is virtual."""
+
+    def __init__(self) -> None:
+        self._virtual = _Selector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        return self._virtual.now
+
+
+class Disk:
+    """A storage in memory."""
+
+    def __init__(self, number: random.Random) -> None:
+        self._identity = storage.Identity(
+            uuid.UUID(int=number.getrandbits(128)).hex, False
+        )
+        self._vote = storage.Vote()
+        self._snapshot: pb.State | None = None
+        self._entries: list[pb.Entry] = []
+
+    @property
+    def identity(self) -> storage.Identity:
+        return self._identity
+
+    def found(self) -> None:
+        self._identity = attrs.evolve(self._identity, founded=True)
+
+    def load(self) -> storage.Contents:
+        return storage.Contents(
+            self._vote, self._snapshot, list(self._entries)
+        )
+
+    def append(
+        self,
+        entries: typing.Sequence[pb.Entry],
+        vote: storage.Vote | None = None,
+    ) -> None:
+        self._vote = vote or self._vote
+        for entry in entries:
+            base = self._snapshot.index if self._snapshot else 0
+            if entry.index > base:
+                del self._entries[entry.index - base - 1 :]
+                self._entries.append(entry)
+
+    def compact(
+        self,
+        snapshot: pb.State,
+        entries: typing.Sequence[pb.Entry],
+        vote: storage.Vote,
+    ) -> None:
+        self._snapshot = snapshot
+        self._entries = list(entries)
+        self._vote = vote
+
+
+class Group:
+    """A few replicas, their disks, and the links between them."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.names = [f'r{number}' for number in range(count)]
+        self.disks = {name: Disk(self.random) for name in self.names}
+        self.nodes: dict[str, replica.Replica] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.leaders: dict[int, set[str]] = {}
+        self.accepted: dict[int, str] = {}
+
+    def start(self, name: str) -> None:
+        """Start a replica from its disk."""
+        node = replica.Replica(
+            name,
+            typing.cast(storage.Storage, self.disks[name]),
+            _persist,
+            {other: other for other in self.names},
+            lambda other, address: _Link(self, name, other),
+            _OPTIONS,
+            self.random.getrandbits(32),
+        )
+        self.nodes[name] = node
+        self.tasks[name] = asyncio.create_task(node.run())
+
+    async def kill(self, name: str) -> None:
+        """Stop a replica where it stands."""
+        task = self.tasks.pop(name, None)
+        self.nodes.pop(name, None)
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def lose_disk(self, name: str) -> None:
+        """Kill a replica and forget its disk."""
+        await self.kill(name)
+        self.disks[name] = Disk(self.random)
+
+    def isolate(self, name: str) -> None:
+        """Cut all links of a replica, both ways."""
+        for other in self.names:
+            self.cut |= {(name, other), (other, name)}
+
+    def heal(self) -> None:
+        """Mend all links."""
+        self.cut.clear()
+
+    def observe(self) -> None:
+        """Check what must hold at any time."""
+        for name, node in self.nodes.items():
+            if node.role == replica.LEADER:
+                self.leaders.setdefault(node.term, set()).add(name)
+            for version, digest in node.machine.history.items():
+                known = self.accepted.setdefault(version, digest)
+                assert known == digest, (name, version, known, digest)
+        for term, names in self.leaders.items():
+            assert len(names) == 1, (term, names)
+        leading = [n for n in self.nodes.values() if n.leads]
+        assert len(leading) <= 1, [n.name for n in leading]
+
+    async def propose(self, text: str) -> tuple[int, str] | None:
+        """Propose the next version at whoever believes to lead."""
+        for node in list(self.nodes.values()):
+            if node.role != replica.LEADER:
+                continue
+            version = node.machine.accepted.version + 1
+            digest = f'{text}-{version}-{node.name}'
+            command = pb.AcceptBundle(version=version, digest=digest)
+            command.put[f'accounts/{text}'] = digest
+            try:
+                async with asyncio.timeout(1.0):
+                    if await node.propose(command):
+                        return version, digest
+            except (errors.HoneyportError, TimeoutError):
+                pass
+        return None
+
+    async def run_for(self, seconds: float) -> None:
+        """Let time pass, observing all the while."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            await asyncio.sleep(0.02)
+            self.observe()
+
+    async def settle(self) -> None:
+        """Mend and start everything; wait until all agree."""
+        self.heal()
+        for name in self.names:
+            if name not in self.nodes:
+                self.start(name)
+        for _ in range(60):
+            await self.run_for(0.5)
+            nodes = list(self.nodes.values())
+            commits = {node.commit for node in nodes}
+            same = len(commits) == 1 and any(node.leads for node in nodes)
+            if same and all(node.admitted for node in nodes):
+                return
+        raise AssertionError(
+            [(n.name, n.role, n.term, n.commit, n.admitted) for n in nodes]
+        )
+
+    async def stop(self) -> None:
+        """Stop all replicas."""
+        for name in list(self.names):
+            await self.kill(name)
+        await asyncio.sleep(1)
+
+
+class _Link:
+    """A way from one replica to another, with delays and losses."""
+
+    def __init__(self, group: Group, source: str, target: str) -> None:
+        self._group = group
+        self._source = source
+        self._target = target
+
+    async def vote(self, request: pb.VoteRequest) -> pb.VoteAnswer:
+        return await self._call('on_vote', request)
+
+    async def append(self, request: pb.AppendRequest) -> pb.AppendAnswer:
+        return await self._call('on_append', request)
+
+    async def install(self, request: pb.InstallRequest) -> pb.AppendAnswer:
+        return await self._call('on_install', request)
+
+    async def identify(self) -> pb.IdentifyAnswer:
+        return await self._call('on_identify')
+
+    async def _call(self, method: str, *args: typing.Any) -> typing.Any:
+        copies = [
+            type(arg).FromString(arg.SerializeToString()) for arg in args
+        ]
+        await self._way(self._source, self._target)
+        node = self._group.nodes.get(self._target)
+        if node is None:
+            raise ConnectionError(self._target)
+        answer = await getattr(node, method)(*copies)
+        await self._way(self._target, self._source)
+        return answer
+
+    async def _way(self, source: str, target: str) -> None:
+        await asyncio.sleep(self._group.random.uniform(0, _DELAY_S))
+        if (source, target) in self._group.cut:
+            await asyncio.sleep(_TIMEOUT_S)
+            raise ConnectionError(target)
+
+
+async def _persist(
+    function: typing.Callable[..., None], *args: typing.Any
+) -> None:
+    await asyncio.sleep(0.001)
+    function(*args)
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -24,6 +24,7 @@
     'lease_ms': 800,
     'probe_ms': 200,
     'linger_ms': 1500,
+    'orders_ms': 100,
 }
 _READY_S = 30.0
 _STOP_S = 10.0
@@ -45,6 +46,7 @@
         self.limits: dict[str, typing.Any] = {'bound': 1.25}
         self.timing: dict[str, typing.Any] = dict(TIMING)
         self.version = 0
+        self.model: dict[str, typing.Any] = {'version': '1'}
         self.public = signing.new_key(str(folder / 'keys'), 'ops')
         self.control: dict[str, str] = {}
         self.tasks: list[asyncio.Task[typing.Any]] = []
@@ -177,7 +179,7 @@
         return {
             'version': version or self.version + 1,
             'signers': {'threshold': 1, 'keys': {'ops': self.public}},
-            'models': {'draft': {'version': '1'}},
+            'models': {'draft': self.model},
             'services': {
                 'draft-llm': {'kind': 'engine', 'model': 'draft'},
                 'field-app': {'kind': 'service'},
--- a/src/honeyport/bundle/model.py
+++ b/src/honeyport/bundle/model.py
@@ -30,6 +30,11 @@
         1000,
         check=document.at_least(50),
     )
+    orders_ms: int = document.field(
+        'pause between two looks at what engines have loaded',
+        2000,
+        check=document.at_least(50),
+    )
     linger_ms: int = document.field(
         'how long an answer goes on for a caller that may come back',
         3000,
@@ -59,6 +64,16 @@
     deadline_s: float = document.field(
         'deadline of a request that names none', 60.0
     )
+    warm_wait_ms: int = document.field(
+        'longest wait for room where a returning chat has its prefix',
+        300,
+        check=document.at_least(0),
+    )
+    loads_at_once: int = document.field(
+        'most engines that load from the weight store at once',
+        2,
+        check=document.at_least(1),
+    )
     answer_bytes: int = document.field(
         'largest answer of a non-repeatable request', 65536
     )
--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -123,6 +123,12 @@
 
         _run(settings, 'Service', service.start)
 
+    def weights(self, settings: str) -> None:
+        """Run a stand-in weight store."""
+        from honeyport.standin import weights
+
+        _run(settings, 'WeightStore', weights.start)
+
     def instances(self, settings: str) -> None:
         """Run a stand-in instance list."""
         from honeyport.standin import instances
--- a/src/honeyport/control/daemon.py
+++ b/src/honeyport/control/daemon.py
@@ -12,6 +12,7 @@
 from honeyport.control import instances
 from honeyport.control import links
 from honeyport.control import operators
+from honeyport.control import orders
 from honeyport.control import replica
 from honeyport.control import sessions
 from honeyport.control import storage
@@ -79,6 +80,8 @@
     tree.task('replica', node.run)
     tree.task('sessions', routers.run)
     tree.task('claims', routers.run_claims)
+    keeper = orders.Orders(node, routers, counters)
+    tree.task('orders', keeper.run)
     if settings.seed:
         text = pathlib.Path(settings.seed).read_text(encoding='utf-8')
         signed = signing.from_json(text)
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -198,6 +198,7 @@
             await self._found()
             while True:
                 await self._await_timeout()
+                self._waited = _now()
                 if self.admitted and self._role == FOLLOWER:
                     await self._campaign()
         finally:
--- a/src/honeyport/exchange.py
+++ b/src/honeyport/exchange.py
@@ -25,7 +25,7 @@
     :param resume_after: number of the last event that the caller has;
         0 if it has none, ``NOT_RESUMED`` if this is not a resumption
     :param parent: the ``traceparent`` of the span around it
-    :param wait: whether to queue for room
+    :param patience_s: how long to queue for room, at most
     :param linger: whether to go on for a while without a caller
     """
 
@@ -43,7 +43,7 @@
     resume_after: int = NOT_RESUMED
     parent: str = ''
     priority: int = 0
-    wait: bool = False
+    patience_s: float = 0.0
     linger: bool = False
 
     @property
--- a/src/honeyport/router/dispatch.py
+++ b/src/honeyport/router/dispatch.py
@@ -23,6 +23,7 @@
 from honeyport.telemetry import metrics
 
 _CANDIDATES = 6
+_FOREVER_S = 1e9  # that is, until the deadline
 _HANDOVER_PAUSE_S = 0.05
 _HANDOVER_LEASES = 3  # longest wait for a new steward
 _RESUMES = 5
@@ -87,14 +88,18 @@
         names = self.candidates(call.service, call.chat, hint)
         if not names:
             raise errors.NotSent(f'no backend server of {call.service} is up')
-        plan = [(name, False) for name in names] + [(names[0], True)]
+        plan = [(name, 0.0) for name in names] + [(names[0], _FOREVER_S)]
         if call.resumes:
-            plan = [(hint or names[0], True)]  # only it has the stream
+            plan = [(hint or names[0], _FOREVER_S)]  # only it has the stream
+        elif hint == names[0]:
+            # Its prefix is there: a short wait costs less than a miss.
+            warm_s = self._state.bundle.limits.warm_wait_ms / 1000
+            plan[0] = (hint, warm_s)
         problem: errors.HoneyportError | None = None
-        for name, wait in plan:
+        for name, patience_s in plan:
             started = False
             try:
-                attempt = attrs.evolve(call, wait=wait)
+                attempt = attrs.evolve(call, patience_s=patience_s)
                 async for frame in self._whole(attempt, name):
                     started = True
                     yield frame
@@ -159,7 +164,7 @@
                 call,
                 attempt=call.attempt + attempt - 1,
                 resume_after=offset.last_event,
-                wait=True,
+                patience_s=_FOREVER_S,
             )
 
     def _handover_until(self, call: exchange.Call) -> float:
--- a/src/honeyport/router/frames.py
+++ b/src/honeyport/router/frames.py
@@ -25,7 +25,7 @@
         resume_after=call.resume_after + 1,
         traceparent=call.parent,
         priority=call.priority,
-        wait=call.wait,
+        patience_s=call.patience_s,
         linger=call.linger,
     )
 
@@ -48,7 +48,7 @@
         resume_after=message.resume_after - 1,
         parent=message.traceparent,
         priority=message.priority,
-        wait=message.wait,
+        patience_s=message.patience_s,
         linger=message.linger,
     )
 
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -25,7 +25,8 @@
 from honeyport.wire import outbox
 
 _PAUSE_S = 0.1
-_ATTACH_S = 1.0
+_ATTACH_S = 0.5
+_SILENCE = 0.5  # of a lease, after which a stream is given up
 _SOONEST_S = 0.02  # between two reports, however much changes
 
 Fill = typing.Callable[[pb.Report], None]
@@ -123,26 +124,36 @@
         box: outbox.Outbox[pb.RouterItem] = outbox.Outbox()
         box.put(pb.RouterItem(hello=self._hello()))
         reporter = None
+        call = rpc.SessionStub(channel).Attach(self._batches(box))
         try:
-            call = rpc.SessionStub(channel).Attach(self._batches(box))
             first = await asyncio.wait_for(call.read(), _ATTACH_S)
             if first is grpc.aio.EOF or self._redirected(first):
                 return
             self._begin(box)
             reporter = asyncio.create_task(self._report(box))
             self._take(first)
-            while (batch := await call.read()) is not grpc.aio.EOF:
+            while (batch := await self._next(call)) is not grpc.aio.EOF:
                 if self._redirected(batch):
                     return
                 self._take(batch)
         except TimeoutError:
-            return
+            return  # silent: frozen, or cut off
         finally:
+            call.cancel()
             if reporter is not None:
                 await self._end(reporter, box)
             box.close()
             await channel.close()
 
+    async def _next(self, call: grpc.aio.StreamStreamCall) -> pb.ControlBatch:
+        """Return the next message; every report is answered soon.
+
+        :raises TimeoutError: after half a lease of silence, so that there
+            is time to find the next leader before the lease lapses
+        """
+        silence_s = self._state.timing.lease_ms / 1000 * _SILENCE
+        return await asyncio.wait_for(call.read(), silence_s)
+
     def _begin(self, box: outbox.Outbox[pb.RouterItem]) -> None:
         self._outbox = box
         self._sent.clear()
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -255,7 +255,7 @@
             if not len(slot.queue) and self._has_room(slot):
                 slot.running += 1
                 return slot
-            if not call.wait:
+            if call.patience_s <= 0:
                 raise errors.BackendFull(f'{backend} is at its bound')
             if await self._queue(slot, call):
                 return slot
@@ -266,11 +266,21 @@
         ahead = slot.queue.ahead(call.account, share)
         wait_s = (ahead + 1) * slot.service_s / max(1, self._limit(slot))
         full = len(slot.queue) >= self._state.bundle.limits.queue
-        if full or wait_s > call.left():
+        most_s = min(call.left(), call.patience_s)
+        if call.patience_s < call.left() and (full or wait_s > most_s):
+            raise errors.BackendFull(f'{slot.name} is at its bound')
+        if full or wait_s > most_s:
             self._metrics.count('refused', service=call.service)
             raise errors.Overloaded(retry_after=max(wait_s, 0.1))
         self._hurry()
-        return await slot.queue.wait(call.account, share, call.left())
+        try:
+            return await slot.queue.wait(call.account, share, most_s)
+        except errors.Overloaded:
+            if most_s < call.left():
+                raise errors.BackendFull(
+                    f'{slot.name} is at its bound'
+                ) from None
+            raise
 
     def _share(self, account: str) -> float:
         found = self._state.bundle.accounts.get(account)
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -114,9 +114,20 @@
     checks_fencing: bool = document.field(
         'whether it refuses orders with an old fencing number', True
     )
+    weights: str = document.field('IP:PORT of the weight store, or none', '')
     executions: str = document.field('file for the log of executions', '')
 
 
+@attrs.frozen(kw_only=True)
+class WeightStore(Common):
+    """A stand-in weight store."""
+
+    listen: str = document.field('where it serves', check=document.address)
+    at_once: int = document.field('loads that it serves at once', 2)
+    load_ms: float = document.field('milliseconds of a load', 200.0)
+    executions: str = document.field('file for the log of loads', '')
+
+
 @attrs.frozen(kw_only=True)
 class Service(Common):
     """A stand-in plain service."""
--- a/src/honeyport/standin/engine.py
+++ b/src/honeyport/standin/engine.py
@@ -15,12 +15,14 @@
 from tornado import iostream
 from tornado import web
 
+from honeyport.backend import http
 from honeyport.settings import roles
 from honeyport.standin import executions
 from honeyport import supervisor
 from honeyport.telemetry import status
 
 _ORPHAN_S = 4.0  # a stream without a reader is given up
+_LOAD_S = 30.0
 _KEPT_S = 30.0  # a finished stream can be read again
 _WORDS = (
     'the bolt is cracked and must be changed before the yard opens again '
@@ -60,12 +62,15 @@
         self.waiting = 0
         self.fence = 0
         self.models: dict[str, str] = {}
+        self.adapters: list[str] = []
         self.role = 'mixed'
+        self.loading = False
+        self._loading: asyncio.Task[None] | None = None
 
     @property
     def busy(self) -> bool:
         """Whether a new request would have to wait too long."""
-        return self.waiting >= self._settings.slots
+        return self.loading or self.waiting >= self._settings.slots
 
     @property
     def settings(self) -> roles.Engine:
@@ -133,6 +138,52 @@
         now = asyncio.get_running_loop().time()
         self._history.append((now, self.running, self.waiting))
 
+    def state(self) -> dict[str, typing.Any]:
+        """Return what is loaded, and whether a load is under way."""
+        return {
+            'models': self.models,
+            'adapters': self.adapters,
+            'role': self.role,
+            'fence': self.fence,
+            'loading': self.loading,
+        }
+
+    def obey(self, order: dict[str, typing.Any]) -> bool:
+        """Take an order; return whether it was not refused."""
+        fence = int(order['fence'])
+        if self._settings.checks_fencing and fence < self.fence:
+            return False
+        self.fence = max(self.fence, fence)
+        self._log.write(
+            'order',
+            fence=fence,
+            model=order['model'],
+            version=order['version'],
+        )
+        if self._loading is not None:
+            self._loading.cancel()
+        self._loading = asyncio.create_task(self._load(order))
+        return True
+
+    async def _load(self, order: dict[str, typing.Any]) -> None:
+        """Fetch the weights, then be what the order says."""
+        self.loading = True
+        model, version = order['model'], order['version']
+        if self._settings.weights and self.models != {model: version}:
+            pool = http.Pool(self._settings.weights)
+            request = http.Request(
+                method='GET', path=f'/weights/{model}/{version}'
+            )
+            start, _ = await http.read(pool, request, _LOAD_S)
+            pool.close()
+            while start.status != 200:
+                await asyncio.sleep(0.1)
+                start, _ = await http.read(pool, request, _LOAD_S)
+        self.models = {model: version}
+        self.adapters = list(order['adapters'])
+        self.role = order['role']
+        self.loading = False
+
     async def _generate(
         self,
         stream: Stream,
@@ -297,33 +348,15 @@
 
 
 class OrderHandler(Handler):
-    """``POST /orders``: load, unload or change role; ``GET``: the state."""
+    """``POST /orders``: what to load and be; ``GET``: the state."""
 
     def get(self) -> None:
-        self.write(
-            {
-                'models': self._engine.models,
-                'role': self._engine.role,
-                'fence': self._engine.fence,
-            }
-        )
+        self.write(self._engine.state())
 
     def post(self) -> None:
-        order = json.loads(self.request.body)
-        engine = self._engine
-        fence = int(order['fence'])
-        if engine.settings.checks_fencing and fence < engine.fence:
+        if not self._engine.obey(json.loads(self.request.body)):
             self.set_status(409)
-            self.write({'fence': engine.fence})
-            return
-        engine.fence = max(engine.fence, fence)
-        if order['action'] == 'load':
-            engine.models[order['model']] = order['version']
-        elif order['action'] == 'unload':
-            engine.models.pop(order['model'], None)
-        elif order['action'] == 'role':
-            engine.role = order['role']
-        self.get()
+        self.write(self._engine.state())
 
 
 async def send_events(
