--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,11 +9,12 @@
 
 from bench import control
 from bench import hops
+from bench import pieces
 from bench import registry
 from bench import reuse
 from honeyport.telemetry import log as logs
 
-REGISTERED = (hops, control, reuse)
+REGISTERED = (pieces, hops, control, reuse)
 
 _FOLDER = pathlib.Path(__file__).parent
 _RESULTS = _FOLDER / 'results.json'
--- a/features/promises/engines.feature
+++ b/features/promises/engines.feature
@@ -23,6 +23,12 @@
     When the instance list says that "draft-llm-2" is leaving
     Then "draft-llm-2" gets no new work 3 seconds later
 
+  Scenario: the warm prefixes of a leaving engine go before it
+    Given a fleet with an instance list that lags 100 ms
+    When 30 chats have had a turn on "draft-llm-2"
+    And the instance list says that "draft-llm-2" is leaving
+    Then the next turns of these chats find their prefixes elsewhere
+
   Scenario: an engine that the bundle takes out gets no new work
     Given a fleet of 1 control replicas, 2 routers and 3 engines
     When a bundle without "draft-llm-2" is rolled
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -291,3 +291,47 @@
     for reply in refused:
         assert reply.error['ran'] is False
         assert int(reply.headers['Retry-After']) >= 1
+
+
+@behave.when('{count:d} chats have had a turn on "{name}"')
+def step_warm(context, count, name):
+    context.chats = [f'warm-{number}' for number in range(count)]
+    context.warm = name
+    replies = context.run(turns_of(context))
+    assert all(
+        reply.headers['Honeyport-Placement'] == name for reply in replies
+    )
+
+
+async def turns_of(context):
+    """Send a turn of every warm chat, one after another."""
+    world = context.world
+    room = asyncio.Semaphore(1)
+
+    async def one(chat):
+        async with room:
+            return await calls.send(
+                world.address('router-1'),
+                calls.chat(chat, Honeyport_Placement=context.warm),
+            )
+
+    return await calls.together(*(one(chat) for chat in context.chats))
+
+
+@behave.then('the next turns of these chats find their prefixes elsewhere')
+def step_elsewhere(context):
+    world = context.world
+
+    def moved():
+        return any(
+            line['number'] == 3105 and line['backend'] == context.warm
+            for name in world.routers
+            for line in world.log(name)
+        )
+
+    context.run(world.until(moved, 'the prefixes are moved', 5))
+    replies = context.run(turns_of(context))
+    hits = [reply.headers['X-Cache'] == 'hit' for reply in replies]
+    served = {reply.headers['Honeyport-Placement'] for reply in replies}
+    assert context.warm not in served
+    assert sum(hits) >= 0.9 * len(hits), sum(hits)
--- a/src/honeyport/backend/engine.py
+++ b/src/honeyport/backend/engine.py
@@ -5,6 +5,9 @@
 """
 
 import json
+import urllib.parse
+
+import attrs
 
 from honeyport.backend import http
 from honeyport.backend import plain
@@ -14,10 +17,23 @@
 
 _PROBE_S = 1.0
 _CANCEL_S = 2.0
+_PREFIX_S = 10.0
 _LAST_EVENT = b'data: [DONE]\n\n'
 _BUSY = (429, 503)
 
 
+@attrs.frozen
+class CacheEvents:
+    """What an engine says of its cache.
+
+    :param last: number of the last event
+    :param evicted: chats whose prefixes were dropped
+    """
+
+    last: int
+    evicted: tuple[str, ...]
+
+
 @registry.register('engine')
 class EngineClient:
     """A client of one engine."""
@@ -46,6 +62,34 @@
         )
         await http.read(self._pool, request, _CANCEL_S)
 
+    async def cache_events(self, after: int) -> 'CacheEvents':
+        """Ask which prefixes were dropped; late, and with gaps.
+
+        :param after: number of the last event that is known
+        """
+        request = http.Request(
+            method='GET', path=f'/cache/events?after={after}'
+        )
+        _, body = await http.read(self._pool, request, _PROBE_S)
+        found = json.loads(body)['events']
+        evicted = [one['chat'] for one in found if one['event'] == 'evicted']
+        last = max((one['number'] for one in found), default=after)
+        return CacheEvents(last, tuple(evicted))
+
+    async def export_prefix(self, chat: str) -> bytes | None:
+        """Return a chat's prefix, or ``None`` if it is not there."""
+        request = http.Request(method='GET', path=_prefix_path(chat))
+        start, body = await http.read(self._pool, request, _PREFIX_S)
+        return body if start.status == 200 else None
+
+    async def import_prefix(self, chat: str, data: bytes) -> bool:
+        """Store a chat's prefix; return whether the engine took it."""
+        request = http.Request(
+            method='PUT', path=_prefix_path(chat), body=data
+        )
+        start, _ = await http.read(self._pool, request, _PREFIX_S)
+        return start.status == 200
+
     async def probe(self) -> registry.Load:
         request = http.Request(method='GET', path='/load')
         start, body = await http.read(self._pool, request, _PROBE_S)
@@ -87,6 +131,10 @@
     )
 
 
+def _prefix_path(chat: str) -> str:
+    return f'/kv/{urllib.parse.quote(chat, safe="")}'
+
+
 def _is_stream(head: exchange.Head) -> bool:
     return any(
         name.lower() == 'content-type' and value.startswith('text/event')
--- a/src/honeyport/bundle/model.py
+++ b/src/honeyport/bundle/model.py
@@ -69,6 +69,16 @@
         300,
         check=document.at_least(0),
     )
+    hot_chats: int = document.field(
+        'chats of an engine whose prefixes are moved when it leaves',
+        64,
+        check=document.at_least(0),
+    )
+    transfers_at_once: int = document.field(
+        'prefixes that one steward moves at once',
+        2,
+        check=document.at_least(1),
+    )
     loads_at_once: int = document.field(
         'most engines that load from the weight store at once',
         2,
--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -157,6 +157,12 @@
 
         _run(settings, 'Control', daemon.start)
 
+    def reference(self, folder: str) -> str:
+        """Write the reference pages from the code into a folder."""
+        from honeyport import reference
+
+        return '\n'.join(reference.write(folder))
+
     def local(self, keep: bool = False) -> None:
         """Run a whole small site in this process, and try it out.
 
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -67,6 +67,7 @@
         self._bundle: model.Bundle | None = None
         self._claims: outbox.Outbox[_Waiting] = outbox.Outbox()
         self._in_force = 0
+        self._snapshot = (0, b'')
         counters.gauge('control_sessions', lambda: len(self._sessions))
         counters.gauge('control_claims', lambda: len(node.machine.claims))
 
@@ -247,8 +248,7 @@
         config = pb.Config(version=accepted.version, digest=accepted.digest)
         old = self._versions.get(base) if base else None
         if old is None:
-            text = bundle_entries.canonical(accepted.entries)
-            config.snapshot = zlib.compress(text.encode())
+            config.snapshot = self._compressed(accepted)
             return config
         delta = bundle_entries.difference(
             base, old, accepted.version, accepted.entries
@@ -258,6 +258,14 @@
         config.removed.extend(delta.removed)
         return config
 
+    def _compressed(self, accepted: machine.Accepted) -> bytes:
+        """Return the entries for joiners; many may come at once."""
+        if self._snapshot[0] != accepted.version:
+            text = bundle_entries.canonical(accepted.entries)
+            packed = zlib.compress(text.encode())
+            self._snapshot = (accepted.version, packed)
+        return self._snapshot[1]
+
     async def _commit_claims(self, waiting: list[_Waiting]) -> None:
         batch = pb.ClaimBatch(now_s=time.time())
         live = [one for one in waiting if not one.session.outbox.closed]
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -8,9 +8,11 @@
 import collections
 import collections.abc
 import contextlib
+import typing
 
 import attrs
 
+from honeyport.backend import engine
 from honeyport.backend import registry
 from honeyport.bundle import model
 from honeyport import errors
@@ -18,6 +20,7 @@
 from honeyport.router import fleetstate
 from honeyport.router import placement
 from honeyport.router import shares
+from honeyport.router import transfer
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
@@ -39,8 +42,10 @@
     """
 
     name: str
+    kind: str
     backend: model.Backend
     client: registry.Client
+    hot: transfer.HotChats
     queue: shares.FairQueue = attrs.field(init=False)
     running: int = 0
     ready: bool = False
@@ -89,6 +94,7 @@
             maxlen=_REMEMBERED
         )
         self._news = asyncio.Event()
+        self._transfers = transfer.Transfers(state, counters)
         self._parting: set[asyncio.Task[None]] = set()
         counters.gauge('steward_slots', lambda: len(self._owned()))
         counters.gauge('steward_running', lambda: self.running)
@@ -129,6 +135,7 @@
             elif not mine and slot is not None and slot.owned:
                 self._leave(slot)
         for name in [n for n in self._slots if n not in backends]:
+            self._move_prefixes(self._slots[name])
             self._leave(self._slots[name])
             self._drop(self._slots[name])
 
@@ -167,6 +174,7 @@
                 async for frame in answer:
                     if isinstance(frame, exchange.Head):
                         self._answered(slot)
+                        slot.hot.note(call.chat)
                     elif isinstance(frame, exchange.End):
                         abandoned = False
                     yield frame
@@ -203,11 +211,18 @@
             await self._news.wait()
             self._news.clear()
             for slot in list(self._slots.values()):
+                if slot.owned and self._state.is_leaving(slot.name):
+                    self._move_prefixes(slot)
                 if slot.owned and not slot.ready and self._settled():
                     await self._probe(slot)
                     slot.ready = True
                 self._admit_waiting(slot)
 
+    def _move_prefixes(self, slot: Slot) -> None:
+        """Move what is warm, once, when an engine leaves as planned."""
+        if slot.kind == model.ENGINE and len(slot.hot):
+            self._transfers.start(slot.name, slot.backend, slot.hot)
+
     def _settled(self) -> bool:
         return self._state.is_settled and self._state.lease_left > 0
 
@@ -219,7 +234,8 @@
         if slot is None:
             kind = self._state.bundle.services[backend.service].kind
             client = registry.create(kind, name, backend.address)
-            slot = Slot(name, backend, client, limit=backend.slots)
+            hot = transfer.HotChats(self._state.bundle.limits.hot_chats)
+            slot = Slot(name, kind, backend, client, hot, limit=backend.slots)
             self._slots[name] = slot
         slot.owned = True
         slot.ready = False
@@ -377,8 +393,16 @@
             self._unreachable(slot)
             return
         self._answered(slot)
+        if slot.kind == model.ENGINE and len(slot.hot):
+            await self._correct(slot)
         if not slot.probed:
             slot.probed = True
             slot.foreign = max(0, load.running - slot.running)
         else:
             slot.foreign = min(slot.foreign, load.running)
+
+    async def _correct(self, slot: Slot) -> None:
+        """Take in which prefixes the engine has dropped."""
+        client = typing.cast(engine.EngineClient, slot.client)
+        with contextlib.suppress(errors.HoneyportError, ValueError, KeyError):
+            slot.hot.correct(await client.cache_events(slot.hot.last_event))
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -85,6 +85,9 @@
     3103, 'backend_down', 'warning', 'A backend server does not answer.'
 )
 BACKEND_UP = define(3104, 'backend_up', 'info', 'It answers again.')
+PREFIXES_MOVED = define(
+    3105, 'prefixes_moved', 'info', 'Warm prefixes left a leaving engine.'
+)
 REQUEST_FAILED = define(
     3201, 'request_failed', 'warning', 'A request ended with an error.'
 )
