--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,9 +12,10 @@
 from bench import pieces
 from bench import registry
 from bench import reuse
+from bench import surge
 from honeyport.telemetry import log as logs
 
-REGISTERED = (pieces, hops, control, reuse)
+REGISTERED = (pieces, hops, control, reuse, surge)
 
 _FOLDER = pathlib.Path(__file__).parent
 _RESULTS = _FOLDER / 'results.json'
--- a/bench/control.py
+++ b/bench/control.py
@@ -14,16 +14,14 @@
 
 from bench import process
 from bench import registry
+from bench import subscribers
 from features.steps import control_steps
 from features.steps import fleet_steps
 from features.support import calls
 from features.support import world as worlds
 from honeyport.bundle import entries
 from honeyport.bundle import signing
-from honeyport.router import fleetstate
 from honeyport.router import session
-from honeyport.settings import roles
-from honeyport.telemetry import metrics
 from honeyport.wire import channels
 from honeyport.wire import honeyport_pb2 as pb
 from honeyport.wire import honeyport_pb2_grpc as rpc
@@ -153,81 +151,6 @@
     return took
 
 
-class _StubState(fleetstate.FleetState):
-    """Notes versions without keeping the bundle."""
-
-    applied: dict[int, float]
-
-    def apply_config(self, config: pb.Config) -> bool:
-        self._version = config.version
-        self._digest = config.digest
-        self.applied[config.version] = time.time()
-        return True
-
-
-class Subscribers:
-    """Many routers' sessions in this process."""
-
-    def __init__(self, world: worlds.World, count: int) -> None:
-        self.counters = metrics.Metrics()
-        self.states: list[_StubState] = []
-        self.sessions: list[session.Session] = []
-        self._tasks: list[asyncio.Task[None]] = []
-        for number in range(count):
-            settings = roles.Router(
-                name=f'stub-{number}',
-                domain=worlds.DOMAINS[number % 3],
-                listen=f'127.0.0.2:{10000 + number}',
-                peer_listen=f'127.0.0.2:{20000 + number}',
-                control=tuple(world.control.values()),
-            )
-            state = _StubState()
-            state.applied = {}
-            state._bundle = None
-            self.states.append(state)
-            self.sessions.append(
-                session.Session(
-                    settings, state, _fill, _ignore, _idle, self.counters
-                )
-            )
-
-    async def start(self, world: worlds.World) -> None:
-        """Attach all; return once each has the accepted version."""
-        for one in self.sessions:
-            self._tasks.append(asyncio.create_task(one.run()))
-        await world.until(
-            lambda: all(state.version for state in self.states),
-            'all subscribers have a version',
-            120,
-        )
-
-    async def stop(self) -> None:
-        """Detach all."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def bytes(self) -> float:
-        """Return the bytes sent and received."""
-        return sum(
-            self.counters.counter('control_bytes', direction=direction)
-            for direction in ('sent', 'received')
-        )
-
-
-def _fill(report: pb.Report) -> None:
-    for number in range(6):
-        report.loads.add(service=f'model-{number}', running=3)
-
-
-def _ignore(followed: bool) -> None:
-    return None
-
-
-def _idle() -> None:
-    return None
-
-
 @registry.register('subscribers')
 async def measure_subscribers() -> registry.Figures:
     """Measure control at the target's size, with stubs for routers."""
@@ -267,7 +190,7 @@
     world: worlds.World, count: int, figures: registry.Figures
 ) -> registry.Figures:
     """Attach stubs; measure at rest, then under changes."""
-    stubs = Subscribers(world, count)
+    stubs = subscribers.Subscribers(world, count)
     await stubs.start(world)
     for state in stubs.states:
         state._bundle = _timing_only(world)
@@ -293,7 +216,7 @@
 
 
 async def _paced_changes(
-    world: worlds.World, stubs: Subscribers, rest: float
+    world: worlds.World, stubs: subscribers.Subscribers, rest: float
 ) -> tuple[list[float], float]:
     """Make a change each 6 s; return delays, and bytes for one change."""
     delays = []
@@ -357,7 +280,7 @@
     async with scratch() as world:
         world.start_control(3)
         await world.roll(wait=False)
-        stubs = Subscribers(world, 1)
+        stubs = subscribers.Subscribers(world, 1)
         await stubs.start(world)
         leader = await control_steps.leader(world)
         follower = next(n for n in world.control if n != leader)
--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -113,9 +113,9 @@
 
     def engine(self, settings: str) -> None:
         """Run a stand-in engine."""
-        from honeyport.standin import engine
+        from honeyport.standin import engine_api
 
-        _run(settings, 'Engine', engine.start)
+        _run(settings, 'Engine', engine_api.start)
 
     def service(self, settings: str) -> None:
         """Run a stand-in plain service."""
--- a/src/honeyport/local.py
+++ b/src/honeyport/local.py
@@ -17,7 +17,7 @@
 from honeyport.control import daemon as control_daemon
 from honeyport.router import daemon as router_daemon
 from honeyport.settings import roles
-from honeyport.standin import engine
+from honeyport.standin import engine_api
 from honeyport.standin import service
 from honeyport import supervisor
 from honeyport.telemetry import log as logs
@@ -70,7 +70,7 @@
     )
     control = free_address()
     for number, address in enumerate(site.engines, 1):
-        await engine.start(
+        await engine_api.start(
             roles.Engine(
                 name=f'draft-llm-{number}', domain=_DOMAIN, listen=address
             ),
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -10,8 +10,6 @@
 import contextlib
 import typing
 
-import attrs
-
 from honeyport.backend import engine
 from honeyport.backend import registry
 from honeyport.bundle import model
@@ -19,56 +17,18 @@
 from honeyport import exchange
 from honeyport.router import fleetstate
 from honeyport.router import placement
-from honeyport.router import shares
+from honeyport.router import slots
 from honeyport.router import transfer
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
-_DOWN_AFTER = 2  # failed connections in a row
 _BACKOFF = 0.7  # of the limit, when the backend server says it is busy
-_FIRST_SERVICE_S = 0.5  # guess of a request's time before one was seen
 _SMOOTHING = 0.1
 _REMEMBERED = 2  # reports of ours that the others' loads may be as old as
 
 
-@attrs.define
-class Slot:
-    """One backend server under this router's care.
-
-    :param ready: whether no other router can still be sending to it
-    :param foreign: requests of a former steward that it may still run
-    """
-
-    name: str
-    kind: str
-    backend: model.Backend
-    client: registry.Client
-    hot: transfer.HotChats
-    queue: shares.FairQueue = attrs.field(init=False)
-    running: int = 0
-    ready: bool = False
-    owned: bool = False
-    foreign: int = 0
-    probed: bool = False
-    failures: int = 0
-    limit: float = 0.0
-    service_s: float = _FIRST_SERVICE_S
-
-    def __attrs_post_init__(self) -> None:
-        self.queue = shares.FairQueue(self.give_back)
-
-    def give_back(self) -> None:
-        """Count one request less."""
-        self.running -= 1
-
-    @property
-    def down(self) -> bool:
-        """Whether it does not answer."""
-        return self.failures >= _DOWN_AFTER
-
-
 Wake = collections.abc.Callable[[], None]
 
 
@@ -89,7 +49,7 @@
         self._state = state
         self._metrics = counters
         self._hurry = hurry
-        self._slots: dict[str, Slot] = {}
+        self._slots: dict[str, slots.Slot] = {}
         self._reported: collections.deque[dict[str, int]] = collections.deque(
             maxlen=_REMEMBERED
         )
@@ -218,7 +178,7 @@
                     slot.ready = True
                 self._admit_waiting(slot)
 
-    def _move_prefixes(self, slot: Slot) -> None:
+    def _move_prefixes(self, slot: slots.Slot) -> None:
         """Move what is warm, once, when an engine leaves as planned."""
         if slot.kind == model.ENGINE and len(slot.hot):
             self._transfers.start(slot.name, slot.backend, slot.hot)
@@ -226,7 +186,7 @@
     def _settled(self) -> bool:
         return self._state.is_settled and self._state.lease_left > 0
 
-    def _owned(self) -> list[Slot]:
+    def _owned(self) -> list[slots.Slot]:
         return [slot for slot in self._slots.values() if slot.owned]
 
     def _take(self, name: str, backend: model.Backend) -> None:
@@ -235,14 +195,16 @@
             kind = self._state.bundle.services[backend.service].kind
             client = registry.create(kind, name, backend.address)
             hot = transfer.HotChats(self._state.bundle.limits.hot_chats)
-            slot = Slot(name, kind, backend, client, hot, limit=backend.slots)
+            slot = slots.Slot(
+                name, kind, backend, client, hot, limit=backend.slots
+            )
             self._slots[name] = slot
         slot.owned = True
         slot.ready = False
         slot.probed = False
         logs.emit(events.ENGINE_TAKEN, backend=name)
 
-    def _leave(self, slot: Slot) -> None:
+    def _leave(self, slot: slots.Slot) -> None:
         if slot.owned:
             slot.owned = False
             slot.ready = False
@@ -250,13 +212,13 @@
         while slot.queue.pop(room=False):
             pass
 
-    def _drop(self, slot: Slot) -> None:
+    def _drop(self, slot: slots.Slot) -> None:
         if self._slots.get(slot.name) is slot:
             del self._slots[slot.name]
         if not slot.running:
             slot.client.close()
 
-    async def _admit(self, call: exchange.Call, backend: str) -> Slot:
+    async def _admit(self, call: exchange.Call, backend: str) -> slots.Slot:
         """Return the slot once the call may run there, counted in."""
         while True:
             self._state.check_lease()
@@ -276,7 +238,7 @@
             if await self._queue(slot, call):
                 return slot
 
-    async def _queue(self, slot: Slot, call: exchange.Call) -> bool:
+    async def _queue(self, slot: slots.Slot, call: exchange.Call) -> bool:
         """Wait for a turn, or refuse at once if none can come in time."""
         share = self._share(call.account)
         ahead = slot.queue.ahead(call.account, share)
@@ -302,13 +264,13 @@
         found = self._state.bundle.accounts.get(account)
         return found.share if found else 1.0
 
-    def _has_room(self, slot: Slot) -> bool:
+    def _has_room(self, slot: slots.Slot) -> bool:
         if not slot.ready:
             return False
         foreign = max(slot.foreign, self._state.residual(slot.name))
         return slot.running + foreign < self._limit(slot)
 
-    def _limit(self, slot: Slot) -> int:
+    def _limit(self, slot: slots.Slot) -> int:
         """The most requests that may run on a backend server now."""
         service = slot.backend.service
         most = max(1, int(min(slot.limit, slot.backend.slots)))
@@ -338,44 +300,46 @@
             ours = min(ours, reported.get(service, 0))
         return self._state.others(service) + ours
 
-    def _release(self, slot: Slot, seconds: float) -> None:
+    def _release(self, slot: slots.Slot, seconds: float) -> None:
         slot.running -= 1
         slot.service_s += _SMOOTHING * (seconds - slot.service_s)
         self._admit_waiting(slot)
 
-    def _admit_waiting(self, slot: Slot) -> None:
+    def _admit_waiting(self, slot: slots.Slot) -> None:
         while len(slot.queue) and self._has_room(slot):
             slot.running += 1
             if not slot.queue.pop(room=True):
                 slot.running -= 1
                 return
 
-    def _answered(self, slot: Slot) -> None:
+    def _answered(self, slot: slots.Slot) -> None:
         if slot.down:
             logs.emit(events.BACKEND_UP, backend=slot.name)
         slot.failures = 0
         slot.limit = min(slot.backend.slots, slot.limit + 1 / slot.limit)
 
-    def _failed(self, slot: Slot, error: errors.HoneyportError) -> None:
+    def _failed(self, slot: slots.Slot, error: errors.HoneyportError) -> None:
         if isinstance(error, errors.BackendFull):
             slot.limit = max(1.0, slot.limit * _BACKOFF)
         elif isinstance(error, errors.NotSent | errors.BackendLost):
             self._unreachable(slot)
 
-    def _unreachable(self, slot: Slot) -> None:
+    def _unreachable(self, slot: slots.Slot) -> None:
         slot.failures += 1
-        if slot.failures == _DOWN_AFTER:
+        if slot.failures == slots.DOWN_AFTER:
             logs.emit(events.BACKEND_DOWN, backend=slot.name)
             self._hurry()
 
-    def _part(self, slot: Slot, call: exchange.Call, started: float) -> None:
+    def _part(
+        self, slot: slots.Slot, call: exchange.Call, started: float
+    ) -> None:
         """See to an answer whose caller has gone; the slot stays taken."""
         task = asyncio.create_task(self._abandon(slot, call, started))
         self._parting.add(task)
         task.add_done_callback(self._parting.discard)
 
     async def _abandon(
-        self, slot: Slot, call: exchange.Call, started: float
+        self, slot: slots.Slot, call: exchange.Call, started: float
     ) -> None:
         """Have the engine stop, at once or after the time to come back."""
         if call.linger:
@@ -385,7 +349,7 @@
         loop = asyncio.get_running_loop()
         self._release(slot, loop.time() - started)
 
-    async def _probe(self, slot: Slot) -> None:
+    async def _probe(self, slot: slots.Slot) -> None:
         """Ask for the load; a former steward's requests show in it."""
         try:
             load = await slot.client.probe()
@@ -401,7 +365,7 @@
         else:
             slot.foreign = min(slot.foreign, load.running)
 
-    async def _correct(self, slot: Slot) -> None:
+    async def _correct(self, slot: slots.Slot) -> None:
         """Take in which prefixes the engine has dropped."""
         client = typing.cast(engine.EngineClient, slot.client)
         with contextlib.suppress(errors.HoneyportError, ValueError, KeyError):
