What waits counts into the mean that the bound is a multiple of

Cause: a bound that was once too low kept the total low, and with it the bound: at 78 turns a second, which the engines could carry three times over, the others' first token took 3.0 s (p50) in one calm phase. Ruled out: the fair queue (it served in order) and lost wake-ups (slots were free, the limit was not). Change: stewards report and count what waits. Also start-time fair queuing, so that a rare account goes next.

--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -168,8 +168,8 @@
                 router.loads if router.heard >= now - fresh_s else {}
             )
             for service, load in router.counted.items():
-                self._totals[service] = (
-                    self._totals.get(service, 0) + load.running
+                self._totals[service] = self._totals.get(service, 0) + _demand(
+                    load
                 )
         self._down = sorted(down)
         self._leaving = sorted(
@@ -177,13 +177,13 @@
         )
 
     def loads(self, router: Router) -> pb.Loads:
-        """Return what all other routers have running, for one of them."""
+        """Return what all other routers have, for one of them."""
         loads = pb.Loads(
             settled=self.settled(), settled_version=self.settled_version()
         )
         for service in sorted(self._totals):
             own = router.counted.get(service)
-            others = self._totals[service] - (own.running if own else 0)
+            others = self._totals[service] - (_demand(own) if own else 0)
             loads.others.add(service=service, running=others)
         for backend in sorted(self._residuals):
             others = self._residuals[backend] - router.residuals.get(
@@ -205,6 +205,11 @@
         )
 
 
+def _demand(load: pb.PoolLoad) -> int:
+    """Return what runs and what waits for room."""
+    return load.running + load.waiting
+
+
 def _identities(
     members: typing.Iterable[pb.Member],
 ) -> list[tuple[str, str, bool]]:
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -163,7 +163,7 @@
         return name in candidates and placement.wins(name, backend, candidates)
 
     def others(self, service: str) -> int:
-        """Return what surely runs through all other routers.
+        """Return what surely runs or waits at all other routers.
 
         It is the lesser of the last two things heard.
         """
--- a/src/honeyport/router/shares.py
+++ b/src/honeyport/router/shares.py
@@ -1,9 +1,10 @@
 """A fair queue: client accounts get room by their shares.
 
-Self-clocked fair queuing (Golestani, 1994): a request's finish tag is its
-account's last tag or the current one, whichever is later, plus the
-inverse of the share. The lowest tag goes first, so an account that surges
-waits behind its own requests, and takes only what others leave.
+Start-time fair queuing (Goyal, Vin and Cheng, 1996): a request's start tag
+is its account's last finish tag or the tag of the request that went last,
+whichever is later; its finish tag is that plus the inverse of the share.
+The lowest start tag goes first. An account that surges waits behind its
+own requests, and one that asks rarely goes next.
 """
 
 import asyncio
@@ -42,9 +43,9 @@
     def __len__(self) -> int:
         return self._length
 
-    def ahead(self, account: str, share: float) -> int:
+    def ahead(self, account: str) -> int:
         """Return how many waiting requests would go before a new one."""
-        tag = self._next_tag(account, share)
+        tag = self._start_tag(account)
         return sum(
             1
             for waiter in self._heap
@@ -59,8 +60,8 @@
         :raises errors.Overloaded: if no turn came in time
         """
         turn = asyncio.get_running_loop().create_future()
-        tag = self._next_tag(account, share)
-        self._tags[account] = tag
+        tag = self._start_tag(account)
+        self._tags[account] = tag + 1.0 / share
         heapq.heappush(
             self._heap, _Waiter(tag, next(self._order), account, turn)
         )
@@ -97,9 +98,8 @@
         elif turn.result() and asyncio.current_task().cancelling():
             self._unused()
 
-    def _next_tag(self, account: str, share: float) -> float:
-        start = max(self._clock, self._tags.get(account, 0.0))
-        return start + 1.0 / share
+    def _start_tag(self, account: str) -> float:
+        return max(self._clock, self._tags.get(account, 0.0))
 
     def _trim(self) -> None:
         """Forget the tags of accounts that have nothing left to wait for."""
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -115,7 +115,9 @@
             report.loads.add(
                 service=service, running=count, waiting=waiting[service]
             )
-        self._reported.append(running)
+        self._reported.append(
+            {name: count + waiting[name] for name, count in running.items()}
+        )
 
     async def answer(
         self, call: exchange.Call, backend: str
@@ -241,7 +243,7 @@
     async def _queue(self, slot: slots.Slot, call: exchange.Call) -> bool:
         """Wait for a turn, or refuse at once if none can come in time."""
         share = self._share(call.account)
-        ahead = slot.queue.ahead(call.account, share)
+        ahead = slot.queue.ahead(call.account)
         wait_s = (ahead + 1) * slot.service_s / max(1, self._limit(slot))
         full = len(slot.queue) >= self._state.bundle.limits.queue
         most_s = min(call.left(), call.patience_s)
@@ -284,15 +286,16 @@
         return min(most, bounded)
 
     def _total(self, service: str) -> int:
-        """What surely runs on all engines.
+        """What surely runs on all engines, or waits for room there.
 
         What others report is a little old, and may have moved to us since;
-        so of ours, too, only what ran then counts: the least of now and
-        our last reports. The sum errs on the low side, and the bound with
-        it.
+        so of ours, too, only what was there then counts: the least of now
+        and our last reports. The sum errs on the low side, and the bound
+        with it. What waits counts: otherwise a bound that is too low would
+        keep the total low, and itself.
         """
         ours = sum(
-            slot.running
+            slot.running + len(slot.queue)
             for slot in self._slots.values()
             if slot.backend.service == service
         )
