Without a lease nothing that waits is started

Found by reading: a router whose lease lapsed went on giving room to what waited in its queues, while another router may steward the same engine.

--- /dev/null
+++ b/features/steps/steward_steps.py
@@ -0,0 +1,145 @@
+"""Steps about admission, with a steward that has no process around it."""
+
+import asyncio
+import zlib
+
+import behave
+
+from honeyport.bundle import entries
+from honeyport.bundle import model
+from honeyport import exchange
+from honeyport.router import fleetstate
+from honeyport.router import steward
+from honeyport.telemetry import metrics
+from honeyport.wire import honeyport_pb2 as pb
+
+
+@behave.given(
+    'a steward of {count:d} engines with {slots:d} slots and nothing running '
+    'elsewhere'
+)
+def step_steward(context, count, slots):
+    async def make():
+        state = fleetstate.FleetState()
+        state.apply_config(config(count, slots))
+        view = pb.View(number=1)
+        view.members.add(router='r1', domain='thu-duc')
+        state.apply_view(view)
+        loop = asyncio.get_running_loop()
+        state.renew(loop.time(), 60_000)
+        made = steward.Steward('r1', state, metrics.Metrics(), lambda: None)
+        made.regard_bundle()
+        return made
+
+    context.steward = context.run(make())
+    context.engines = [f'engine-{number}' for number in range(count)]
+    context.calls = []
+
+
+def config(count, slots):
+    """Return a first bundle as control sends it."""
+    bundle = model.Bundle(
+        version=1,
+        signers=model.Signers(keys={}),
+        models={'m': model.Model(version='1')},
+        services={'llm': model.Service(kind=model.ENGINE, model='m')},
+        backends={
+            f'engine-{number}': model.Backend(
+                service='llm',
+                address='127.0.0.2:1',
+                domain='thu-duc',
+                slots=slots,
+            )
+            for number in range(count)
+        },
+    )
+    items = entries.split(bundle)
+    return pb.Config(
+        version=1,
+        digest=entries.digest(1, items),
+        snapshot=zlib.compress(entries.canonical(items).encode()),
+    )
+
+
+@behave.when('{count:d} calls wait for room, {each:d} at each engine')
+def step_calls_wait(context, count, each):
+    async def begin():
+        for name in context.engines:
+            for _ in range(each):
+                task = asyncio.ensure_future(first(context.steward, name))
+                context.calls.append(task)
+        await asyncio.sleep(0.01)
+
+    context.run(begin())
+    assert len(context.calls) == count
+
+
+async def first(made, name):
+    """Wait for the first frame of an answer."""
+    loop = asyncio.get_running_loop()
+    call = exchange.Call(
+        request_id=name,
+        service='llm',
+        account='a',
+        chat='c',
+        method='POST',
+        path='/',
+        deadline=loop.time() + 60,
+        patience_s=60,
+    )
+    return await anext(made.answer(call, name))
+
+
+@behave.then('each engine may run {count:d} calls')
+def step_may_run(context, count):
+    made = context.steward
+    limits = {made._limit(made._slots[name]) for name in context.engines}
+    stop_calls(context)
+    assert limits == {count}, limits
+
+
+@behave.when('the lease lapses and the view is settled after that')
+def step_lapse(context):
+    async def lapse():
+        state = context.steward._state
+        state._lease_until = asyncio.get_running_loop().time() - 1
+        state.apply_loads(pb.Loads(settled=1, settled_version=1))
+        for slot in context.steward._slots.values():
+            slot.ready = True
+        tasks = [
+            asyncio.ensure_future(context.steward.settle()),
+            asyncio.ensure_future(context.steward.watch()),
+        ]
+        context.steward.notice()
+        await asyncio.sleep(0.05)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.run(lapse())
+
+
+@behave.then('all of them are refused with "{code}" and none was sent')
+def step_refused_waiting(context, code):
+    codes = {task.exception().code for task in context.calls}
+    assert codes == {code}, codes
+    assert context.steward.running == 0
+
+
+@behave.then('all of them still wait')
+def step_still(context):
+    waiting = [not task.done() for task in context.calls]
+    stop_calls(context)
+    assert all(waiting)
+    assert context.steward.running == 0
+
+
+def stop_calls(context):
+    """Cancel what still waits."""
+
+    async def stop():
+        for task in context.calls:
+            task.cancel()
+        await asyncio.gather(*context.calls, return_exceptions=True)
+
+    context.run(stop())
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -126,8 +126,9 @@
         """Commit claims, many at a time."""
         while True:
             waiting = await self._claims.take()
-            if waiting:
-                await self._commit_claims(waiting)
+            live = [one for one in waiting if not one.session.outbox.closed]
+            if live:
+                await self._commit_claims(live)
 
     def _watch_leadership(self) -> None:
         if self._node.role == replica.LEADER:
@@ -266,9 +267,8 @@
             self._snapshot = (accepted.version, packed)
         return self._snapshot[1]
 
-    async def _commit_claims(self, waiting: list[_Waiting]) -> None:
+    async def _commit_claims(self, live: list[_Waiting]) -> None:
         batch = pb.ClaimBatch(now_s=time.time())
-        live = [one for one in waiting if not one.session.outbox.closed]
         batch.requests.extend(one.request for one in live)
         try:
             answers = await self._node.propose(batch)
--- a/src/honeyport/router/edge.py
+++ b/src/honeyport/router/edge.py
@@ -166,7 +166,7 @@
                     'entry', call.parent, request=call.request_id
                 ) as parent:
                     call = attrs.evolve(call, parent=parent)
-                    await self._write_answer(self._answer(call), started)
+                    await self._run(call, started)
         except errors.HoneyportError as error:
             await self._write_error(error)
         except (iostream.StreamClosedError, asyncio.CancelledError):
@@ -205,6 +205,14 @@
             linger=bool(self.header(LINGER)),
         )
 
+    async def _run(self, call: exchange.Call, started: float) -> None:
+        """Write the call's answer, until its deadline."""
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                await self._write_answer(self._answer(call), started)
+        except TimeoutError:
+            raise errors.DeadlinePassed() from None
+
     def _checked(self, call: exchange.Call) -> exchange.Call:
         state = self._services.state
         state.check_lease()
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -54,6 +54,7 @@
             maxlen=_REMEMBERED
         )
         self._news = asyncio.Event()
+        self._lapsed = False
         self._transfers = transfer.Transfers(state, counters)
         self._parting: set[asyncio.Task[None]] = set()
         counters.gauge('steward_slots', lambda: len(self._owned()))
@@ -154,6 +155,7 @@
         """Probe the owned backend servers, spread over the period."""
         while True:
             period_s = self._state.timing.probe_ms / 1000
+            self._check_lease()
             owned = self._owned()
             if not owned:
                 await asyncio.sleep(period_s)
@@ -163,6 +165,17 @@
                     group.create_task(self._probe(slot))
                     await asyncio.sleep(period_s / len(owned))
 
+    def _check_lease(self) -> None:
+        """Without a lease, what waits gets its final answer now."""
+        lapsed = self._state.lease_left <= 0
+        if lapsed and not self._lapsed and self._slots:
+            logs.emit(events.LEASE_LAPSED)
+        self._lapsed = lapsed
+        if lapsed:
+            for slot in self._slots.values():
+                while slot.queue.pop(room=False):
+                    pass
+
     def notice(self) -> None:
         """Look again at what may be admitted: something changed."""
         self._news.set()
@@ -172,13 +185,18 @@
         while True:
             await self._news.wait()
             self._news.clear()
-            for slot in list(self._slots.values()):
-                if slot.owned and self._state.is_leaving(slot.name):
-                    self._move_prefixes(slot)
-                if slot.owned and not slot.ready and self._settled():
-                    await self._probe(slot)
-                    slot.ready = True
-                self._admit_waiting(slot)
+            await asyncio.gather(
+                *(self._regard(slot) for slot in list(self._slots.values()))
+            )
+
+    async def _regard(self, slot: slots.Slot) -> None:
+        """Make one slot ready if it may be, and admit what waits."""
+        if slot.owned and self._state.is_leaving(slot.name):
+            self._move_prefixes(slot)
+        if slot.owned and not slot.ready and self._settled():
+            await self._probe(slot)
+            slot.ready = slot.owned and self._settled()
+        self._admit_waiting(slot)
 
     def _move_prefixes(self, slot: slots.Slot) -> None:
         """Move what is warm, once, when an engine leaves as planned."""
@@ -267,7 +285,7 @@
         return found.share if found else 1.0
 
     def _has_room(self, slot: slots.Slot) -> bool:
-        if not slot.ready:
+        if not slot.ready or self._state.lease_left <= 0:
             return False
         foreign = max(slot.foreign, self._state.residual(slot.name))
         return slot.running + foreign < self._limit(slot)
--- a/src/honeyport/standin/engine_api.py
+++ b/src/honeyport/standin/engine_api.py
@@ -45,7 +45,7 @@
         async with stream.grown:
             await stream.grown.wait_for(lambda: stream.done)
         if stream.cancelled:
-            self.set_status(503)
+            self.set_status(500)
             return
         words = [json.loads(e.split(b'data: ')[1]) for e in stream.events[:-1]]
         content = ' '.join(
