A refusal at the deadline comes before the deadline's own error

Cause: the edge ended a request at its deadline in the same moment in which its queue gave up, and told 'may have run' while the claim was being given back. Change: the edge waits half a second longer. Also: the callers' library forgets beyond 100,000 chats, and asks once a service for filings instead of once a key.

--- a/src/honeyport/client.py
+++ b/src/honeyport/client.py
@@ -27,6 +27,7 @@
 _PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 5.0
 _ASK_S = 2.0
+_REMEMBERED = 100_000  # chats with an address or a placement
 _TAIL = 256  # bytes that hold the end marks
 
 
@@ -195,7 +196,7 @@
             body=body,
         )
         problem: errors.HoneyportError = errors.PeerLost('nobody answered')
-        async for address in self._addresses(service, key, deadline_s):
+        async for address in self._addresses(service, '', deadline_s):
             try:
                 start, answer = await http.read(
                     self._pool(address), request, deadline_s
@@ -257,6 +258,7 @@
             addresses = [one['address'] for one in found['addresses']]
             until = now + found['ttl_s']
             self._known[service, chat] = _Known(addresses, until)
+            _trim(self._known)
             return addresses
         return known.addresses if known else self._first
 
@@ -264,6 +266,7 @@
         placement = start.headers.get('Honeyport-Placement', '')
         if placement:
             self._placements[service, chat] = placement
+            _trim(self._placements)
 
     def _headers(self, deadline_s: float) -> dict[str, str]:
         return {
@@ -300,6 +303,12 @@
             raise errors.AnswerCut('the stream ended early')
 
 
+def _trim(remembered: dict[tuple[str, str], typing.Any]) -> None:
+    """Forget what was remembered first, beyond a limit."""
+    while len(remembered) > _REMEMBERED:
+        del remembered[next(iter(remembered))]
+
+
 def _error(start: http.Start, body: bytes) -> errors.HoneyportError | None:
     """Return the typed error of an answer, if it is one."""
     if start.status < 400 or 'Honeyport-Router' in start.headers:
--- a/src/honeyport/router/edge.py
+++ b/src/honeyport/router/edge.py
@@ -38,6 +38,9 @@
 # Between the error event and the cut: some clients, tornado's among them,
 # drop what arrives together with the end of the connection.
 _LAST_WORD_S = 0.05
+# After the deadline: a queue that gives up at the deadline still has to give
+# the claim back and say "not run", which is the better answer.
+_GRACE_S = 0.5
 _EVENT_STREAM = 'text/event-stream'
 
 _ROUTES: list[tuple[str, type['Handler']]] = []
@@ -208,7 +211,7 @@
     async def _run(self, call: exchange.Call, started: float) -> None:
         """Write the call's answer, until its deadline."""
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with asyncio.timeout_at(call.deadline + _GRACE_S):
                 await self._write_answer(self._answer(call), started)
         except TimeoutError:
             raise errors.DeadlinePassed() from None
