--- a/bench/control.py
+++ b/bench/control.py
@@ -161,7 +161,7 @@
         await world.roll(wait=False)
         costs = {}
         for count in (40, 370):
-            costs[count] = await _subscribe(world, count, figures)
+            costs[count] = await _subscribe(world, count)
         span = 370 - 40
         for key in ('leader_ms_s', 'leader_mb'):
             slope = (costs[370][key] - costs[40][key]) / span
@@ -186,9 +186,7 @@
     world.timing.update(_TARGET_TIMING)
 
 
-async def _subscribe(
-    world: worlds.World, count: int, figures: registry.Figures
-) -> registry.Figures:
+async def _subscribe(world: worlds.World, count: int) -> registry.Figures:
     """Attach stubs; measure at rest, then under changes."""
     stubs = subscribers.Subscribers(world, count)
     await stubs.start(world)
@@ -209,7 +207,6 @@
     delays, extra = await _paced_changes(world, stubs, rest)
     found['in_force_max_s'] = max(delays)
     found['change_bytes_per_router'] = extra
-    cpu = process.cpu_s(pid)
     found['leader_after_mb'] = process.resident_mb(pid)
     await stubs.stop()
     return found
--- a/src/honeyport/backend/engine.py
+++ b/src/honeyport/backend/engine.py
@@ -49,7 +49,7 @@
         async for frame in plain.frames(self._name, parts):
             if isinstance(frame, exchange.Head):
                 self._refuse(frame)
-                streamed = _is_stream(frame)
+                streamed = frame.is_event_stream
             elif isinstance(frame, exchange.Data) and streamed:
                 tail = (tail + frame.payload)[-len(_LAST_EVENT) :]
             elif isinstance(frame, exchange.End) and streamed:
@@ -133,10 +133,3 @@
 
 def _prefix_path(chat: str) -> str:
     return f'/kv/{urllib.parse.quote(chat, safe="")}'
-
-
-def _is_stream(head: exchange.Head) -> bool:
-    return any(
-        name.lower() == 'content-type' and value.startswith('text/event')
-        for name, value in head.headers
-    )
--- a/src/honeyport/control/durable.py
+++ b/src/honeyport/control/durable.py
@@ -1,6 +1,5 @@
 """The log of a replica: in memory, on its disk, and applied."""
 
-import asyncio
 import collections.abc
 import typing
 
@@ -58,7 +57,6 @@
         self._restore(contents.snapshot, contents.entries)
         self._commit = self._applied
         self._written = self._journal.last_index
-        self._changed = asyncio.Condition()
 
     @property
     def identity(self) -> storage.Identity:
@@ -158,7 +156,6 @@
             result = self._machine.apply(entry)
             self._applied += 1
             self._on_applied(entry, result)
-        await self._notify()
         await self._compact()
 
     def snapshot(self) -> pb.State:
@@ -176,16 +173,6 @@
         self._commit = self._applied
         self._written = self._applied
         logs.emit(events.SNAPSHOT_RECEIVED, index=state.index)
-        await self._notify()
-
-    async def wait_applied(self, index: int) -> None:
-        """Wait until the entry at an index is applied here."""
-        async with self._changed:
-            await self._changed.wait_for(lambda: self._applied >= index)
-
-    async def _notify(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
 
     async def _compact(self) -> None:
         grown = self._applied - self._snapshot_index
--- a/src/honeyport/exchange.py
+++ b/src/honeyport/exchange.py
@@ -70,6 +70,14 @@
     backend: str
     recorded: bool = False  # the outcome of an earlier run
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body is a stream of events."""
+        return any(
+            name.lower() == 'content-type' and value.startswith('text/event')
+            for name, value in self.headers
+        )
+
 
 @attrs.frozen
 class Data:
--- a/src/honeyport/router/dispatch.py
+++ b/src/honeyport/router/dispatch.py
@@ -133,7 +133,7 @@
             try:
                 async for frame in self._send(current, backend):
                     if isinstance(frame, exchange.Head):
-                        streamed = _is_stream(frame)
+                        streamed = frame.is_event_stream
                         if not headed:
                             yield frame
                         headed = True
@@ -208,10 +208,3 @@
             raise errors.NotReady(f'nobody stewards {backend} yet')
         self._metrics.count('hops', kind='one')
         return self._links.get(member.peer_address).answer(call, backend)
-
-
-def _is_stream(head: exchange.Head) -> bool:
-    return any(
-        name.lower() == 'content-type' and value.startswith('text/event')
-        for name, value in head.headers
-    )
--- a/src/honeyport/telemetry/metrics.py
+++ b/src/honeyport/telemetry/metrics.py
@@ -6,7 +6,6 @@
 
 import collections
 import collections.abc
-import time
 import typing
 
 from hdrh import histogram
@@ -96,22 +95,6 @@
         return family
 
 
-class Stopwatch:
-    """Times a block and records it."""
-
-    def __init__(self, metrics: Metrics, name: str) -> None:
-        self._metrics = metrics
-        self._name = name
-        self._start = 0.0
-
-    def __enter__(self) -> 'Stopwatch':
-        self._start = time.monotonic()
-        return self
-
-    def __exit__(self, *_exc: object) -> None:
-        self._metrics.observe(self._name, time.monotonic() - self._start)
-
-
 def _families(
     kind: typing.Any, samples: typing.Iterable[typing.Any]
 ) -> typing.Iterator[prometheus_core.Metric]:
