A control replica whose disk fails steps aside

Change: the storage's calls to the file system stand behind a class of their own.

Tests: the histories run the real storage over a disk that loses what was not synced, and that fills up; a loss of all power right after a change loses nothing, and a mutation (syncs that do nothing) is noticed.

--- a/features/control/replica.feature
+++ b/features/control/replica.feature
@@ -8,6 +8,23 @@
     When 25 random histories of 5 replicas are played, with lost disks
     Then in each all replicas end with everything that was acknowledged
 
+  Scenario: what was acknowledged outlives a loss of all power
+    Given disks whose syncs last
+    When all of 3 replicas lose power right after a change, 25 times
+    Then no acknowledged change is lost
+
+  Scenario: the scenario above notices a sync that is missing
+    Given disks whose syncs do nothing
+    When all of 3 replicas lose power right after a change, 25 times
+    Then some acknowledged change is lost
+
+  Scenario: a leader whose disk is full steps aside
+    Given 3 replicas that agree
+    When the disk of the leader is full
+    Then another one leads within 3 seconds of the next change
+    When the disk takes writes again
+    Then what was acknowledged is still there
+
   Scenario: a replica with an empty disk gives no vote to a stale candidate
     Given 3 replicas of which one has an old log
     When the one with the newest log is cut off and another loses its disk
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -20,7 +20,18 @@
 EVENTS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(
-            ('kill', 'start', 'isolate', 'heal', 'lose', 'propose', 'wait')
+            (
+                'kill',
+                'start',
+                'isolate',
+                'heal',
+                'lose',
+                'power',
+                'fill',
+                'free',
+                'propose',
+                'wait',
+            )
         ),
         strategies.integers(0, 4),
     ),
@@ -76,6 +87,10 @@
         elif what == 'lose' and may_lose(group):
             await group.lose_disk(name)
             group.start(name)
+        elif what == 'power':
+            await group.lose_power(name)
+        elif what in ('fill', 'free'):
+            group.disks[name].full = what == 'fill'
         elif what == 'propose':
             proposing.append(asyncio.create_task(group.propose(f'e{number}')))
         await group.run_for(0.4)
@@ -109,6 +124,101 @@
     )
 
 
+@behave.when(
+    'all of 3 replicas lose power right after a change, {count:d} times'
+)
+def step_power(context, count):
+    context.lost = []
+    for seed in range(count):
+        loop = simulation.VirtualLoop()
+        try:
+            loop.run_until_complete(power_off(context, seed))
+        finally:
+            loop.close()
+
+
+async def power_off(context, seed):
+    """Take the power of all at the moment of an acknowledgement."""
+    group = simulation.Group(3, seed)
+    for name in group.names:
+        group.disks[name].forgets_syncs = context.forgets
+        group.start(name)
+    await group.settle()
+    acknowledged = await group.propose('change')
+    assert acknowledged
+    for name in group.names:
+        await group.lose_power(name)
+    try:
+        await group.settle()
+    except (AssertionError, errors.StorageDamaged):
+        context.lost.append(seed)  # nothing is left to agree on
+        return
+    version, digest = acknowledged
+    for node in group.nodes.values():
+        if node.machine.history.get(version) != digest:
+            context.lost.append(seed)
+            break
+    await group.stop()
+
+
+@behave.given('disks whose syncs {what}')
+def step_syncs(context, what):
+    context.forgets = what == 'do nothing'
+
+
+@behave.then('no acknowledged change is lost')
+def step_none_lost(context):
+    assert not context.lost, context.lost
+
+
+@behave.then('some acknowledged change is lost')
+def step_some_lost(context):
+    assert context.lost
+
+
+@behave.given('3 replicas that agree')
+def step_agree(context):
+    context.virtual = simulation.VirtualLoop()
+    context.group = simulation.Group(3, 7)
+
+    async def start():
+        for name in context.group.names:
+            context.group.start(name)
+        await context.group.settle()
+
+    context.virtual.run_until_complete(start())
+
+
+@behave.when('the disk of the leader is full')
+def step_full(context):
+    async def fill():
+        group = context.group
+        nodes = group.nodes.values()
+        context.former = next(n.name for n in nodes if n.leads)
+        group.disks[context.former].full = True
+
+    context.virtual.run_until_complete(fill())
+
+
+@behave.then('another one leads within {seconds:d} seconds of the next change')
+def step_another_leads(context, seconds):
+    async def change():
+        group = context.group
+        await group.propose('first')
+        await group.run_for(seconds)
+        leading = [n.name for n in group.nodes.values() if n.leads]
+        assert leading and leading != [context.former], leading
+        context.acknowledged = await group.propose('second')
+        assert context.acknowledged
+
+    context.virtual.run_until_complete(change())
+
+
+@behave.when('the disk takes writes again')
+def step_free(context):
+    context.group.disks[context.former].full = False
+
+
 @behave.then('in each all replicas end with everything that was acknowledged')
 def step_played(context):
     assert len(context.played) > 10, len(context.played)
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -5,18 +5,18 @@
 """
 
 import asyncio
+import pathlib
 import random
 import selectors
 import typing
-import uuid
-
-import attrs
 
+from features.support import power
 from honeyport.control import replica
 from honeyport.control import storage
 from honeyport import errors
 from honeyport.wire import honeyport_pb2 as pb
 
+_FOLDER = pathlib.Path('/data')
 _TIMEOUT_S = 0.3
 _DELAY_S = 0.02
 _OPTIONS = replica.Options(
@@ -47,59 +47,13 @@
         return self._virtual.now
 
 
-class Disk:
-    """A storage in memory."""
-
-    def __init__(self, number: random.Random) -> None:
-        self._identity = storage.Identity(
-            uuid.UUID(int=number.getrandbits(128)).hex, False
-        )
-        self._vote = storage.Vote()
-        self._snapshot: pb.State | None = None
-        self._entries: list[pb.Entry] = []
-
-    @property
-    def identity(self) -> storage.Identity:
-        return self._identity
-
-    def found(self) -> None:
-        self._identity = attrs.evolve(self._identity, founded=True)
-
-    def load(self) -> storage.Contents:
-        return storage.Contents(
-            self._vote, self._snapshot, list(self._entries)
-        )
-
-    def append(
-        self,
-        entries: typing.Sequence[pb.Entry],
-        vote: storage.Vote | None = None,
-    ) -> None:
-        self._vote = vote or self._vote
-        for entry in entries:
-            base = self._snapshot.index if self._snapshot else 0
-            if entry.index > base:
-                del self._entries[entry.index - base - 1 :]
-                self._entries.append(entry)
-
-    def compact(
-        self,
-        snapshot: pb.State,
-        entries: typing.Sequence[pb.Entry],
-        vote: storage.Vote,
-    ) -> None:
-        self._snapshot = snapshot
-        self._entries = list(entries)
-        self._vote = vote
-
-
 class Group:
     """A few replicas, their disks, and the links between them."""
 
     def __init__(self, count: int, seed: int) -> None:
         self.random = random.Random(seed)
         self.names = [f'r{number}' for number in range(count)]
-        self.disks = {name: Disk(self.random) for name in self.names}
+        self.disks = {name: power.Disk(self.random) for name in self.names}
         self.nodes: dict[str, replica.Replica] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.cut: set[tuple[str, str]] = set()
@@ -110,7 +64,7 @@
         """Start a replica from its disk."""
         node = replica.Replica(
             name,
-            typing.cast(storage.Storage, self.disks[name]),
+            storage.Storage(_FOLDER, self.disks[name]),
             _persist,
             {other: other for other in self.names},
             lambda other, address: _Link(self, name, other),
@@ -131,7 +85,12 @@
     async def lose_disk(self, name: str) -> None:
         """Kill a replica and forget its disk."""
         await self.kill(name)
-        self.disks[name] = Disk(self.random)
+        self.disks[name] = power.Disk(self.random)
+
+    async def lose_power(self, name: str) -> None:
+        """Kill a replica; its disk keeps what was synced."""
+        await self.kill(name)
+        self.disks[name].lose_power()
 
     def isolate(self, name: str) -> None:
         """Cut all links of a replica, both ways."""
@@ -183,6 +142,8 @@
     async def settle(self) -> None:
         """Mend and start everything; wait until all agree."""
         self.heal()
+        for disk in self.disks.values():
+            disk.full = False
         for name in self.names:
             if name not in self.nodes:
                 self.start(name)
@@ -232,7 +193,10 @@
         node = self._group.nodes.get(self._target)
         if node is None:
             raise ConnectionError(self._target)
-        answer = await getattr(node, method)(*copies)
+        try:
+            answer = await getattr(node, method)(*copies)
+        except errors.StorageFailed as error:
+            raise ConnectionError(error.detail) from None
         await self._way(self._target, self._source)
         return answer
 
--- a/src/honeyport/control/durable.py
+++ b/src/honeyport/control/durable.py
@@ -7,11 +7,15 @@
 from honeyport.control import machine
 from honeyport.control import membership
 from honeyport.control import storage
+from honeyport import errors
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
 
 _KEPT_TAIL = 200  # applied entries kept for followers that lag a little
+# After a snapshot that the disk did not take, the next try comes so many
+# entries later: a tenth of the usual distance between two.
+_RETRY_SHARE = 0.1
 
 Persist = collections.abc.Callable[..., collections.abc.Awaitable[None]]
 OnApplied = collections.abc.Callable[[pb.Entry, typing.Any], None]
@@ -48,11 +52,12 @@
         self._persist = persist
         self._snapshot_entries = snapshot_entries
         self._on_applied = on_applied
+        self._sound = True  # whether the last write succeeded
         self._vote = contents.vote
         self._machine = machine.Machine()
         self._journal = journal.Journal()
         self._applied = 0
-        self._snapshot_index = 0
+        self._snapshot_due = snapshot_entries
         self._founding = membership.founding(founding)
         self._base_members = self._founding
         self._restore(contents.snapshot, contents.entries)
@@ -115,12 +120,20 @@
 
     async def found(self) -> None:
         """Note on the disk that it took part in the founding."""
-        await self._persist(self._disk.found)
+        await self._sync(self._disk.found)
 
     async def save_vote(self, vote: storage.Vote) -> None:
-        """Sync a term and a vote."""
-        self._vote = vote
-        await self._persist(self._disk.append, [], vote)
+        """Sync a term and a vote.
+
+        :raises errors.StorageFailed: if the disk did not take them
+        """
+        before = self._vote
+        self._vote = vote  # a snapshot that begins meanwhile keeps it
+        try:
+            await self._sync(self._disk.append, [], vote)
+        except errors.StorageFailed:
+            self._vote = before
+            raise
 
     def append(self, command: typing.Any) -> pb.Entry:
         """Add our own entry in the current term; it is not synced yet."""
@@ -144,7 +157,7 @@
             self._written + 1, self._journal.last_index
         )
         if entries:
-            await self._persist(self._disk.append, entries)
+            await self._sync(self._disk.append, entries)
             self._written = entries[-1].index
 
     async def advance(self, commit: int) -> None:
@@ -169,27 +182,53 @@
 
     async def install(self, state: pb.State) -> None:
         """Take a leader's snapshot in place of our log."""
-        await self._persist(self._disk.compact, state, [], self._vote)
+        await self._sync(self._disk.compact, state, [], self._vote)
         self._restore(state, [])
         self._commit = self._applied
         self._written = self._applied
         logs.emit(events.SNAPSHOT_RECEIVED, index=state.index)
 
     async def _compact(self) -> None:
-        grown = self._applied - self._snapshot_index
-        if grown < self._snapshot_entries:
+        if self._applied < self._snapshot_due:
             return
         state = self.snapshot()
         tail = self._journal.slice(
             state.index + 1, self._journal.last_index - state.index
         )
-        self._snapshot_index = state.index
+        # Before the disk takes it: nobody else begins one meanwhile.
+        self._snapshot_due = state.index + self._snapshot_entries
+        try:
+            await self._sync(self._disk.compact, state, tail, self._vote)
+        except errors.StorageFailed:
+            retry = max(1, int(self._snapshot_entries * _RETRY_SHARE))
+            self._snapshot_due = state.index + retry
+            return
         kept_from = max(self._journal.base_index, state.index - _KEPT_TAIL)
         self._base_members = self.members_at(kept_from)
         self._journal.cut(kept_from)
-        await self._persist(self._disk.compact, state, tail, self._vote)
         logs.emit(events.SNAPSHOT_TAKEN, index=state.index)
 
+    async def _sync(
+        self, function: typing.Callable[..., None], *args: typing.Any
+    ) -> None:
+        """Run a function of the storage; say so when it starts to fail."""
+        try:
+            await self._persist(function, *args)
+        except errors.StorageFailed as error:
+            if self._sound:
+                logs.emit(
+                    events.STORAGE_FAILED,
+                    code=error.code,
+                    detail=error.detail,
+                    term=self._vote.term,
+                    written=self._written,
+                )
+            self._sound = False
+            raise
+        if not self._sound:
+            logs.emit(events.STORAGE_REGAINED, written=self._written)
+        self._sound = True
+
     def _restore(
         self, state: pb.State | None, entries: typing.Sequence[pb.Entry]
     ) -> None:
@@ -198,6 +237,6 @@
             return
         self._machine.restore(state)
         self._applied = state.index
-        self._snapshot_index = state.index
+        self._snapshot_due = state.index + self._snapshot_entries
         self._base_members = state.members
         self._journal = journal.Journal(state.index, state.term, entries)
--- a/src/honeyport/control/leadership.py
+++ b/src/honeyport/control/leadership.py
@@ -38,6 +38,7 @@
 
 Reach = collections.abc.Callable[[pb.Replicant], Link]
 OnTerm = collections.abc.Callable[[int], None]
+OnFailed = collections.abc.Callable[[], None]
 Connect = collections.abc.Callable[[str, str], Link]
 
 
@@ -78,6 +79,7 @@
     :param log: our log; its vote names the term
     :param reach: returns the link to a member
     :param on_term: called with a higher term that a peer has seen
+    :param on_failed: called when our disk does not take our own entries
     :param heartbeat_s: pause between messages when there is no news
     """
 
@@ -87,12 +89,14 @@
         log: durable.DurableLog,
         reach: Reach,
         on_term: OnTerm,
+        on_failed: OnFailed,
         heartbeat_s: float,
     ) -> None:
         self._name = name
         self._log = log
         self._reach = reach
         self._on_term = on_term
+        self._on_failed = on_failed
         self._heartbeat_s = heartbeat_s
         self._term = log.vote.term
         self._since = _now()
@@ -206,7 +210,11 @@
         while True:
             await self._dirty.wait()
             self._dirty.clear()
-            await self._log.write_rest()
+            try:
+                await self._log.write_rest()
+            except errors.StorageFailed:
+                self._on_failed()  # a replica with a sound disk may lead
+                return
             await self._evaluate()
 
     async def _replicate(self, name: str) -> None:
--- a/src/honeyport/control/links.py
+++ b/src/honeyport/control/links.py
@@ -6,6 +6,7 @@
 import grpc
 
 from honeyport.control import replica
+from honeyport import errors
 from honeyport.wire import channels
 from honeyport.wire import honeyport_pb2 as pb
 from honeyport.wire import honeyport_pb2_grpc as rpc
@@ -46,17 +47,17 @@
     async def Vote(
         self, request: pb.VoteRequest, context: grpc.aio.ServicerContext
     ) -> pb.VoteAnswer:
-        return await self._node.on_vote(request)
+        return await _served(self._node.on_vote(request), context)
 
     async def Append(
         self, request: pb.AppendRequest, context: grpc.aio.ServicerContext
     ) -> pb.AppendAnswer:
-        return await self._node.on_append(request)
+        return await _served(self._node.on_append(request), context)
 
     async def Install(
         self, request: pb.InstallRequest, context: grpc.aio.ServicerContext
     ) -> pb.AppendAnswer:
-        return await self._node.on_install(request)
+        return await _served(self._node.on_install(request), context)
 
     async def Identify(
         self, request: pb.IdentifyRequest, context: grpc.aio.ServicerContext
@@ -64,6 +65,17 @@
         return await self._node.on_identify()
 
 
+async def _served(
+    answer: collections.abc.Awaitable[Answer],
+    context: grpc.aio.ServicerContext,
+) -> Answer:
+    """Return an answer, or tell the caller that our disk failed."""
+    try:
+        return await answer
+    except errors.StorageFailed as error:
+        await context.abort(grpc.StatusCode.UNAVAILABLE, error.detail)
+
+
 async def _call(call: collections.abc.Awaitable[Answer]) -> Answer:
     try:
         return await call
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import typing
 
 import attrs
@@ -164,7 +165,7 @@
                 await self._await_timeout()
                 self._timer.wait_again()
                 if self.admitted and self._role == FOLLOWER:
-                    await self._campaign()
+                    await self._try_campaign()
         finally:
             self._step_down()
 
@@ -264,6 +265,13 @@
         if silent_s > 2 * self._options.election_s:
             self._step_down()
 
+    async def _try_campaign(self) -> None:
+        """Stand for election, unless our disk takes no vote."""
+        try:
+            await self._campaign()
+        except errors.StorageFailed:
+            self._step_down()
+
     async def _campaign(self) -> None:
         early = self._timer.is_early
         count = await self._poll(self.term + 1, trial=True, early=early)
@@ -343,7 +351,9 @@
         """Accept a higher term whose leader is not known."""
         async with self._lock:
             if term > self.term:
-                await self._follow(term, '')
+                # If our disk does not take it, the next message tries again.
+                with contextlib.suppress(errors.StorageFailed):
+                    await self._follow(term, '')
 
     async def _save_vote(self, term: int, candidate: str) -> None:
         await self._log.save_vote(storage.Vote(term, candidate))
@@ -358,6 +368,7 @@
             self._log,
             self._reach,
             self._on_term,
+            self._step_down,
             self._options.heartbeat_s,
         )
         self._leadership.begin()
--- a/src/honeyport/control/storage.py
+++ b/src/honeyport/control/storage.py
@@ -9,11 +9,12 @@
 A crash can leave the last record incomplete, since it was never synced;
 it is cut. Any other damage is a reason not to start: what was synced may
 have been promised to somebody.
+
+A write that fails, as on a full disk, leaves the log as long as it was at
+the last sync: what came after is cut before the next write.
 """
 
-import fcntl
 import json
-import os
 import pathlib
 import struct
 import typing
@@ -22,6 +23,7 @@
 
 import attrs
 
+from honeyport.control import files as control_files
 from honeyport import errors
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
@@ -66,18 +68,23 @@
     :raises errors.StorageDamaged: if another process holds the folder
     """
 
-    def __init__(self, folder: str | pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: str | pathlib.Path,
+        files: control_files.Files | None = None,
+    ) -> None:
         self._folder = pathlib.Path(folder)
-        self._folder.mkdir(parents=True, exist_ok=True)
-        self._lock = open(self._folder / 'lock', 'w', encoding='utf-8')
+        self._files = files or control_files.RealFiles()
+        self._files.make_folder(self._folder)
         try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self._unlock = self._files.lock(self._folder / 'lock')
         except OSError:
             raise errors.StorageDamaged(
                 f'{folder} is in use by another process'
             ) from None
         self._log_path = self._folder / 'log'
-        self._log: typing.BinaryIO | None = None
+        self._log: control_files.Handle | None = None
+        self._synced = 0  # length of the log, in bytes
         self._identity = self._load_identity()
 
     @property
@@ -87,8 +94,9 @@
 
     def found(self) -> None:
         """Note that this disk took part in the founding."""
-        self._identity = attrs.evolve(self._identity, founded=True)
-        self._write_identity()
+        founded = attrs.evolve(self._identity, founded=True)
+        self._write_identity(founded)
+        self._identity = founded
 
     def load(self) -> Contents:
         """Read everything, cut a torn tail, and open the log for writing.
@@ -96,16 +104,14 @@
         :raises errors.StorageDamaged: on any other damage
         """
         contents = Contents(snapshot=self._load_snapshot())
-        data = b''
-        if self._log_path.exists():
-            data = self._log_path.read_bytes()
+        data = self._files.read(self._log_path) or b''
         end = self._replay(data, contents)
         if end < len(data):
             logs.emit(events.TAIL_CUT, at=end, length=len(data), file='log')
-            os.truncate(self._log_path, end)
-        self._log = open(self._log_path, 'ab')
-        self._sync(self._log)
-        _sync_folder(self._folder)
+        self._synced = end
+        self._log = self._reopen()
+        self._log.sync()
+        self._files.sync_folder(self._folder)
         return contents
 
     def append(
@@ -114,14 +120,24 @@
         """Write a vote and entries; return once they are synced.
 
         An entry replaces the one with its index and all after it.
+
+        :raises errors.StorageFailed: if the disk did not take them; they
+            may be on it all the same after a restart
         """
         chunks = []
         if vote is not None:
             chunks.append(_pack_vote(vote))
         chunks += [_pack_entry(entry) for entry in entries]
-        assert self._log is not None
-        self._log.write(b''.join(chunks))
-        self._sync(self._log)
+        data = b''.join(chunks)
+        try:
+            if self._log is None:
+                self._log = self._reopen()
+            self._log.write(data)
+            self._log.sync()
+        except OSError as error:
+            self._close_log()
+            raise errors.StorageFailed(f'{self._log_path}: {error}') from None
+        self._synced += len(data)
 
     def compact(
         self,
@@ -129,22 +145,46 @@
         entries: typing.Sequence[pb.Entry],
         vote: Vote,
     ) -> None:
-        """Replace the log by a snapshot and the entries after it."""
+        """Replace the log by a snapshot and the entries after it.
+
+        :raises errors.StorageFailed: if the disk did not take them; the
+            log is as it was
+        """
         payload = snapshot.SerializeToString()
         checksum = _LENGTH.pack(zlib.crc32(payload))
-        self._replace('snapshot', checksum + payload)
         chunks = [_pack_vote(vote)]
         chunks += [_pack_entry(entry) for entry in entries]
-        if self._log is not None:
-            self._log.close()
-        self._replace('log', b''.join(chunks))
-        self._log = open(self._log_path, 'ab')
+        log = b''.join(chunks)
+        try:
+            self._replace('snapshot', checksum + payload)
+            self._replace('log', log)
+        except OSError as error:
+            raise errors.StorageFailed(f'{self._folder}: {error}') from None
+        finally:
+            # Also after a failure: the new log may be in its place.
+            self._close_log()
+            if self._files.read(self._log_path) == log:
+                self._synced = len(log)
 
     def close(self) -> None:
         """Close the files and let go of the folder."""
-        if self._log is not None:
-            self._log.close()
-        self._lock.close()
+        self._close_log()
+        self._unlock()
+
+    def _reopen(self) -> control_files.Handle:
+        """Open the log behind its last synced byte.
+
+        A cut is synced together with the next write.
+        """
+        data = self._files.read(self._log_path)
+        if data is not None and len(data) > self._synced:
+            self._files.truncate(self._log_path, self._synced)
+        return self._files.open(self._log_path, fresh=False)
+
+    def _close_log(self) -> None:
+        log, self._log = self._log, None
+        if log is not None:
+            log.close()
 
     def _replay(self, data: bytes, contents: Contents) -> int:
         base = contents.snapshot.index if contents.snapshot else 0
@@ -195,9 +235,9 @@
 
     def _load_snapshot(self) -> pb.State | None:
         path = self._folder / 'snapshot'
-        if not path.exists():
+        data = self._files.read(path)
+        if data is None:
             return None
-        data = path.read_bytes()
         payload = data[_LENGTH.size :]
         if data[: _LENGTH.size] != _LENGTH.pack(zlib.crc32(payload)):
             raise errors.StorageDamaged(f'{path}: checksum does not match')
@@ -205,29 +245,38 @@
 
     def _load_identity(self) -> Identity:
         path = self._folder / 'identity'
-        if path.exists():
-            return Identity(**json.loads(path.read_text()))
-        if self._log_path.exists():
+        data = self._files.read(path)
+        if data is not None:
+            return self._decode_identity(path, data)
+        if self._files.read(self._log_path) is not None:
             raise errors.StorageDamaged(f'{path} is missing beside a log')
-        self._identity = Identity(uuid.uuid4().hex, False)
-        self._write_identity()
-        return self._identity
+        fresh = Identity(uuid.uuid4().hex, False)
+        self._write_identity(fresh)
+        return fresh
+
+    def _decode_identity(self, path: pathlib.Path, data: bytes) -> Identity:
+        try:
+            return Identity(**json.loads(data))
+        except (ValueError, TypeError) as error:
+            raise errors.StorageDamaged(f'{path}: {error}') from None
 
-    def _write_identity(self) -> None:
-        text = json.dumps(attrs.asdict(self._identity))
-        self._replace('identity', text.encode())
+    def _write_identity(self, identity: Identity) -> None:
+        text = json.dumps(attrs.asdict(identity))
+        try:
+            self._replace('identity', text.encode())
+        except OSError as error:
+            raise errors.StorageFailed(f'{self._folder}: {error}') from None
 
     def _replace(self, name: str, data: bytes) -> None:
         fresh = self._folder / f'{name}.new'
-        with open(fresh, 'wb') as file:
+        file = self._files.open(fresh, fresh=True)
+        try:
             file.write(data)
-            self._sync(file)
-        os.replace(fresh, self._folder / name)
-        _sync_folder(self._folder)
-
-    def _sync(self, file: typing.BinaryIO) -> None:
-        file.flush()
-        os.fsync(file.fileno())
+            file.sync()
+        finally:
+            file.close()
+        self._files.rename(fresh, self._folder / name)
+        self._files.sync_folder(self._folder)
 
     def _damage(self, part: str, offset: int) -> errors.StorageDamaged:
         return errors.StorageDamaged(
@@ -251,11 +300,3 @@
 
 def _pack_entry(entry: pb.Entry) -> bytes:
     return _pack(_KIND_ENTRY, entry.SerializeToString())
-
-
-def _sync_folder(folder: pathlib.Path) -> None:
-    handle = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(handle)
-    finally:
-        os.close(handle)
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -132,6 +132,12 @@
     hint = "The platform's list of instances cannot be read; see the reason."
 
 
+@register('HP-2008')
+class StorageFailed(HoneyportError):
+    status = 503
+    hint = 'The disk of a control replica takes no writes; see the reason.'
+
+
 @register('HP-3001')
 class BadRequest(HoneyportError):
     status = 400
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -76,6 +76,12 @@
 SUCCESSION_FAILED = define(
     2011, 'succession_failed', 'warning', 'A change of members failed.'
 )
+STORAGE_FAILED = define(
+    2012, 'storage_failed', 'error', 'The disk of this replica failed a write.'
+)
+STORAGE_REGAINED = define(
+    2013, 'storage_regained', 'info', 'The disk takes writes again.'
+)
 BUNDLE_ACCEPTED = define(2101, 'bundle_accepted', 'info', 'It is committed.')
 BUNDLE_IN_FORCE = define(
     2102, 'bundle_in_force', 'info', 'Every router with a lease applies it.'
