A load's age counts from when it was written, not from when it came

Change: an answer carries a stamp of the leader's clock, the next report brings it back; a steward whose last answered report is older than two periods counts the others as nothing.

--- a/features/steps/steward_steps.py
+++ b/features/steps/steward_steps.py
@@ -93,7 +93,11 @@
 @behave.then('each engine may run {count:d} calls')
 def step_may_run(context, count):
     made = context.steward
-    limits = {made._limit(made._slots[name]) for name in context.engines}
+
+    async def look():
+        return {made._limit(made._slots[name]) for name in context.engines}
+
+    limits = context.run(look())
     stop_calls(context)
     assert limits == {count}, limits
 
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -14,16 +14,23 @@
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
 
+_STAMPS_A_S = 1_000_000  # a stamp is a time in microseconds
 _TERM_SHIFT = 24  # a view's number is its leader's term and a counter
 
 
 @attrs.define
 class Router:
-    """One router's session."""
+    """One router's session.
+
+    :ivar heard: when its last report arrived
+    :ivar as_of: a time before that report was written, by our clock: the
+        router had our answer of then; never before its second report
+    """
 
     member: pb.Member
     expires: float
     heard: float
+    as_of: float = float('-inf')
     config_version: int = 0
     view: int = 0
     loads: dict[str, pb.PoolLoad] = attrs.field(factory=dict)
@@ -120,6 +127,7 @@
         """Take a report; it renews the lease."""
         router.expires = max(router.expires, now + lease_s)
         router.heard = now
+        router.as_of = report.stamp / _STAMPS_A_S or float('-inf')
         router.silent = False
         router.config_version = report.config_version
         router.view = report.view
@@ -132,6 +140,10 @@
         }
         router.down = frozenset(report.down)
 
+    def stamp(self, now: float) -> int:
+        """Return a time in the form in which reports bring it back."""
+        return int(now * _STAMPS_A_S)
+
     def holds(self, router: Router) -> bool:
         """Whether this session's router still has its lease."""
         return self._routers.get(router.member.router) is router
@@ -189,8 +201,9 @@
     def summarize(self, now: float, fresh_s: float) -> None:
         """Add up the reports; :meth:`loads` then tells each router.
 
-        A load that was reported too long ago counts as none: it must not
-        raise the mean that the bound is a multiple of.
+        A load from too long ago counts as none: it must not raise the mean
+        that the bound is a multiple of. What decides is when the report was
+        written, however late it came.
 
         :param fresh_s: how old a report may be
         """
@@ -203,7 +216,7 @@
             self._residuals.update(router.residuals)
             down.update(router.down)
             router.counted = (
-                router.loads if router.heard >= now - fresh_s else {}
+                router.loads if router.as_of >= now - fresh_s else {}
             )
             for service, load in router.counted.items():
                 self._totals[service] = self._totals.get(service, 0) + _demand(
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -218,7 +218,9 @@
             return
         self._fleet.report(session.router, report, _now(), self._lease_s())
         answer = pb.ReportAnswer(
-            number=report.number, lease_ms=int(self._lease_s() * 1000)
+            number=report.number,
+            lease_ms=int(self._lease_s() * 1000),
+            stamp=self._fleet.stamp(_now()),
         )
         session.outbox.put(pb.ControlItem(answer=answer))
         self._send_loads(session)
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -16,6 +16,10 @@
 # From a start to the first configuration while control starts as well, in
 # seconds (measured: 1.2 to 2.3).
 _FIRST_CONFIG_S = 2.0
+# Periods between two reports after which the others' loads count as none.
+# With the leader's own limit (3 periods and a tick of 50 ms) this is how
+# old a load may be that raises the mean.
+_FRESH_REPORTS = 2
 _DRIFT = 0.9  # of a lease: room for a clock that runs slow
 
 
@@ -44,6 +48,7 @@
         self._near: dict[str, list[str]] = {}
         self._layout = 0
         self._lease_until = float('-inf')
+        self._heard_as_of = float('-inf')
         self._others: dict[str, int] = {}
         self._others_before: dict[str, int] = {}
         self._residuals: dict[str, int] = {}
@@ -182,8 +187,13 @@
     def others(self, service: str) -> int:
         """Return what surely runs or waits at all other routers.
 
-        It is the lesser of the last two things heard.
+        It is the lesser of the last two things heard, and none where that
+        was too long ago: a mean that has fallen since must not be believed.
         """
+        fresh_s = _FRESH_REPORTS * self.timing.report_ms / 1000
+        now = asyncio.get_running_loop().time()
+        if now - self._heard_as_of > fresh_s:
+            return 0
         return min(
             self._others.get(service, 0), self._others_before.get(service, 0)
         )
@@ -277,8 +287,13 @@
             self._instances = instances
 
     def renew(self, sent: float, lease_ms: int) -> None:
-        """Take a lease that counts from the sending of the report."""
+        """Take a lease that counts from the sending of the report.
+
+        The leader's loads are as of then, too: it sends them with the
+        answer where they differ from those it sent before.
+        """
         until = sent + lease_ms / 1000 * _DRIFT
+        self._heard_as_of = max(self._heard_as_of, sent)
         self._lease_until = max(self._lease_until, until)
 
     def _lease_s(self) -> float:
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -69,6 +69,7 @@
         self._leader = ''
         self._numbers = itertools.count(1)
         self._sent: dict[int, float] = {}
+        self._stamp = 0  # of the leader's latest answer
         self._news = asyncio.Event()
         self._leaving = False
         self._claim_ids = itertools.count(1)
@@ -176,6 +177,7 @@
     def _begin(self, box: outbox.Outbox[pb.RouterItem]) -> None:
         self._outbox = box
         self._sent.clear()
+        self._stamp = 0
         self._gap = True
         for pending in list(self._pending.values()):
             box.put(pb.RouterItem(claim=pending.request))
@@ -224,6 +226,7 @@
     def _take_answer(self, answer: pb.ReportAnswer) -> None:
         sent = self._sent.pop(answer.number, None)
         if sent is not None:
+            self._stamp = answer.stamp
             self._state.renew(sent, answer.lease_ms)
 
     def _take_view(self, view: pb.View) -> None:
@@ -254,6 +257,7 @@
                 config_version=self._state.version,
                 view=self._state.view,
                 leaving=self._leaving,
+                stamp=self._stamp,
             )
             self._fill(report)
             self._sent[number] = asyncio.get_running_loop().time()
