--- a/features/control/replica.feature
+++ b/features/control/replica.feature
@@ -25,6 +25,16 @@
     When the disk takes writes again
     Then what was acknowledged is still there
 
+  Scenario: after a restart of all, one of them without its disk
+    Given 3 replicas that agree
+    When all of them are started again, one with an empty disk
+    Then one leads within 280 ms
+
+  Scenario: a voter that is cut off does not hold up an election
+    Given 3 replicas that agree
+    When the leader is cut off
+    Then one of the others leads within 850 ms
+
   Scenario: a replica with an empty disk gives no vote to a stale candidate
     Given 3 replicas of which one has an old log
     When the one with the newest log is cut off and another loses its disk
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -214,6 +214,45 @@
     context.virtual.run_until_complete(change())
 
 
+@behave.when('all of them are started again, one with an empty disk')
+def step_restart_all(context):
+    async def restart():
+        group = context.group
+        follower = next(n.name for n in group.nodes.values() if not n.leads)
+        for name in group.names:
+            await group.kill(name)
+        await group.lose_disk(follower)
+        for name in group.names:
+            group.start(name)
+
+    context.virtual.run_until_complete(restart())
+
+
+@behave.when('the leader is cut off')
+def step_cut_leader(context):
+    async def cut():
+        group = context.group
+        nodes = group.nodes.values()
+        context.former = next(n.name for n in nodes if n.leads)
+        group.isolate(context.former)
+
+    context.virtual.run_until_complete(cut())
+
+
+@behave.then('one leads within {ms:d} ms')
+@behave.then('one of the others leads within {ms:d} ms')
+def step_leads_within(context, ms):
+    async def wait():
+        group = context.group
+        await group.run_for(ms / 1000)
+        leading = [n.name for n in group.nodes.values() if n.leads]
+        assert leading and leading != [getattr(context, 'former', '')]
+        await group.stop()
+
+    context.virtual.run_until_complete(wait())
+    context.virtual.close()
+
+
 @behave.when('the disk takes writes again')
 def step_free(context):
     context.group.disks[context.former].full = False
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -211,6 +211,7 @@
                 term=self.term,
                 granted=granted,
                 disk=self._log.identity.disk,
+                admitted=self.admitted,
             )
 
     async def on_append(self, request: pb.AppendRequest) -> pb.AppendAnswer:
@@ -275,7 +276,7 @@
     async def _campaign(self) -> None:
         early = self._timer.is_early
         count = await self._poll(self.term + 1, trial=True, early=early)
-        if not count.won or (early and not count.unanimous):
+        if not count.won or (early and not count.unopposed):
             self._timer.wait_again()
             return
         async with self._lock:
@@ -293,7 +294,7 @@
                 return
             self._role = FOLLOWER
             self._timer.wait_again()
-            if count.unanimous if early else count.won:
+            if count.won and (count.unopposed or not early):
                 self._lead()
 
     async def _poll(
--- a/src/honeyport/control/timer.py
+++ b/src/honeyport/control/timer.py
@@ -35,7 +35,8 @@
 
         A leader that we answered before the restart may still hold its
         lease, so no vote is given for an election timeout. But if all
-        voters say that they do not lead, there is no such leader.
+        voters vote for the same candidate, or say that they may not vote,
+        there is no such leader.
         """
         return _now() - self._started < self._election_s
 
