A request that may run once more leaves an instance that fell silent

Ruled out: only marking the instance as failed, which a kept connection without an answer never does.

Change: a timeout on silence, for requests that may run on one more instance; TCP_USER_TIMEOUT and keep-alive probes towards instances.

The new scenarios fail on the code before.

--- a/features/gateway/answers.feature
+++ b/features/gateway/answers.feature
@@ -31,6 +31,7 @@
       | idempotent | fail; fail; answer   | 500    | 2     |
       | idempotent | close; close; answer | 502    | 2     |
       | idempotent | close; not run       | 502    | 3     |
+      | idempotent | silent; answer       | 200    | 2     |
 
   Scenario Outline: only a whole answer is passed on as one
     Given a gateway for non_idempotent requests whose instances <steps>
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -11,6 +11,13 @@
     Then it gets 200, and 2 requests arrived
     And the caller has every event once, in order
 
+  Scenario: a stream whose instance falls silent goes on at another one
+    Given a gateway for streaming resumable requests whose instances stream and wait; stream
+    When a caller sends a request
+    Then it gets 200, and 2 requests arrived
+    And the caller has every event once, in order
+    And the instance sees it within half a second
+
   Scenario: a stream that may not be resumed is cut
     Given a gateway for streaming requests whose instances stream cut; stream
     When a caller sends a request
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -24,6 +24,8 @@
 _NAMES = instances.NAMES
 _HOST = 'yard.example'
 _TIMEOUT_MS = 1500
+_OBJECTIVE_MS = 200
+_GAP_MS = 100
 _LEASE_MS = 60_000
 _KEY = 'key-of-district'
 _SOON_S = 0.5
@@ -91,6 +93,8 @@
             weights={'app': 1},
             timeout_ms=_TIMEOUT_MS,
             attempts=2,
+            objective_ms=_OBJECTIVE_MS,
+            gap_ms=_GAP_MS,
             resumable=bool(resumable),
         )
         bundle = model.Bundle(
--- a/src/honeyport/bundle/model.py
+++ b/src/honeyport/bundle/model.py
@@ -175,6 +175,9 @@
     objective_ms: int = fields.field(
         'latency objective of an answer, or of its first event', 500
     )
+    gap_ms: int = fields.field(
+        'longest pause between two events of a stream that is on time', 300
+    )
     priority: int = fields.field('rank of its requests, 0 first', 0)
     attempts: int = fields.field(
         'most instances that one request may run on',
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -193,6 +193,12 @@
     hint = 'The backend server went away; the request may have run.'
 
 
+@register('HP-3014')
+class BackendSilent(BackendLost):
+    status = 504
+    hint = 'The backend server said nothing for too long; it may have run.'
+
+
 @register('HP-3009')
 class AnswerCut(HoneyportError):
     status = 502
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -60,6 +60,9 @@
     async def events(self, chunk: bytes) -> None:
         """Take bytes of its body."""
 
+    def hear(self) -> None:
+        """Note that something came."""
+
 
 class _Reader(httputil.HTTPMessageDelegate):
     """Takes one answer from tornado's parser."""
@@ -81,6 +84,7 @@
         start_line: typing.Any,
         headers: httputil.HTTPHeaders,
     ) -> collections.abc.Awaitable[None] | None:
+        self._relay.hear()
         if start_line.code < 200:
             return None  # tornado calls again with the real answer
         answered = headers.get(self._names.request_id, self._request_id)
@@ -97,6 +101,7 @@
     def data_received(
         self, chunk: bytes
     ) -> collections.abc.Awaitable[None] | None:
+        self._relay.hear()
         if self.foreign:
             return None
         if self.relayed:
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -19,6 +19,7 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
 from honeyport.gateway import routes
+from honeyport.gateway import silence
 from honeyport.gateway import sse
 from honeyport.router import fleetstate
 from honeyport.router import retries
@@ -78,6 +79,7 @@
     offers: int = 0
     runs: int = 0
     choice: balancer.Choice | None = None
+    watch: silence.Watch | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -95,6 +97,11 @@
         if whole:
             await self.reply.write(whole)
 
+    def hear(self) -> None:
+        """Note that the instance said something."""
+        if self.watch is not None:
+            self.watch.hear()
+
 
 class Forwarder:
     """Serves the requests of this gateway.
@@ -238,9 +245,7 @@
             # Connecting took time: the lease may have ended meanwhile.
             self._state.check_lease()
             exchange.runs += 1
-            answer = await attempt.Attempt(
-                connection, self._names, exchange
-            ).run(exchange.request, self._headers(exchange, instance))
+            answer = await self._attempt(exchange, connection)
             keep_s = attempt.keep_alive_s(answer.head)
             if keep_s != 0:
                 self._pool.give(connection, keep_s)
@@ -250,6 +255,25 @@
                 connection.close()
         return self._checked(exchange, answer)
 
+    async def _attempt(
+        self, exchange: _Exchange, connection: pool.Connection
+    ) -> attempt.Answer:
+        """Return the answer of an instance that does not fall silent.
+
+        :raises errors.BackendSilent: if it does, and another instance may
+            get the request
+        """
+        limits = None
+        if self._may_repeat(exchange):
+            limits = silence.patience(exchange.match.route)
+        headers = self._headers(exchange, connection.instance)
+        sent = attempt.Attempt(connection, self._names, exchange)
+        try:
+            async with silence.Watch(limits) as exchange.watch:
+                return await sent.run(exchange.request, headers)
+        except TimeoutError:
+            raise errors.BackendSilent('nothing came in time') from None
+
     def _headers(
         self, exchange: _Exchange, instance: balancer.Instance
     ) -> httputil.HTTPHeaders:
--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -15,6 +15,13 @@
 # Longer than a round trip between failure domains and a SYN in a busy
 # queue; a fifth of the shortest latency objective seen.
 _CONNECT_S = 0.3
+# Without an acknowledgement for so long, what was sent is lost: three times
+# TCP's first retransmission (0.2 s), and the fourth's wait.
+_UNACKNOWLEDGED_MS = 1000
+# Keep-alive probes of a connection on which nothing moves, in whole seconds,
+# the least that TCP takes.
+_PROBE_S = 1
+_MOST_PROBES = 2
 # How long a connection is kept whose peer names no timeout, in seconds.
 _KEPT_S = 2.0
 _KEPT_SHARE = 0.5  # of the timeout that the peer names
@@ -99,9 +106,23 @@
                 f'{instance.address}: {error!r}', retry_after=0.5
             ) from None
         stream.set_nodelay(True)
+        _watch(stream.socket)
         return Connection(instance, stream)
 
 
+def _watch(connected: socket.socket) -> None:
+    """Have the kernel notice a peer that is gone without a word."""
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _MOST_PROBES),
+    )
+    for level, option, value in options:
+        connected.setsockopt(level, option, value)
+
+
 def _is_quiet(connection: Connection) -> bool:
     """Whether an idle connection is open and nothing arrived on it.
 
--- a/src/honeyport/platform/configuration.py
+++ b/src/honeyport/platform/configuration.py
@@ -151,6 +151,7 @@
         weights=weights,
         timeout_ms=one.whole('timeout_ms', least=1),
         objective_ms=one.whole('target_latency_ms', 500),
+        gap_ms=one.whole('gap_target_ms', 300),
         priority=one.whole('priority', 0),
         attempts=one.whole('max_attempts', 1, least=1),
         public=one.flag('public'),
