A fault soak of the real programs

Five processes, instances behind relays, callers and an operator; faults overlap: killed, frozen, stopped, restarted, reloaded processes, a lost disk, delayed, reset, silenced connections, instances that fail, drain or crash, a list that fails, storms and races of configurations. Checked from what callers, instances and the operator see.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 STAMP := .venv/.installed
 
-.PHONY: run fleet test lint format generate bench
+.PHONY: run fleet test lint format generate bench soak
 
 run: $(STAMP)
 	$(BIN)/honeyport local
@@ -14,17 +14,21 @@
 	$(BIN)/python -m features.run
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src features bench
-	$(BIN)/ruff check src features bench
-	$(BIN)/flake8 src features bench
+	$(BIN)/ruff format --check src features bench soak
+	$(BIN)/ruff check src features bench soak
+	$(BIN)/flake8 src features bench soak
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix src features bench
-	$(BIN)/ruff format src features bench
+	$(BIN)/ruff check --fix src features bench soak
+	$(BIN)/ruff format src features bench soak
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+soak: $(STAMP)
+	$(BIN)/python -m soak many --first=$(or $(SEED),1) \
+	    --count=$(or $(SEEDS),10) --jobs=$(or $(JOBS),3)
+
 generate: $(STAMP)
 	$(BIN)/pip install -q -c constraints.txt grpcio-tools
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -73,7 +73,7 @@
     name: str
     zone: str
     ip: str
-    data: pathlib.Path
+    data: pathlib.Path | None
     settings: pathlib.Path
     log: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
@@ -84,6 +84,9 @@
         self._platform = platform
 
     def get(self) -> None:
+        if not self._platform.list_answers:
+            self.send_error(500)
+            return
         self.write({'instances': self._platform.listed, 'next': None})
 
 
@@ -111,6 +114,7 @@
         )
         self.runs: list[str] = []
         self.listed: list[dict[str, typing.Any]] = []
+        self.list_answers = True
         self.sent: dict[int, typing.Any] = {}
         self.ports = _free_ports(5)
         self.nodes = [self.make_node(number) for number in (1, 2, 3)]
@@ -161,7 +165,7 @@
                 ports=self.ports,
                 seeds=seeds,
                 bootstrap=str(first).lower(),
-                data=node.data,
+                data=node.data or '',
                 cloud=self._cloud,
             )
         )
@@ -228,13 +232,14 @@
         }
         return await self.ask(node, 0, '/app/x', headers=headers)
 
-    def make_node(self, number: int) -> Node:
+    def make_node(self, number: int, *, disk: bool = True) -> Node:
         """Return a node whose process is not started yet."""
         zone = _ZONES[(number - 1) % len(_ZONES)]
         name = f'edge-{zone}-{number}'
         octet = local.HOST.rpartition('.')[2]
-        data = self._folder / f'data-{number}'
-        data.mkdir()
+        data = self._folder / f'data-{number}' if disk else None
+        if data is not None:
+            data.mkdir()
         return Node(
             name,
             zone,
--- a/features/support/relay.py
+++ b/features/support/relay.py
@@ -12,13 +12,17 @@
 
     A cut relay keeps its connections open and passes nothing on, as a
     network does that drops packets.
+
+    :ivar delay_s: how long each piece is held up
     """
 
     def __init__(self, target: str) -> None:
         self.address = local.free_address()
+        self.delay_s = 0.0
         self._target = target
-        self._open = asyncio.Event()
-        self._open.set()
+        self._there = asyncio.Event()
+        self._back = asyncio.Event()
+        self.mend()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -27,13 +31,17 @@
         host, port = roles.split(self.address)
         self._server = await asyncio.start_server(self._accept, host, port)
 
-    def cut(self) -> None:
-        """Pass nothing on from now on."""
-        self._open.clear()
+    def cut(self, *, there: bool = True, back: bool = True) -> None:
+        """Pass nothing on from now on, in one direction or both."""
+        if there:
+            self._there.clear()
+        if back:
+            self._back.clear()
 
     def mend(self) -> None:
         """Pass on again what comes, and what had come."""
-        self._open.set()
+        self._there.set()
+        self._back.set()
 
     def drop(self) -> int:
         """Close all connections; return how many there were."""
@@ -57,11 +65,11 @@
         assert task is not None
         self._tasks.add(task)
         try:
-            await self._open.wait()
+            await self._there.wait()
             far = await asyncio.open_connection(*roles.split(self._target))
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pass(reader, far[1]))
-                group.create_task(self._pass(far[0], writer))
+                group.create_task(self._pass(reader, far[1], self._there))
+                group.create_task(self._pass(far[0], writer, self._back))
         except* OSError:
             pass
         except* asyncio.CancelledError:
@@ -71,11 +79,15 @@
             self._tasks.discard(task)
 
     async def _pass(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_open: asyncio.Event,
     ) -> None:
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
-                await self._open.wait()
+                await asyncio.sleep(self.delay_s)
+                await is_open.wait()
                 writer.write(data)
                 await writer.drain()
         writer.close()
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, checked promises."""
--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,95 @@
+"""What callers, backend servers and operators saw, and when."""
+
+import collections
+import typing
+
+import attrs
+
+
+@attrs.frozen
+class Run:
+    """A request that an instance of a backend server began to work on."""
+
+    request_id: str
+    instance: str
+    account: str
+    at: float
+
+
+@attrs.frozen
+class Ended:
+    """How a caller's request ended.
+
+    :ivar status: 0 if the connection ended without an answer
+    :ivar problem: what was wrong with the answer, or ``''``
+    """
+
+    request_id: str
+    kind: str
+    key: str
+    node: str
+    sent: float
+    took_s: float
+    status: int
+    problem: str
+
+
+@attrs.frozen
+class Accepted:
+    """A configuration that was acknowledged.
+
+    :ivar keys: the API keys that it holds
+    """
+
+    version: int
+    text: bytes
+    keys: frozenset[str]
+    at: float
+
+
+@attrs.define
+class Span:
+    """A time in which a node or a backend server was disturbed."""
+
+    name: str
+    since: float
+    until: float = float('inf')
+
+
+class Records:
+    """Everything that the checks look at; times are of the soak's clock."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self.asked: set[str] = set()
+        self.ended: list[Ended] = []
+        self.accepted: list[Accepted] = []
+        self.sent: dict[int, list[bytes]] = collections.defaultdict(list)
+        self.reads: list[tuple[float, str, bytes]] = []
+        self.final_read: bytes | None = None
+        self.gone: list[tuple[str, float]] = []
+        self.disturbed: list[Span] = []
+        self.notes: list[str] = []
+        self.calm_since = 0.0
+
+    def is_disturbed(self, name: str, since: float, until: float) -> bool:
+        """Whether a name was disturbed at some time between two."""
+        return any(
+            span.name == name and span.since < until and span.until > since
+            for span in self.disturbed
+        )
+
+    def any_disturbed(self, since: float, until: float) -> bool:
+        """Whether anything was disturbed at some time between two."""
+        return any(
+            span.since < until and span.until > since
+            for span in self.disturbed
+        )
+
+    def note(self, violation: str) -> None:
+        """Note a broken promise that was seen while the soak ran."""
+        self.notes.append(violation)
+
+    def runs_of(self, request_id: str) -> typing.Sequence[Run]:
+        """Return the runs of a request."""
+        return self.runs.get(request_id, ())
