As many replicas vote as the tolerated losses need

Five more instances with disks stood by, outside the group.

Change: the group grows to 2 n + 1 votes for n tolerated losses, one change at a time, from the failure domains with the fewest members.

Test: five instances, two of the founders lose their disks at a kill of all: what was acknowledged is read back. The features keep the logs of a scenario that ended with an error, too.

--- a/features/environment.py
+++ b/features/environment.py
@@ -28,7 +28,7 @@
         context.run(stop())
     context.run(context.world.stop())
     context.loop.close()
-    if scenario.status.name == 'failed':
+    if scenario.status.name in ('failed', 'error'):
         print(f'the logs of {scenario.name!r} are in {context.folder}')
     else:
         shutil.rmtree(context.folder, ignore_errors=True)
--- a/features/platform/fleet.feature
+++ b/features/platform/fleet.feature
@@ -66,3 +66,11 @@
     And an operator sends version 9 to instance 4
     Then it is acknowledged
     And instance 4 reads back what was sent as version 9
+
+  Scenario: as many vote as the tolerated losses need
+    Given a platform of five instances with disks, of which two may be lost
+    When an operator sends version 7 to any instance
+    And all five vote
+    And all processes are killed, and instances 1 and 2 lose their disks
+    Then every instance reads back what was sent as version 7
+    And every instance is ready within 10 seconds
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -75,6 +75,8 @@
         {'name': 'other', 'api_keys': ['zzzz']},
     ],
 }
+# Of a newcomer on its way to a vote: its disk, and its vote.
+_CHANGES = 2
 _READ_S = 15.0
 _ENDS_S = 12.0
 
@@ -190,6 +192,53 @@
     context.to_stop.append(context.platform.stop)
 
 
+@behave.given(
+    'a platform of five instances with disks, of which two may be lost'
+)
+def step_platform_of_five(context):
+    context.platform = platforms.Platform(context.folder)
+    context.platform.losses = 2
+    context.platform.nodes += [
+        context.platform.make_node(number) for number in (4, 5)
+    ]
+    context.run(context.platform.start())
+    context.to_stop.append(context.platform.stop)
+
+
+@behave.when('all five vote')
+def step_all_vote(context):
+    async def voting():
+        logs = [node.log.read_text() for node in context.platform.nodes]
+        changes = [
+            line
+            for text in logs
+            for line in text.splitlines()
+            if '"members_changed"' in line
+        ]
+        return all(
+            sum(f'"{node.ip}:' in line for line in changes) >= _CHANGES
+            for node in context.platform.nodes[3:]
+        )
+
+    context.run(_until(voting, _READ_S))
+
+
+@behave.when(
+    'all processes are killed, and instances {one:d} and {two:d} lose their '
+    'disks'
+)
+def step_lose_two(context, one, two):
+    platform = context.platform
+    for node in platform.nodes:
+        platform.send_signal(node, signal.SIGKILL)
+    for number in (one, two):
+        node = platform.nodes[number - 1]
+        shutil.rmtree(node.data)
+        node.data.mkdir()
+    for node in platform.nodes:
+        platform.launch(node)
+
+
 @behave.when('an operator sends version {version:d} to any instance')
 def step_send(context, version):
     change = {'version': version}
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -33,6 +33,7 @@
 bootstrap={bootstrap}
 data_directory={data}
 fault_counted=true
+fault_tolerance.machines={losses}
 cloud.address={cloud}
 bounds.revocation_ms=5000
 bounds.grace_period_s=8
@@ -115,6 +116,7 @@
         self.runs: list[str] = []
         self.listed: list[dict[str, typing.Any]] = []
         self.list_answers = True
+        self.losses = 1
         self.sent: dict[int, typing.Any] = {}
         self.ports = _free_ports(5)
         self.nodes = [self.make_node(number) for number in (1, 2, 3)]
@@ -167,6 +169,7 @@
                 bootstrap=str(first).lower(),
                 data=node.data or '',
                 cloud=self._cloud,
+                losses=self.losses,
             )
         )
         node.process = subprocess.Popen(
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -88,13 +88,16 @@
             ]
         )
 
-    def replicas(self) -> list[str]:
-        """Return the control replicas beside routers that are here."""
-        return [
-            router.replica
+    def replicas(self) -> dict[str, str]:
+        """Return the control replicas beside routers that are here.
+
+        :returns: the address of each and its failure domain
+        """
+        return {
+            router.replica: router.member.domain
             for router in self.routers
             if router.replica and not router.silent
-        ]
+        }
 
     def alive(self, router: str, incarnation: str) -> bool:
         """Whether this incarnation of a router holds a lease."""
--- a/src/honeyport/control/group.py
+++ b/src/honeyport/control/group.py
@@ -96,8 +96,9 @@
     tree.task('replica', group.node.run)
     tree.task('sessions', group.routers.run)
     tree.task('claims', group.routers.run_claims)
-    heirs = succession.Succession(group.node, group.routers)
-    tree.task('succession', heirs.run)
+    most = max(settings.voters, len(settings.members))
+    members = succession.Succession(group.node, group.routers, most)
+    tree.task('succession', members.run)
 
 
 def _connect(
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -112,11 +112,6 @@
         """The members in force."""
         return self._log.members
 
-    @property
-    def founders(self) -> int:
-        """How many members the group has while nobody is replaced."""
-        return len(self._log.founding.replicas)
-
     @property
     def leader_address(self) -> str:
         """Where the leader listens, or ``''``."""
--- a/src/honeyport/control/succession.py
+++ b/src/honeyport/control/succession.py
@@ -1,13 +1,14 @@
-"""A control replica that is gone for good is replaced by a new one.
+"""Who votes: as many replicas as the tolerated losses need.
 
-A process whose replica is no member says so when it attaches. While all
-members answer, it stays outside. Once a member has been silent for long,
-the newcomer is added as a learner, votes when it has caught up, and only
-then is the silent member removed: one change at a time, and the group
-never waits for more than it has lost.
+A process whose replica is no member says so when it attaches. While fewer
+replicas vote than should, it is added as a learner, and votes when it has
+caught up. Once a member has been silent for long, a newcomer is added in its
+stead, and only when that one votes is the silent member removed: one change
+at a time, and the group never waits for more than it has lost.
 """
 
 import asyncio
+import collections
 
 from honeyport.control import replica
 from honeyport.control import sessions
@@ -23,13 +24,17 @@
 
 
 class Succession:
-    """Replaces members while this replica leads."""
+    """Adds and replaces members while this replica leads.
+
+    :param most: how many members vote while none is replaced
+    """
 
     def __init__(
-        self, node: replica.Replica, routers: sessions.Sessions
+        self, node: replica.Replica, routers: sessions.Sessions, most: int
     ) -> None:
         self._node = node
         self._sessions = routers
+        self._most = most
 
     async def run(self) -> None:
         """Look at the members every now and then, until cancelled."""
@@ -50,28 +55,39 @@
         """Make the one change that is due, if any."""
         members = list(self._node.members.replicas)
         gone = [one for one in members if self._is_gone(one)]
-        if not gone:
-            return
-        learners = [one for one in members if not one.voter]
-        newcomers = self._newcomers(members)
-        if len(members) > self._node.founders:
-            if all(one.voter for one in members if one not in gone):
+        if len(members) > self._most:
+            if gone and all(one.voter for one in members if one not in gone):
                 await self._remove(gone[0])
-        elif newcomers and not learners:
-            await self._add(newcomers[0], gone[0])
+            return
+        is_due = gone or len(members) < self._most
+        newcomer = self._newcomer(members)
+        if is_due and newcomer and all(one.voter for one in members):
+            await self._add(newcomer, gone)
 
     def _is_gone(self, member: pb.Replicant) -> bool:
         if member.name == self._node.name:
             return False
         return self._node.silent_s(member.name) > _GONE_S
 
-    def _newcomers(self, members: list[pb.Replicant]) -> list[str]:
-        known = {one.name for one in members}
+    def _newcomer(self, members: list[pb.Replicant]) -> str:
+        """Return who is added next, or ``''``.
+
+        It comes from the failure domain that has the fewest members, so
+        that losing a domain loses as few votes as can be.
+        """
         found = self._sessions.fleet.replicas()
-        return [name for name in found if name not in known]
+        known = {one.name for one in members}
+        domains = collections.Counter(
+            domain for name, domain in found.items() if name in known
+        )
+        candidates = sorted(set(found) - known)
+        return min(
+            candidates, key=lambda name: domains[found[name]], default=''
+        )
 
-    async def _add(self, name: str, gone: pb.Replicant) -> None:
-        logs.emit(events.SUCCESSOR_ADDED, replica=name, gone=gone.name)
+    async def _add(self, name: str, gone: list[pb.Replicant]) -> None:
+        names = [one.name for one in gone]
+        logs.emit(events.MEMBER_ADDED, replica=name, gone=names)
         await self._node.change(name, name)
 
     async def _remove(self, gone: pb.Replicant) -> None:
--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -35,6 +35,7 @@
     :ivar data: data folder, or ``''`` on an instance without a disk
     :ivar lasting: whether its loss counts; any number of others may be
         lost, so they cannot hold votes (the platform's ``fault_counted``)
+    :ivar losses: how many instances whose loss counts may be lost at once
     :ivar backend_list: address of the platform's list of instances
     :ivar revocation_s: after this long a key that was taken away is dead
     :ivar grace_s: from SIGTERM to SIGKILL
@@ -53,6 +54,7 @@
     founding: bool
     data: str
     lasting: bool
+    losses: int
     backend_list: str
     revocation_s: float
     grace_s: float
@@ -129,6 +131,7 @@
             founding=self._values.get('bootstrap', 'false') == 'true',
             data=self._values.get('data_directory', ''),
             lasting=self._values.get('fault_counted', 'false') == 'true',
+            losses=int(self._number('fault_tolerance.machines', 1)),
             backend_list=self._need('cloud.address'),
             revocation_s=self._number('bounds.revocation_ms', _REVOCATION_S),
             grace_s=self._number('bounds.grace_period_s', _GRACE_S),
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -134,6 +134,9 @@
             listen=self._boot.internal,
             data=self._boot.data,
             members={address: address for address in self._boot.control},
+            # Whichever are lost, more than half are left, and one of them
+            # has what was acknowledged.
+            voters=2 * self._boot.losses + 1,
             may_found=self._boot.founding,
             signers={},
         )
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -62,6 +62,12 @@
     members: dict[str, str] = fields.field(
         'the founding replicas: name to IP:PORT, this one included'
     )
+    voters: int = fields.field(
+        'how many replicas vote, once so many are there; at least the '
+        'founders',
+        0,
+        check=fields.at_least(0),
+    )
     reach: dict[str, str] = fields.field(
         'where to reach a member from here, if not at its own address',
         factory=dict,
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -61,11 +61,11 @@
 SNAPSHOT_RECEIVED = define(
     2008, 'snapshot_received', 'info', 'State was taken from the leader.'
 )
-SUCCESSOR_ADDED = define(
+MEMBER_ADDED = define(
     2009,
-    'successor_added',
+    'member_added',
     'warning',
-    'A new replica learns, for one that is silent.',
+    'A new replica learns: votes are missing, or a member is silent.',
 )
 MEMBER_REMOVED = define(
     2010,
