--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -16,6 +16,9 @@
 _REVOCATION_S = 5.0
 _GRACE_S = 8.0
 _TTL_S = 5.0
+# Where metrics are served, as `deploy/system.toml` names it: the platform
+# draws all other ports anew each day. Usual for exporters of metrics.
+_METRICS_PORT = 9464
 
 T = typing.TypeVar('T')
 
@@ -73,6 +76,11 @@
             for seed in self.seeds
         )
 
+    @property
+    def metrics(self) -> str:
+        """Where its metrics are served."""
+        return f'{self.ip}:{_METRICS_PORT}'
+
     @property
     def internal(self) -> str:
         """Where this process listens for other processes of ours."""
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -120,7 +120,12 @@
 def serve(parts: Parts) -> list[httpserver.HTTPServer]:
     """Answer calls on all the addresses that the platform names."""
     settings = parts.settings
-    wanted = {settings.readiness, settings.directory, settings.operators}
+    wanted = {
+        settings.readiness,
+        settings.directory,
+        settings.operators,
+        settings.metrics,
+    }
     servers = []
     for address in sorted(wanted):
         host, port = roles.split(address)
