An unknown prefix is copied from the next best instance

Cause: three rules said when a prefix may be copied (a seen holder, a former first choice, a holder of the leading part).

Change: a seen holder, else the next best instance for the prompt.

Conclusion: kept, for less code.

--- a/features/gateway/prefixes.feature
+++ b/features/gateway/prefixes.feature
@@ -19,18 +19,17 @@
     Given a choice among the instances a, b, c
     When the first choice of a prompt answers it
     And it is gone
-    Then the next prompt of the subject goes to another, and copies nothing
+    Then the next prompt of the subject goes to another, and copies from the third
 
   Scenario: the holder does not answer
     Given a choice among the instances a, b, c
     When the first choice of a prompt answers it
     And it fails
-    Then the next prompt of the subject goes to another, and copies nothing
+    Then the next prompt of the subject goes to another, and copies from the third
 
-  Scenario: only the leading part is held elsewhere
+  Scenario: a subject that was never seen
     Given a choice among the instances a, b, c
-    When the first choice of a prompt answers it
-    Then a prompt of another subject copies the leading part from there
+    Then the next prompt of the subject copies from its second choice
 
   Scenario: what is remembered is bounded
     Given 5000 parts that were read on an instance
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -34,10 +34,6 @@
 # each further failure in a row, in seconds.
 _FIRST_PAUSE_S = 0.5
 _LONGEST_PAUSE_S = 8.0
-# For so long after it was first listed, an instance lacks the prefixes that
-# it is the first choice for: by then most of them were asked for again
-# (once in 7 s on the platforms seen).
-_NEW_S = 10.0
 
 
 @attrs.frozen
@@ -104,7 +100,6 @@
         self._health: dict[str, _Health] = {}
         self._others: collections.abc.Mapping[str, int] = {}
         self._holders = prefixes.Holders()
-        self._listed_at: dict[str, float] = {}
 
     @property
     def running(self) -> collections.abc.Mapping[str, int]:
@@ -123,7 +118,6 @@
         self._others = others
         if instances.number == self._number:
             return None
-        self._remember_new(instances)
         self._number = instances.number
         self._services = {}
         for listed in instances.instances:
@@ -148,7 +142,7 @@
             for name, health in self._health.items()
             if name in usable
         }
-        self._holders.forget_others(self._listed_at)
+        self._holders.forget_others({one.id for one in instances.instances})
         logs.emit(
             events.INSTANCES_APPLIED,
             list_number=self._number,
@@ -239,17 +233,6 @@
                 return Choice(instance, rank, load, bound, len(found))
         return self._least_loaded(found)
 
-    def _remember_new(self, instances: pb.Instances) -> None:
-        """Note when each instance was listed; those of the first list
-        may have been there for long.
-        """
-        now = asyncio.get_running_loop().time()
-        first = now if self._number else now - _NEW_S
-        self._listed_at = {
-            listed.id: self._listed_at.get(listed.id, first)
-            for listed in instances.instances
-        }
-
     def _source(
         self,
         service: str,
@@ -260,8 +243,9 @@
         """Return where the chosen instance may copy the prefix from.
 
         Copying takes a fifth of the time of reading. The longest shared
-        part decides: an instance that was seen to hold it, else the one
-        that was the first choice until lately.
+        part decides: an instance that was seen to hold it, else the next
+        best one for the prompt. That was the first choice if places moved
+        lately, and likely holds the leading parts in any case.
         """
         shared = affinity.shared(parts)
         chosen = choice.instance
@@ -275,37 +259,23 @@
         for name in self._holders.of(shared[-1].id):
             if name in others:
                 return others[name]
-        former = self._former_choice(parts, choice, others.values(), now)
-        if former is not None:
-            return former
-        for part in reversed(shared[:-1]):
-            if chosen.id in self._holders.of(part.id):
-                return None
-            for name in self._holders.of(part.id):
-                if name in others:
-                    return others[name]
-        return None
-
-    def _former_choice(
+        return self._next_best(parts, others.values())
+
+    def _next_best(
         self,
         parts: affinity.Parts,
-        choice: Choice,
         others: collections.abc.Iterable[Instance],
-        now: float,
     ) -> Instance | None:
-        """Return the instance that a prompt went to until lately."""
+        """Return the first choice for a prompt among other instances.
+
+        An instance that leaves goes before the one that took its place.
+        """
         by_place: dict[str, Instance] = {}
         for one in others:
             if one.place and (one.leaving or one.place not in by_place):
                 by_place[one.place] = one
         best = affinity.order(parts, by_place)[:1]
-        if not best:
-            return None
-        found = by_place[best[0]]
-        is_new = now - self._listed_at[choice.instance.id] < _NEW_S
-        if found.leaving or is_new or choice.rank != 0:
-            return found
-        return None
+        return by_place[best[0]] if best else None
 
     def _least_loaded(self, found: list[Instance]) -> Choice:
         def cost(instance: Instance) -> tuple[int, bool, float]:
