The loads of all are added up once, and each router takes its own part off

Cause: the leader built a message of all loads for each router at each of its reports: at 370 routers 331 KB/s a node (docs/CAPACITY.md), and a tenth of a core at 79.

Change: control/loads.py keeps one sum; a message names the backend servers whose sum changed since the one that a router has, and serves all routers that have the same. An answer says which report of the router the sum contains, so that it takes exactly that off.

The promises' features pass.

--- /dev/null
+++ b/features/router/loads.feature
@@ -0,0 +1,25 @@
+Feature: All routers get the same sums, and take their own part off
+
+  Scenario: a router knows what the others have
+    Given the reports of three routers on two backend servers
+    Then each router knows what the other two have
+
+  Scenario: only what changed is sent
+    Given the reports of three routers on two backend servers
+    When one of them has one request more on the first
+    Then the next message names the first alone
+    And each router knows what the other two have
+
+  Scenario: a message is made once for all
+    Given the reports of three routers on two backend servers
+    Then all routers get the same message
+
+  Scenario: a router that is far behind gets everything
+    Given the reports of three routers on two backend servers
+    When the sums change 40 times
+    Then a router that has the first sum gets everything
+
+  Scenario: what is over is forgotten
+    Given the reports of three routers on two backend servers
+    When all of them have ended
+    Then no router knows of any request
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from honeyport.control import loads
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
@@ -25,6 +26,7 @@
     :ivar heard: when its last report arrived
     :ivar as_of: a time before that report was written, by our clock: the
         router had our answer of then; never before its second report
+    :ivar counted: the number of its report that the latest sum contains
     """
 
     member: pb.Member
@@ -34,12 +36,21 @@
     config_version: int = 0
     view: int = 0
     loads: dict[str, pb.PoolLoad] = attrs.field(factory=dict)
-    counted: dict[str, pb.PoolLoad] = attrs.field(factory=dict)
+    report_number: int = 0
+    counted: int = 0
     residuals: dict[str, int] = attrs.field(factory=dict)
     down: frozenset[str] = frozenset()
     silent: bool = False
     replica: str = ''
 
+    @property
+    def demand(self) -> dict[str, int]:
+        """What runs and what waits for room, by service."""
+        return {
+            service: load.running + load.waiting
+            for service, load in self.loads.items()
+        }
+
 
 class Fleet:
     """The routers of one leadership.
@@ -54,10 +65,7 @@
         self._base_view = term << _TERM_SHIFT
         self._view = pb.View(number=self._base_view)
         self._listed: dict[str, str] = {}
-        self._totals: dict[str, int] = {}
-        self._residuals: collections.Counter[str] = collections.Counter()
-        self._down: list[str] = []
-        self._leaving: list[str] = []
+        self._loads = loads.Loads()
 
     @property
     def view(self) -> pb.View:
@@ -69,6 +77,11 @@
         """Whether there was a view in this leadership, empty or not."""
         return self._view.number != self._base_view
 
+    @property
+    def loads(self) -> loads.Loads:
+        """What runs on all routers together."""
+        return self._loads
+
     @property
     def routers(self) -> list[Router]:
         """All routers whose lease stands, by name."""
@@ -130,6 +143,7 @@
         """Take a report; it renews the lease."""
         router.expires = max(router.expires, now + lease_s)
         router.heard = now
+        router.report_number = report.number
         router.as_of = report.stamp / _STAMPS_A_S or float('-inf')
         router.silent = False
         router.config_version = report.config_version
@@ -202,7 +216,7 @@
         )
 
     def summarize(self, now: float, fresh_s: float) -> None:
-        """Add up the reports; :meth:`loads` then tells each router.
+        """Add up the reports; :attr:`loads` then tells the routers.
 
         A load from too long ago counts as none: it must not raise the mean
         that the bound is a multiple of. What decides is when the report was
@@ -210,44 +224,30 @@
 
         :param fresh_s: how old a report may be
         """
-        self._totals = {}
-        self._residuals = collections.Counter()
+        totals: collections.Counter[str] = collections.Counter()
+        running: collections.Counter[str] = collections.Counter()
         down: set[str] = set()
         for router in self._routers.values():
             if router.heard < now - fresh_s:
                 self.miss(router)
-            self._residuals.update(router.residuals)
+            running.update(router.residuals)
             down.update(router.down)
-            router.counted = (
-                router.loads if router.as_of >= now - fresh_s else {}
-            )
-            for service, load in router.counted.items():
-                self._totals[service] = self._totals.get(service, 0) + _demand(
-                    load
-                )
-        self._down = sorted(down)
-        self._leaving = sorted(
+            router.counted = router.report_number
+            if router.as_of >= now - fresh_s:
+                totals.update(router.demand)
+        leaving = [
             name for name, state in self._listed.items() if state == 'leaving'
-        )
-
-    def loads(self, router: Router) -> pb.Loads:
-        """Return what all other routers have, for one of them."""
-        loads = pb.Loads(
-            settled=self.settled(), settled_version=self.settled_version()
-        )
-        for service in sorted(self._totals):
-            own = router.counted.get(service)
-            others = self._totals[service] - (_demand(own) if own else 0)
-            loads.others.add(service=service, running=others)
-        for backend in sorted(self._residuals):
-            others = self._residuals[backend] - router.residuals.get(
-                backend, 0
+        ]
+        self._loads.take(
+            loads.Sum(
+                totals=dict(totals),
+                running=dict(running),
+                settled=self.settled(),
+                settled_version=self.settled_version(),
+                down=tuple(sorted(down)),
+                leaving=tuple(sorted(leaving)),
             )
-            if others > 0:
-                loads.residuals.add(backend=backend, running=others)
-        loads.down.extend(self._down)
-        loads.leaving.extend(self._leaving)
-        return loads
+        )
 
     def in_force(self, version: int, now: float) -> bool:
         """Whether every router that may serve applies a version."""
@@ -259,11 +259,6 @@
         )
 
 
-def _demand(load: pb.PoolLoad) -> int:
-    """Return what runs and what waits for room."""
-    return load.running + load.waiting
-
-
 def _identities(
     members: typing.Iterable[pb.Member],
 ) -> list[tuple[str, str, bool]]:
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -44,7 +44,7 @@
     outbox: outbox.Outbox[pb.ControlItem]
     sent_version: int
     sent_view: int
-    sent_loads: bytes = b''
+    sent_loads: int = 0
     sent_instances: int = 0
     sent_presence: pb.Presence | None = None
 
@@ -218,17 +218,18 @@
             number=report.number,
             lease_ms=int(self._lease_s() * 1000),
             stamp=self._fleet.stamp(_now()),
+            counted=session.router.counted,
         )
         session.outbox.put(pb.ControlItem(answer=answer))
         self._send_loads(session)
 
     def _send_loads(self, session: Session) -> None:
-        """Tell a router the others' loads, if they changed."""
-        loads = self._fleet.loads(session.router)
-        encoded = loads.SerializeToString()
-        if encoded != session.sent_loads:
-            session.sent_loads = encoded
-            session.outbox.put(pb.ControlItem(loads=loads))
+        """Tell a router the loads of all, if they changed."""
+        loads = self._fleet.loads
+        if loads.number != session.sent_loads:
+            message = loads.message(session.sent_loads)
+            session.sent_loads = loads.number
+            session.outbox.put(pb.ControlItem(loads=message))
 
     def _tick(self) -> None:
         self._fleet.refresh(_now())
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -50,6 +50,10 @@
         self._layout = 0
         self._lease_until = float('-inf')
         self._heard_as_of = float('-inf')
+        self._totals: dict[str, int] = {}
+        self._running: dict[str, int] = {}
+        self._own_totals: dict[str, int] = {}
+        self._own_running: dict[str, int] = {}
         self._others: dict[str, int] = {}
         self._others_before: dict[str, int] = {}
         self._residuals: dict[str, int] = {}
@@ -268,17 +272,34 @@
         return True
 
     def apply_loads(self, loads: pb.Loads) -> None:
-        """Take the fleet's loads."""
+        """Take the loads of all routers, or what changed of them."""
+        self._totals = {load.service: load.running for load in loads.totals}
+        if not loads.base:
+            self._running = {}
+        for load in loads.residuals:
+            self._running[load.backend] = load.running
         self._others_before = self._others
-        self._others = {load.service: load.running for load in loads.others}
-        self._residuals = {
-            load.backend: load.running for load in loads.residuals
-        }
+        self._take_off_own()
         self._settled = loads.settled
         self._settled_version = loads.settled_version
         self._down = frozenset(loads.down)
         self._leaving = frozenset(loads.leaving)
 
+    def apply_own(self, report: pb.Report) -> None:
+        """Take the report of ours that the loads of all contain."""
+        self._own_totals = {
+            load.service: load.running + load.waiting for load in report.loads
+        }
+        self._own_running = {
+            load.backend: load.running for load in report.residuals
+        }
+        self._take_off_own()
+
+    def _take_off_own(self) -> None:
+        """Work out what all other routers have."""
+        self._others = _without(self._totals, self._own_totals)
+        self._residuals = _without(self._running, self._own_running)
+
     def apply_presence(self, presence: pb.Presence) -> None:
         """Take the routers that callers may be sent to."""
         self._present = list(presence.members)
@@ -313,6 +334,12 @@
         return self._near.get(domain) or list(self._members)
 
 
+def _without(total: dict[str, int], part: dict[str, int]) -> dict[str, int]:
+    """Return what is left of each total, where anything is."""
+    left = {key: count - part.get(key, 0) for key, count in total.items()}
+    return {key: count for key, count in left.items() if count > 0}
+
+
 def _moves_work(key: str) -> bool:
     """Whether an entry says which backend servers there are."""
     return key.startswith(('backends/', 'services/'))
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -28,6 +28,7 @@
 _PAUSE_S = 0.1
 _ATTACH_S = 0.5
 _SILENCE = 0.5  # of a lease, after which a stream is given up
+_KEPT_REPORTS = 100  # without an answer, before they are forgotten
 _SOONEST_S = 0.02  # between two reports, however much changes
 
 Fill = typing.Callable[[pb.Report], None]
@@ -70,6 +71,7 @@
         self._leader = ''
         self._numbers = itertools.count(1)
         self._sent: dict[int, float] = {}
+        self._reported: dict[int, pb.Report] = {}
         self._stamp = 0  # of the leader's latest answer
         self._news = asyncio.Event()
         self._leaving = False
@@ -182,6 +184,8 @@
     def _begin(self, box: outbox.Outbox[pb.RouterItem]) -> None:
         self._outbox = box
         self._sent.clear()
+        self._reported.clear()
+        self._state.apply_own(pb.Report())
         self._stamp = 0
         self._gap = True
         for pending in list(self._pending.values()):
@@ -229,6 +233,10 @@
         self._on_news()
 
     def _take_answer(self, answer: pb.ReportAnswer) -> None:
+        if answer.counted in self._reported:
+            self._state.apply_own(self._reported[answer.counted])
+            for number in [n for n in self._reported if n < answer.counted]:
+                del self._reported[number]
         sent = self._sent.pop(answer.number, None)
         if sent is not None:
             self._stamp = answer.stamp
@@ -266,7 +274,9 @@
             )
             self._fill(report)
             self._sent[number] = asyncio.get_running_loop().time()
-            self._sent.pop(number - 100, None)
+            self._reported[number] = report
+            for kept in (self._sent, self._reported):
+                kept.pop(number - _KEPT_REPORTS, None)
             box.put(pb.RouterItem(report=report))
             await asyncio.sleep(_SOONEST_S)
             period = self._state.timing.report_ms / 1000 - _SOONEST_S
