One allowance for repeated offers over all gateways

Cause: each gateway had 20 repeated offers saved up for each service: 180 on 9 gateways and 1,580 on 79, where the platform allows 58 and 198 in ten seconds.

Change: each gateway's part of the allowance, by the number of gateways and its own requests (gateway/budget.py); where it is spent, an instance's failure is passed on as it is. forward.py is split: the exchange has a module of its own.

--- a/features/gateway/answers.feature
+++ b/features/gateway/answers.feature
@@ -33,6 +33,12 @@
       | idempotent | close; not run       | 502    | 3     |
       | idempotent | silent; answer       | 200    | 2     |
 
+  Scenario: a failure is passed on where nothing may be offered again
+    Given a gateway without an allowance for idempotent requests whose instances fail; answer
+    When a caller sends a request
+    Then it gets 500, and 1 requests arrived
+    And the answer is the whole answer of an instance
+
   Scenario Outline: only a whole answer is passed on as one
     Given a gateway for non_idempotent requests whose instances <steps>
     When a caller sends a request
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -13,6 +13,7 @@
 from honeyport.bundle import model
 from honeyport.gateway import affinity
 from honeyport.gateway import balancer
+from honeyport.gateway import budget
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport.gateway import headers as gateway_headers
 from honeyport import local
@@ -42,7 +43,7 @@
 class Setting:
     """One gateway, a few instances, and what a caller got."""
 
-    def __init__(self, steps: list[str]) -> None:
+    def __init__(self, steps: list[str], extra: float = 1000.0) -> None:
         self.script = instances.Script(steps)
         self.instances = [
             instances.Instance(f'i-{number}', self.script)
@@ -59,6 +60,7 @@
             ),
             _NAMES,
             gateway_daemon.Leaving(refuse_s=0.2, stop_s=2.0),
+            budget.Allowance(extra=extra),
             metrics.Metrics(),
         )
         self.tree = supervisor.Supervisor('g-1')
@@ -140,6 +142,17 @@
     context.to_stop.append(context.setting.stop)
 
 
+@behave.given(
+    'a gateway without an allowance for {kind} requests whose instances '
+    '{steps}'
+)
+def step_gateway_without(context, kind, steps):
+    named = [one.strip() for one in steps.split(';')]
+    context.setting = Setting(named, extra=0.0)
+    context.run(context.setting.start(kind))
+    context.to_stop.append(context.setting.stop)
+
+
 @behave.when('a caller sends a request')
 def step_send(context):
     context.got = context.run(_ask(context.setting))
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -5,6 +5,7 @@
 import attrs
 
 from honeyport.gateway import balancer
+from honeyport.gateway import budget
 from honeyport.gateway import forward
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
@@ -40,6 +41,7 @@
         settings: roles.Router,
         names: gateway_headers.HeaderNames,
         leaving: Leaving,
+        allowance: budget.Allowance,
         counters: metrics.Metrics,
     ) -> None:
         self._settings = settings
@@ -48,7 +50,12 @@
         self._balancer = balancer.Balancer(settings.domain)
         self._pool = pool.Pool()
         self._forwarder = forward.Forwarder(
-            self._state, names, self._balancer, self._pool, counters
+            self._state,
+            names,
+            self._balancer,
+            self._pool,
+            budget.Budgets(allowance, lambda: len(self._state.present)),
+            counters,
         )
         self._entry = server.Entry(self._forwarder, names)
         self._session = session.Session(
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -6,33 +6,24 @@
 """
 
 import asyncio
-import collections
-import collections.abc
 import typing
 
-import attrs
-from tornado import httputil
-
 from honeyport import errors
 from honeyport.gateway import attempt
 from honeyport.gateway import balancer
+from honeyport.gateway import budget
+from honeyport.gateway import exchange as exchange_
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
 from honeyport.gateway import routes
 from honeyport.gateway import silence
-from honeyport.gateway import sse
 from honeyport.router import fleetstate
-from honeyport.router import retries
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
 
 # Instances that one request is offered to, refusals included.
 _MOST_OFFERS = 3
-# Of the requests: under the ratio that platforms allow (0.2), since every
-# gateway keeps its own budget.
-_RETRY_SHARE = 0.1
-_LOWEST_PRIORITY = 9
 # For a refusal whose cause names no time, in seconds.
 _COME_BACK_S = 0.3
 _MISDIRECTED = 421
@@ -41,68 +32,6 @@
 _FIRST_FAILURE = 500
 
 
-class Reply(typing.Protocol):
-    """The caller's side of an exchange."""
-
-    @property
-    def started(self) -> bool:
-        """Whether the head of an answer was written."""
-
-    async def begin(self, head: attempt.Head) -> None:
-        """Write the head of a stream."""
-
-    async def write(self, chunk: bytes) -> None:
-        """Write a part of a stream."""
-
-    async def end(self) -> None:
-        """End a stream as complete."""
-
-    async def answer(self, head: attempt.Head, body: bytes) -> None:
-        """Write a whole answer."""
-
-    async def refuse(self, error: errors.HoneyportError) -> None:
-        """Write our own failure; cut the answer if it has begun."""
-
-
-@attrs.define
-class _Exchange:
-    """What is known of a request while it is served."""
-
-    request: gateway_headers.Request
-    reply: Reply
-    match: routes.Match
-    service: str
-    until: float
-    version: int
-    splitter: sse.Splitter = attrs.field(factory=sse.Splitter)
-    tried: set[str] = attrs.field(factory=set)
-    offers: int = 0
-    runs: int = 0
-    choice: balancer.Choice | None = None
-    watch: silence.Watch | None = None
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether an instance that got it has not said it did not run."""
-        return self.runs > 0
-
-    async def begin(self, head: attempt.Head) -> None:
-        """Pass on the head of a stream; a resumed one has its first."""
-        if not self.reply.started:
-            await self.reply.begin(head)
-
-    async def events(self, chunk: bytes) -> None:
-        """Pass on whole events."""
-        whole = self.splitter.feed(chunk)
-        if whole:
-            await self.reply.write(whole)
-
-    def hear(self) -> None:
-        """Note that the instance said something."""
-        if self.watch is not None:
-            self.watch.hear()
-
-
 class Forwarder:
     """Serves the requests of this gateway.
 
@@ -115,6 +44,7 @@
         names: gateway_headers.HeaderNames,
         choice: balancer.Balancer,
         connections: pool.Pool,
+        budgets: budget.Budgets,
         counters: metrics.Metrics,
     ) -> None:
         self._state = state
@@ -123,9 +53,7 @@
         self._pool = connections
         self._metrics = counters
         self._table: routes.Table | None = None
-        self._budgets: dict[str, retries.Budget] = collections.defaultdict(
-            lambda: retries.Budget(_RETRY_SHARE)
-        )
+        self._budgets = budgets
         self._running = 0
 
     @property
@@ -134,11 +62,11 @@
         return self._running
 
     async def serve(
-        self, request: gateway_headers.Request, reply: Reply
+        self, request: gateway_headers.Request, reply: exchange_.Reply
     ) -> None:
         """Give a request its final answer, and log what decided it."""
         self._running += 1
-        exchange: _Exchange | None = None
+        exchange: exchange_.Exchange | None = None
         try:
             exchange = self._admit(request, reply)
             await self._run(exchange)
@@ -168,14 +96,14 @@
         return self._table
 
     def _admit(
-        self, request: gateway_headers.Request, reply: Reply
-    ) -> _Exchange:
+        self, request: gateway_headers.Request, reply: exchange_.Reply
+    ) -> exchange_.Exchange:
         table = self.table()
         match = table.find(request.host, request.path, request.api_key)
         timeout_s = match.route.timeout_ms / 1000
         service = routes.pick_service(match.route)
-        self._budgets[service].earn()
-        return _Exchange(
+        self._budgets.earn(service)
+        return exchange_.Exchange(
             request,
             reply,
             match,
@@ -184,7 +112,7 @@
             table.version,
         )
 
-    async def _run(self, exchange: _Exchange) -> None:
+    async def _run(self, exchange: exchange_.Exchange) -> None:
         """Try until there is a final answer, or the time is over."""
         try:
             async with asyncio.timeout_at(exchange.until):
@@ -194,17 +122,21 @@
                 raise errors.DeadlinePassed() from None
             raise errors.Overloaded(retry_after=_COME_BACK_S) from None
 
-    async def _try_instances(self, exchange: _Exchange) -> None:
+    async def _try_instances(self, exchange: exchange_.Exchange) -> None:
         while True:
             try:
                 await self._offer(exchange)
                 return
             except errors.HoneyportError as error:
-                if not self._may_go_on(exchange, error):
+                if self._may_go_on(exchange, error):
+                    exchange.splitter.restart()
+                    continue
+                if exchange.failure is None:
                     raise _true_of_all(exchange, error) from None
-                exchange.splitter.restart()
+                await self._finish(exchange, exchange.failure)
+                return
 
-    async def _offer(self, exchange: _Exchange) -> None:
+    async def _offer(self, exchange: exchange_.Exchange) -> None:
         """Offer the request to one instance; return once it is answered.
 
         :raises errors.HoneyportError: if that instance did not answer it
@@ -221,22 +153,18 @@
             except errors.HoneyportError as error:
                 self._judge(exchange, instance, error)
                 raise
-        self._balancer.succeeded(instance, self._parts(exchange))
+        self._balancer.succeeded(instance, exchange.parts)
         await self._finish(exchange, answer)
 
-    def _choose(self, exchange: _Exchange) -> balancer.Choice:
+    def _choose(self, exchange: exchange_.Exchange) -> balancer.Choice:
         return self._balancer.choose(
-            exchange.service, self._parts(exchange), exchange.tried
+            exchange.service, exchange.parts, exchange.tried
         )
 
-    def _parts(self, exchange: _Exchange) -> tuple[gateway_headers.Part, ...]:
-        """Return the parts of a prompt, if instances cache them."""
-        cached = exchange.match.route.prefix_cached
-        return exchange.request.parts if cached else ()
-
     async def _send(
-        self, exchange: _Exchange, instance: balancer.Instance
+        self, exchange: exchange_.Exchange, instance: balancer.Instance
     ) -> attempt.Answer:
+        exchange.failure = None
         exchange.tried.add(instance.id)
         exchange.offers += 1
         connection = await self._pool.take(instance)
@@ -256,7 +184,7 @@
         return self._checked(exchange, answer)
 
     async def _attempt(
-        self, exchange: _Exchange, connection: pool.Connection
+        self, exchange: exchange_.Exchange, connection: pool.Connection
     ) -> attempt.Answer:
         """Return the answer of an instance that does not fall silent.
 
@@ -264,9 +192,9 @@
             get the request
         """
         limits = None
-        if self._may_repeat(exchange):
+        if exchange.may_repeat:
             limits = silence.patience(exchange.match.route)
-        headers = self._headers(exchange, connection.instance)
+        headers = exchange.headers(self._names, connection.instance)
         sent = attempt.Attempt(connection, self._names, exchange)
         try:
             async with silence.Watch(limits) as exchange.watch:
@@ -274,29 +202,8 @@
         except TimeoutError:
             raise errors.BackendSilent('nothing came in time') from None
 
-    def _headers(
-        self, exchange: _Exchange, instance: balancer.Instance
-    ) -> httputil.HTTPHeaders:
-        names = self._names
-        request = exchange.request
-        headers = request.headers.copy()
-        left_s = exchange.until - asyncio.get_running_loop().time()
-        headers[names.deadline_ms] = str(max(1, int(left_s * 1000)))
-        headers[names.expected_instance] = instance.id
-        if exchange.match.account:
-            headers[names.account] = exchange.match.account
-        priority = max(0, min(exchange.match.priority, _LOWEST_PRIORITY))
-        headers[names.priority] = str(priority)
-        if exchange.choice is not None and exchange.choice.source is not None:
-            headers[names.copy_from] = exchange.choice.source.address
-        if exchange.splitter.last_id:
-            headers[names.last_event] = exchange.splitter.last_id
-        if request.body or request.method in ('POST', 'PUT', 'PATCH'):
-            headers['Content-Length'] = str(len(request.body))
-        return headers
-
     def _checked(
-        self, exchange: _Exchange, answer: attempt.Answer
+        self, exchange: exchange_.Exchange, answer: attempt.Answer
     ) -> attempt.Answer:
         """Return an answer that may be passed on.
 
@@ -315,13 +222,15 @@
             return answer
         # Passed on, a promise would say that the request did not run.
         started = exchange.reply.started
-        if promises or started or self._may_repeat(exchange):
-            raise errors.AttemptFailed(f'status {head.status}')
-        return answer
+        if not promises and not started:
+            exchange.failure = answer
+            if not exchange.may_repeat:
+                return answer
+        raise errors.AttemptFailed(f'status {head.status}')
 
     def _judge(
         self,
-        exchange: _Exchange,
+        exchange: exchange_.Exchange,
         instance: balancer.Instance,
         error: errors.HoneyportError,
     ) -> None:
@@ -339,33 +248,27 @@
         if isinstance(error, (errors.NotSent, errors.BackendLost)):
             self._balancer.failed(instance, error.code)
 
-    def _may_repeat(self, exchange: _Exchange) -> bool:
-        """Whether the request may run on one more instance."""
-        route = exchange.match.route
-        return route.repeatable and exchange.runs < route.attempts
-
     def _may_go_on(
-        self, exchange: _Exchange, error: errors.HoneyportError
+        self, exchange: exchange_.Exchange, error: errors.HoneyportError
     ) -> bool:
         """Whether another instance may get the request after an error."""
         if exchange.offers >= _MOST_OFFERS:
             return False
         if isinstance(error, errors.NotSent):
             return True
-        budget = self._budgets[exchange.service]
         if isinstance(error, errors.NotExecuted):
-            return budget.spend()
+            return self._budgets.spend(exchange.service)
         failed = (
             errors.AttemptFailed,
             errors.BackendLost,
             errors.ForeignAnswer,
         )
-        if not isinstance(error, failed) or not self._may_repeat(exchange):
+        if not isinstance(error, failed) or not exchange.may_repeat:
             return False
-        return budget.spend()
+        return self._budgets.spend(exchange.service)
 
     async def _finish(
-        self, exchange: _Exchange, answer: attempt.Answer
+        self, exchange: exchange_.Exchange, answer: attempt.Answer
     ) -> None:
         if not answer.relayed:
             await exchange.reply.answer(answer.head, answer.body)
@@ -379,7 +282,7 @@
         self,
         event: events.Event,
         request: gateway_headers.Request,
-        exchange: _Exchange | None,
+        exchange: exchange_.Exchange | None,
         error: errors.HoneyportError | None = None,
     ) -> None:
         """Write the one line of a request, and count it."""
@@ -408,7 +311,7 @@
 
 
 def _true_of_all(
-    exchange: _Exchange, error: errors.HoneyportError
+    exchange: exchange_.Exchange, error: errors.HoneyportError
 ) -> errors.HoneyportError:
     """Return an error that is true of all offers, not of the last alone."""
     if error.ran is False and exchange.may_have_run:
--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -12,9 +12,11 @@
 
 from honeyport import errors
 
-# Where the platform sets no bound, in seconds; the values of its pages.
+# Where the platform sets no bound: the values of its pages, times in seconds.
 _REVOCATION_S = 5.0
 _GRACE_S = 8.0
+_RETRY_RATIO = 0.2
+_RETRY_EXTRA = 50.0  # below the least that a page names, 58
 _TTL_S = 5.0
 # Where metrics are served, as `deploy/system.toml` names it: the platform
 # draws all other ports anew each day. Usual for exporters of metrics.
@@ -41,6 +43,9 @@
     :ivar losses: how many instances whose loss counts may be lost at once
     :ivar backend_list: address of the platform's list of instances
     :ivar revocation_s: after this long a key that was taken away is dead
+    :ivar retry_ratio: arrivals beyond the first of each request that all of
+        us together may cause at a service, as a share of its requests
+    :ivar retry_extra: and so many more in each window that is counted
     :ivar grace_s: from SIGTERM to SIGKILL
     :ivar ttl_s: longest time that callers keep an address list
     """
@@ -60,6 +65,8 @@
     losses: int
     backend_list: str
     revocation_s: float
+    retry_ratio: float
+    retry_extra: float
     grace_s: float
     ttl_s: float
 
@@ -142,6 +149,12 @@
             losses=int(self._number('fault_tolerance.machines', 1)),
             backend_list=self._need('cloud.address'),
             revocation_s=self._number('bounds.revocation_ms', _REVOCATION_S),
+            retry_ratio=self._number(
+                'bounds.retry_budget_ratio', _RETRY_RATIO
+            ),
+            retry_extra=self._number(
+                'bounds.retry_budget_extra', _RETRY_EXTRA
+            ),
             grace_s=self._number('bounds.grace_period_s', _GRACE_S),
             ttl_s=self._number('bounds.ttl_max_s', _TTL_S),
         )
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -15,6 +15,7 @@
 from honeyport.control import group
 from honeyport.control import replacement
 from honeyport import errors
+from honeyport.gateway import budget
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport.platform import boot
 from honeyport.platform import listing
@@ -82,6 +83,9 @@
             gateway_daemon.Leaving(
                 refuse_s=_REFUSE_S, stop_s=self._boot.grace_s - _EXIT_S
             ),
+            budget.Allowance(
+                ratio=self._boot.retry_ratio, extra=self._boot.retry_extra
+            ),
             self._counters,
         )
         desk = None
--- a/src/honeyport/router/retries.py
+++ b/src/honeyport/router/retries.py
@@ -1,21 +1,28 @@
 """A budget for retries, so that a failing service is not buried."""
 
-_LARGEST = 20.0
+_LARGEST = 20.0  # without a limit from outside: a failure of a few seconds
 
 
 class Budget:
     """Retries are a share of the requests, with a few to begin with.
 
     :param share: retries for each request
+    :param most: how many may be saved up; it begins with so many
     """
 
-    def __init__(self, share: float = 0.2) -> None:
+    def __init__(self, share: float = 0.2, most: float = _LARGEST) -> None:
         self._share = share
-        self._tokens = _LARGEST
+        self._most = most
+        self._tokens = most
+
+    def limit(self, most: float) -> None:
+        """Save up so many at the most from now on."""
+        self._most = most
+        self._tokens = min(self._tokens, most)
 
     def earn(self) -> None:
         """Count a request."""
-        self._tokens = min(_LARGEST, self._tokens + self._share)
+        self._tokens = min(self._most, self._tokens + self._share)
 
     def spend(self) -> bool:
         """Take one retry out; return whether there was one."""
