A request that may not be offered again says so in the log

The decision had no line: event 3211 names the request, the service, its offers and how many gateways share the allowance. The module of exchanges is named so that it needs no odd alias.

--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -12,7 +12,7 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import balancer
 from honeyport.gateway import budget
-from honeyport.gateway import exchange as exchange_
+from honeyport.gateway import exchanges
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
 from honeyport.gateway import routes
@@ -62,11 +62,11 @@
         return self._running
 
     async def serve(
-        self, request: gateway_headers.Request, reply: exchange_.Reply
+        self, request: gateway_headers.Request, reply: exchanges.Reply
     ) -> None:
         """Give a request its final answer, and log what decided it."""
         self._running += 1
-        exchange: exchange_.Exchange | None = None
+        exchange: exchanges.Exchange | None = None
         try:
             exchange = self._admit(request, reply)
             await self._run(exchange)
@@ -96,14 +96,14 @@
         return self._table
 
     def _admit(
-        self, request: gateway_headers.Request, reply: exchange_.Reply
-    ) -> exchange_.Exchange:
+        self, request: gateway_headers.Request, reply: exchanges.Reply
+    ) -> exchanges.Exchange:
         table = self.table()
         match = table.find(request.host, request.path, request.api_key)
         timeout_s = match.route.timeout_ms / 1000
         service = routes.pick_service(match.route)
         self._budgets.earn(service)
-        return exchange_.Exchange(
+        return exchanges.Exchange(
             request,
             reply,
             match,
@@ -112,7 +112,7 @@
             table.version,
         )
 
-    async def _run(self, exchange: exchange_.Exchange) -> None:
+    async def _run(self, exchange: exchanges.Exchange) -> None:
         """Try until there is a final answer, or the time is over."""
         try:
             async with asyncio.timeout_at(exchange.until):
@@ -122,7 +122,7 @@
                 raise errors.DeadlinePassed() from None
             raise errors.Overloaded(retry_after=_COME_BACK_S) from None
 
-    async def _try_instances(self, exchange: exchange_.Exchange) -> None:
+    async def _try_instances(self, exchange: exchanges.Exchange) -> None:
         while True:
             try:
                 await self._offer(exchange)
@@ -136,7 +136,7 @@
                 await self._finish(exchange, exchange.failure)
                 return
 
-    async def _offer(self, exchange: exchange_.Exchange) -> None:
+    async def _offer(self, exchange: exchanges.Exchange) -> None:
         """Offer the request to one instance; return once it is answered.
 
         :raises errors.HoneyportError: if that instance did not answer it
@@ -156,13 +156,13 @@
         self._balancer.succeeded(instance, exchange.parts)
         await self._finish(exchange, answer)
 
-    def _choose(self, exchange: exchange_.Exchange) -> balancer.Choice:
+    def _choose(self, exchange: exchanges.Exchange) -> balancer.Choice:
         return self._balancer.choose(
             exchange.service, exchange.parts, exchange.tried
         )
 
     async def _send(
-        self, exchange: exchange_.Exchange, instance: balancer.Instance
+        self, exchange: exchanges.Exchange, instance: balancer.Instance
     ) -> attempt.Answer:
         exchange.failure = None
         exchange.tried.add(instance.id)
@@ -184,7 +184,7 @@
         return self._checked(exchange, answer)
 
     async def _attempt(
-        self, exchange: exchange_.Exchange, connection: pool.Connection
+        self, exchange: exchanges.Exchange, connection: pool.Connection
     ) -> attempt.Answer:
         """Return the answer of an instance that does not fall silent.
 
@@ -200,10 +200,10 @@
             async with silence.Watch(limits) as exchange.watch:
                 return await sent.run(exchange.request, headers)
         except TimeoutError:
-            raise errors.BackendSilent('nothing came in time') from None
+            raise errors.BackendSilent(f'it said nothing: {limits}') from None
 
     def _checked(
-        self, exchange: exchange_.Exchange, answer: attempt.Answer
+        self, exchange: exchanges.Exchange, answer: attempt.Answer
     ) -> attempt.Answer:
         """Return an answer that may be passed on.
 
@@ -230,7 +230,7 @@
 
     def _judge(
         self,
-        exchange: exchange_.Exchange,
+        exchange: exchanges.Exchange,
         instance: balancer.Instance,
         error: errors.HoneyportError,
     ) -> None:
@@ -249,7 +249,7 @@
             self._balancer.failed(instance, error.code)
 
     def _may_go_on(
-        self, exchange: exchange_.Exchange, error: errors.HoneyportError
+        self, exchange: exchanges.Exchange, error: errors.HoneyportError
     ) -> bool:
         """Whether another instance may get the request after an error."""
         if exchange.offers >= _MOST_OFFERS:
@@ -257,7 +257,7 @@
         if isinstance(error, errors.NotSent):
             return True
         if isinstance(error, errors.NotExecuted):
-            return self._budgets.spend(exchange.service)
+            return self._spend(exchange)
         failed = (
             errors.AttemptFailed,
             errors.BackendLost,
@@ -265,10 +265,24 @@
         )
         if not isinstance(error, failed) or not exchange.may_repeat:
             return False
-        return self._budgets.spend(exchange.service)
+        return self._spend(exchange)
+
+    def _spend(self, exchange: exchanges.Exchange) -> bool:
+        """Take one more offer out of the allowance, if there is one."""
+        allowed = self._budgets.spend(exchange.service)
+        if not allowed:
+            logs.emit(
+                events.ALLOWANCE_SPENT,
+                request=exchange.request.request_id,
+                service=exchange.service,
+                offers=exchange.offers,
+                gateways=len(self._state.present),
+            )
+            self._metrics.count('allowance_spent', service=exchange.service)
+        return allowed
 
     async def _finish(
-        self, exchange: exchange_.Exchange, answer: attempt.Answer
+        self, exchange: exchanges.Exchange, answer: attempt.Answer
     ) -> None:
         if not answer.relayed:
             await exchange.reply.answer(answer.head, answer.body)
@@ -282,7 +296,7 @@
         self,
         event: events.Event,
         request: gateway_headers.Request,
-        exchange: exchange_.Exchange | None,
+        exchange: exchanges.Exchange | None,
         error: errors.HoneyportError | None = None,
     ) -> None:
         """Write the one line of a request, and count it."""
@@ -311,7 +325,7 @@
 
 
 def _true_of_all(
-    exchange: exchange_.Exchange, error: errors.HoneyportError
+    exchange: exchanges.Exchange, error: errors.HoneyportError
 ) -> errors.HoneyportError:
     """Return an error that is true of all offers, not of the last alone."""
     if error.ran is False and exchange.may_have_run:
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -183,6 +183,12 @@
 INSTANCES_APPLIED = define(
     3210, 'instances_applied', 'info', 'A new list of instances is used here.'
 )
+ALLOWANCE_SPENT = define(
+    3211,
+    'allowance_spent',
+    'warning',
+    'A request is not offered again: the allowance for that is spent.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
