A backend server without requests is forgotten by the routers

Reading the change: a sum of 0 stayed in each router's table for good, a name for each instance that ever ran. The test fails on the code before.

--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -120,3 +120,4 @@
     for state in context.setting.states.values():
         assert not any(state.residual(server) for server in _SERVERS)
         assert not state.residuals
+        assert not state._running, 'names of what is gone must not pile up'
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -278,6 +278,8 @@
             self._running = {}
         for load in loads.residuals:
             self._running[load.backend] = load.running
+            if not load.running:
+                del self._running[load.backend]
         self._others_before = self._others
         self._take_off_own()
         self._settled = loads.settled
