A seed of the soak is the same plan each time

Faults, their times and their luck were drawn from the generator that callers use as well, so that seeds 131, 132 and 140, which broke promises beside a machine at four times its cores, could not be played again by number.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 
+import attrs
 import fire
 
 from honeyport import local
@@ -32,11 +33,26 @@
 _CALM_S = 4.0
 
 
-async def _play(seed: int, folder: pathlib.Path) -> list[str]:
+@attrs.frozen
+class _Strike:
+    """One fault of a plan.
+
+    :ivar at_s: seconds after the callers began
+    :ivar seed: of what it disturbs, and for how long
+    """
+
+    at_s: float
+    name: str
+    seed: int
+
+
+async def _play(
+    seed: int, names: tuple[str, ...], folder: pathlib.Path
+) -> list[str]:
     """Play one seed; return what was broken."""
-    chance = random.Random(seed)
+    strikes = _draw(seed, names)
     found = soak_records.Records()
-    site = soak_site.Site(folder, found, chance)
+    site = soak_site.Site(folder, found, random.Random(seed))
     operator = soak_operator.Operator(site)
     await site.start()
     tasks: list[asyncio.Task[None]] = []
@@ -53,10 +69,10 @@
             )
         ]
         await asyncio.sleep(1.0)
-        names = _draw(chance)
-        print(f'seed {seed}: {" ".join(names)}', flush=True)
+        kinds = ' '.join(strike.name for strike in strikes)
+        print(f'seed {seed}: {kinds}', flush=True)
         await asyncio.gather(
-            *(_strike(name, site, operator) for name in names)
+            *(_strike(strike, site, operator) for strike in strikes)
         )
         now = asyncio.get_running_loop().time()
         found.calm_since = now + _RECOVERY_S
@@ -77,27 +93,40 @@
     return broken
 
 
-def _draw(chance: random.Random) -> list[str]:
+def _draw(seed: int, names: tuple[str, ...]) -> list[_Strike]:
+    """Return the faults of a seed, always the same ones.
+
+    :param names: play these instead, at times and with luck of the seed
+    """
+    chance = random.Random(seed)
+    count = chance.randint(*_FAULTS)
+    chosen = names or [
+        chance.choice(sorted(faults.FAULTS)) for _ in range(count)
+    ]
     return [
-        chance.choice(sorted(faults.FAULTS))
-        for _ in range(chance.randint(*_FAULTS))
+        _Strike(chance.uniform(0, _CHAOS_S), name, chance.getrandbits(32))
+        for name in chosen
     ]
 
 
 async def _strike(
-    name: str, site: soak_site.Site, operator: soak_operator.Operator
+    strike: _Strike, site: soak_site.Site, operator: soak_operator.Operator
 ) -> None:
-    await asyncio.sleep(site.chance.uniform(0, _CHAOS_S))
-    await faults.FAULTS[name](site, operator)
+    await asyncio.sleep(strike.at_s)
+    chance = random.Random(strike.seed)
+    await faults.FAULTS[strike.name](site, operator, chance)
+
 
+def play(seed: int, names: tuple[str, ...] = ()) -> None:
+    """Play one seed in this process; exit with 1 if a promise is broken.
 
-def play(seed: int) -> None:
-    """Play one seed in this process; exit with 1 if a promise is broken."""
+    :param names: these faults in place of the seed's own
+    """
     local.HOST = os.environ.get(_HOST_VARIABLE, local.HOST)
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'honeyport-soak-{seed}-'))
     log = (folder / 'soak.log').open('w')
     logs.configure('error', descriptor=log.fileno(), instance='soak')
-    broken = asyncio.run(_play(seed, folder))
+    broken = asyncio.run(_play(seed, tuple(names), folder))
     for text in broken[:20]:
         print(f'seed {seed}: broken: {text}')
     if broken:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import random
 import signal
 
 from features.support import platform
@@ -21,7 +22,7 @@
 _DRAIN_S = 3.0
 
 Fault = collections.abc.Callable[
-    [soak_site.Site, soak_operator.Operator],
+    [soak_site.Site, soak_operator.Operator, random.Random],
     collections.abc.Awaitable[None],
 ]
 FAULTS: dict[str, Fault] = {}
@@ -48,7 +49,7 @@
 
 
 def _pick(
-    site: soak_site.Site, among: list[platform.Node]
+    site: soak_site.Site, among: list[platform.Node], chance: random.Random
 ) -> platform.Node | None:
     """Return a node whose process runs and that no other fault has."""
     free = [
@@ -58,7 +59,7 @@
         and node.process is not None
         and node.process.poll() is None
     ]
-    return site.chance.choice(free) if free else None
+    return chance.choice(free) if free else None
 
 
 @contextlib.contextmanager
@@ -76,25 +77,31 @@
             site.busy[node.name] = False
 
 
-async def _pause(site: soak_site.Site, least: float, most: float) -> None:
-    await asyncio.sleep(site.chance.uniform(least, most))
+async def _pause(chance: random.Random, least: float, most: float) -> None:
+    await asyncio.sleep(chance.uniform(least, most))
 
 
 @fault
-async def kill(site: soak_site.Site, operator: soak_operator.Operator) -> None:
+async def kill(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
     """One process is killed and started again."""
-    node = _pick(site, site.nodes)
+    node = _pick(site, site.nodes, chance)
     if node is None:
         return
     with _held(site, node):
         site.kill(node)
-        await _pause(site, 0.1, 3.0)
+        await _pause(chance, 0.1, 3.0)
         site.restart(node)
 
 
 @fault
 async def kill_core(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """All processes with a disk are killed at the same moment."""
     if any(site.busy.get(node.name) for node in site.core):
@@ -102,31 +109,35 @@
     with _held(site, *site.core):
         for node in site.core:
             site.kill(node)
-        await _pause(site, 0.1, 1.0)
+        await _pause(chance, 0.1, 1.0)
         for node in site.core:
             site.restart(node)
 
 
 @fault
 async def freeze(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """One process stands still and wakes again."""
-    node = _pick(site, site.nodes)
+    node = _pick(site, site.nodes, chance)
     if node is None:
         return
     with _held(site, node):
         site.send_signal(node, signal.SIGSTOP)
-        await _pause(site, 0.3, 6.0)
+        await _pause(chance, 0.3, 6.0)
         site.send_signal(node, signal.SIGCONT)
 
 
 @fault
 async def terminate(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """One process is stopped in order and started again."""
-    node = _pick(site, site.nodes)
+    node = _pick(site, site.nodes, chance)
     if node is None:
         return
     with _held(site, node):
@@ -136,83 +147,97 @@
 
 @fault
 async def reload(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """Some processes get SIGHUP."""
     for node in site.nodes:
-        if site.chance.random() < 0.5 and not site.busy.get(node.name):
+        if chance.random() < 0.5 and not site.busy.get(node.name):
             site.send_signal(node, signal.SIGHUP)
 
 
 @fault
 async def lose_disk(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """One process is killed and comes back with an empty disk, once."""
-    node = _pick(site, site.core)
+    node = _pick(site, site.core, chance)
     if node is None or site.disk_lost:
         return
     with _held(site, node):
         site.kill(node)
         site.lose_disk(node)
-        await _pause(site, 0.1, 2.0)
+        await _pause(chance, 0.1, 2.0)
         site.restart(node)
 
 
 @fault
 async def silence(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """Nothing passes to, from, or to and from one instance."""
-    relay = site.chance.choice(site.instances).relay
-    there, back = site.chance.choice(
-        [(True, True), (True, False), (False, True)]
-    )
+    relay = chance.choice(site.instances).relay
+    there, back = chance.choice([(True, True), (True, False), (False, True)])
     relay.cut(there=there, back=back)
-    await _pause(site, 0.5, 4.0)
+    await _pause(chance, 0.5, 4.0)
     relay.mend()
 
 
 @fault
 async def delay(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """Everything to and from one instance is late."""
-    relay = site.chance.choice(site.instances).relay
-    relay.delay_s = site.chance.uniform(0.05, 0.5)
-    await _pause(site, 1.0, 4.0)
+    relay = chance.choice(site.instances).relay
+    relay.delay_s = chance.uniform(0.05, 0.5)
+    await _pause(chance, 1.0, 4.0)
     relay.delay_s = 0.0
 
 
 @fault
 async def reset(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """The connections to one instance are closed, several times."""
-    relay = site.chance.choice(site.instances).relay
-    for _ in range(site.chance.randint(1, 5)):
+    relay = chance.choice(site.instances).relay
+    for _ in range(chance.randint(1, 5)):
         relay.drop()
-        await _pause(site, 0.05, 0.5)
+        await _pause(chance, 0.05, 0.5)
 
 
 @fault
-async def mood(site: soak_site.Site, operator: soak_operator.Operator) -> None:
+async def mood(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
     """One instance fails some requests in one way."""
-    instance = site.chance.choice(site.instances)
-    instance.mood = site.chance.choice(backend.MOODS)
-    await _pause(site, 1.0, 5.0)
+    instance = chance.choice(site.instances)
+    instance.mood = chance.choice(backend.MOODS)
+    await _pause(chance, 1.0, 5.0)
     instance.mood = ''
 
 
 @fault
 async def replace_instance(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """One instance drains and goes; another one comes before."""
     ready = [one for one in site.instances if one.state == 'ready']
-    instance = site.chance.choice(ready)
+    instance = chance.choice(ready)
     await site.add_instance(instance.service)
-    await _pause(site, 0.1, 1.0)
+    await _pause(chance, 0.1, 1.0)
     instance.state = 'draining'
     site.tell()
     at = asyncio.get_running_loop().time()
@@ -223,12 +248,14 @@
 
 @fault
 async def crash_instance(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """One instance is gone at once; the list says so later."""
-    instance = site.chance.choice(site.instances)
+    instance = chance.choice(site.instances)
     await instance.stop()
-    await _pause(site, 0.5, 3.0)
+    await _pause(chance, 0.5, 3.0)
     if instance in site.instances:
         site.instances.remove(instance)
     await site.add_instance(instance.service)
@@ -236,33 +263,43 @@
 
 @fault
 async def list_fails(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """The platform's list answers with errors."""
     site.list_answers = False
     with _disturbed(site, *(node.name for node in site.nodes)):
-        await _pause(site, 0.5, 4.0)
+        await _pause(chance, 0.5, 4.0)
     site.list_answers = True
 
 
 @fault
 async def storm(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """Configurations come in quick succession."""
-    for _ in range(site.chance.randint(3, 15)):
+    for _ in range(chance.randint(3, 15)):
         await operator.change()
 
 
 @fault
-async def race(site: soak_site.Site, operator: soak_operator.Operator) -> None:
+async def race(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
     """Two operators send the same version."""
     await operator.race()
 
 
 @fault
 async def invalid(
-    site: soak_site.Site, operator: soak_operator.Operator
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
 ) -> None:
     """A configuration that cannot be right is sent."""
     await operator.send_invalid()
