--- a/features/steps/filing_steps.py
+++ b/features/steps/filing_steps.py
@@ -8,9 +8,9 @@
 
 import behave
 
-from features.steps import control_steps
 from features.steps import fleet_steps
 from features.support import calls
+from features.support import control
 from honeyport.control import claims
 
 _FINAL_S = 12.0
@@ -200,7 +200,7 @@
 async def claimed(context):
     """Whether control holds a claim."""
     world = context.world
-    name = await control_steps.leader(world)
+    name = await control.leader(world)
     for line in await metrics_of(world, name):
         if line.startswith('honeyport_control_claims '):
             return float(line.split()[1]) >= 1
@@ -282,7 +282,7 @@
 
 async def storm_leader(context, count):
     world = context.world
-    name = await control_steps.leader(world)
+    name = await control.leader(world)
     sends = [
         asyncio.ensure_future(
             file(context, world.routers[number % 3], calls.new_key())
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -10,6 +10,7 @@
 from features.steps import control_steps
 from features.steps import fleet_steps
 from features.support import calls
+from features.support import control
 from honeyport.backend import http
 from honeyport import local
 
@@ -100,7 +101,7 @@
 async def roll_kill(context, version):
     world = context.world
     world.model['version'] = version
-    name = await control_steps.leader(world)
+    name = await control.leader(world)
     await world.roll()
     await world.until(lambda: loads(world), 'the first load begins')
     await world.kill(name)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -256,8 +256,7 @@
     instance = chance.choice(site.instances)
     await instance.stop()
     await _pause(chance, 0.5, 3.0)
-    if instance in site.instances:
-        site.instances.remove(instance)
+    await site.remove_instance(instance)
     await site.add_instance(instance.service)
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -79,8 +79,12 @@
         return instance
 
     async def remove_instance(self, instance: backend.Instance) -> None:
-        """End an instance and take it off the list."""
-        self.instances.remove(instance)
+        """End an instance and take it off the list.
+
+        Another fault may have ended it already.
+        """
+        if instance in self.instances:
+            self.instances.remove(instance)
         self.tell()
         await instance.stop()
 
