Places are part of the replicated state

Cause: a new leader took places from the list that its own gateway had, and after a loss of all processes there is none: every prefix was hashed anew over instance names, and what instances kept was read again. A place whose holder was gone from the list for one reading was lost, too, so an instance that crashed and came back under another name moved prefixes twice.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -25,6 +25,36 @@
     And another replica leads and reads a, b, d
     Then d has the place of c
 
+  Scenario: an instance that crashed comes back under another name
+    Given a catalog that has read the instances a, b, c
+    When it reads a, b
+    And 20 seconds pass
+    And it reads a, b, d
+    Then d has the place of c
+
+  Scenario: a loss of all processes after a few replacements
+    Given a catalog that has read the instances a, b, c
+    When it reads a, b, d
+    And it reads a, e, d
+    And all processes start anew and one reads a, d, e
+    Then a has the place of a
+    And d has the place of c
+    And e has the place of b
+
+  Scenario: places that the log did not take are written later
+    Given a catalog that has read the instances a, b, c
+    When the log takes no entries
+    And it reads a, b, d
+    Then d has the place of c
+    When the log takes entries again
+    And all processes start anew and one reads a, b, d
+    Then d has the place of c
+
+  Scenario: places of instances that are gone for good are dropped
+    Given a catalog that has read the instances a, b, c
+    When instances a1 to a20 come one after the other
+    Then 6 places are kept at the most
+
   Scenario: the list cannot be read for a while
     Given a catalog that has read the instances a, b, c
     When it cannot read the list
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -2,21 +2,33 @@
 
 import asyncio
 
-import attrs
 import behave
 
 from features.support import simulation
 from honeyport.control import catalog
+from honeyport.control import machine
 from honeyport import errors
 from honeyport.wire import honeyport_pb2 as pb
 
+# Longer than a change of places waits, shorter than between two readings.
+_RECORDED_S = 0.5
+
 
-@attrs.define
 class _Leader:
     """A control replica that leads, as far as the catalog sees it."""
 
-    term: int = 1
-    leads: bool = True
+    leads = True
+
+    def __init__(self, term: int = 1) -> None:
+        self.term = term
+        self.machine = machine.Machine()
+        self.is_sound = True  # whether its log takes entries
+
+    async def propose(self, command):
+        """Commit a change of places at once."""
+        if not self.is_sound:
+            raise errors.CommitUnknown('no quorum')
+        return self.machine.apply(pb.Entry(places=command))
 
 
 class Setting:
@@ -26,14 +38,20 @@
         self.loop = simulation.VirtualLoop()
         self.listed: list[pb.Instance] | None = []
         self.node = _Leader()
-        self.known = pb.Instances()
         self.lead()
 
     def lead(self) -> None:
-        """Begin a leadership that knows the list of the one before."""
-        self.catalog = catalog.Catalog(
-            self.node, self._read, lambda: self.known
+        """Begin a leadership."""
+        self.catalog = catalog.Catalog(self.node, self._read)
+
+    def start_anew(self) -> None:
+        """Begin with nothing but what a snapshot keeps."""
+        kept = pb.State.FromString(
+            self.node.machine.save().SerializeToString()
         )
+        self.node = _Leader(term=self.node.term + 1)
+        self.node.machine.restore(kept)
+        self.lead()
 
     def read(self, names: str, leaving: str = '') -> None:
         """Read a list of instances once."""
@@ -44,15 +62,16 @@
         self.look()
 
     def look(self) -> None:
-        """Read the list as it is."""
+        """Read the list as it is, and let places be recorded."""
         self.loop.run_until_complete(self._look())
-        self.known = self.catalog.latest
 
     async def _look(self) -> None:
-        task = asyncio.create_task(self.catalog.run())
-        await asyncio.sleep(0.01)
-        task.cancel()
-        await asyncio.wait([task])
+        reading = asyncio.create_task(self.catalog.run())
+        recording = asyncio.create_task(self.catalog.record())
+        await asyncio.sleep(_RECORDED_S)
+        for task in (reading, recording):
+            task.cancel()
+        await asyncio.wait([reading, recording])
 
     async def _read(self) -> list[pb.Instance]:
         if self.listed is None:
@@ -87,12 +106,36 @@
 
 
 @behave.when('another replica leads and reads {names}')
+@behave.when('all processes start anew and one reads {names}')
 def step_lead(context, names):
-    context.catalog.node = _Leader(term=2)
-    context.catalog.lead()
+    context.catalog.start_anew()
     context.catalog.read(names)
 
 
+@behave.when('the log takes no entries')
+def step_unsound(context):
+    context.catalog.node.is_sound = False
+
+
+@behave.when('the log takes entries again')
+def step_sound(context):
+    context.catalog.node.is_sound = True
+    context.catalog.look()
+
+
+@behave.when('instances a{first:d} to a{last:d} come one after the other')
+def step_turnover(context, first, last):
+    for number in range(first, last + 1):
+        context.catalog.read(f'a{number}, a{number + 1}, a{number + 2}')
+        context.catalog.loop.run_until_complete(asyncio.sleep(5))
+
+
+@behave.then('{count:d} places are kept at the most')
+def step_kept(context, count):
+    places = context.catalog.node.machine.places
+    assert len(places) <= count, places
+
+
 @behave.when('it cannot read the list')
 def step_unreadable(context):
     context.catalog.listed = None
--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -4,17 +4,19 @@
 routers' streams carry every change. How a list is read is an extension
 point: a source is an awaitable that returns all instances.
 
-Every instance has a place, and prefixes are hashed over places. A place
-is named after the first instance that held it, so that all leaders agree
-on it without any memory; an instance that replaces another takes over its
-place, so that prefixes move once, and only those of the one that went.
+Every instance has a place (:mod:`honeyport.policy.places`). Places are part
+of the replicated state, so they outlive a loss of all processes. The routers
+get them at once and the log a moment later: a slow disk must not hold up the
+word that an instance leaves.
 """
 
 import asyncio
 import collections.abc
 
+from honeyport.control import machine
 from honeyport.control import replica
 from honeyport import errors
+from honeyport.policy import places
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
@@ -23,9 +25,9 @@
 # sign that an instance leaves and its last request (3 s).
 PERIOD_S = 0.9
 _TERM_SHIFT = 24  # as for views: ordered across leaders
-# How long a newcomer waits for the place of one that leaves, in seconds:
-# a replacement starts a second or two before its predecessor leaves.
-_SETTLE_S = 3.0
+# Between two looks at whether places have changed, in seconds: far below the
+# time between two changes of the list, and each look is a comparison.
+_RECORD_S = 0.2
 
 Source = collections.abc.Callable[
     [], collections.abc.Awaitable[list[pb.Instance]]
@@ -36,19 +38,13 @@
     """The latest list; soft state of the leader.
 
     :param source: reads the platform's list
-    :param known: returns the last list that the former leader sent
     """
 
-    def __init__(
-        self,
-        node: replica.Replica,
-        source: Source,
-        known: collections.abc.Callable[[], pb.Instances],
-    ) -> None:
+    def __init__(self, node: replica.Replica, source: Source) -> None:
         self._node = node
         self._source = source
-        self._known = known
-        self._first_seen: dict[str, float] = {}
+        self._assigner: places.Assigner | None = None
+        self._is_unsaved = False
         self._latest = pb.Instances()
         self._counter = 0
         self._readable = True
@@ -66,8 +62,36 @@
                 await asyncio.sleep(PERIOD_S)
             else:
                 self._latest = pb.Instances()
+                self._assigner = None
                 await asyncio.sleep(0.1)
 
+    async def record(self) -> None:
+        """Write changed places to the log while this replica leads."""
+        while True:
+            await asyncio.sleep(_RECORD_S)
+            if not self._is_unsaved or self._assigner is None:
+                continue
+            self._is_unsaved = False
+            change = self._assigner.change_from(self._node.machine.places)
+            if not change.is_empty:
+                await self._propose(change)
+
+    async def _propose(self, change: places.Change) -> None:
+        """Commit a change of places; one that fails comes again."""
+        try:
+            await self._node.propose(machine.place_change(change))
+        except errors.HoneyportError as error:
+            self._is_unsaved = True
+            logs.emit(
+                events.PLACES_UNSAVED, code=error.code, detail=error.detail
+            )
+            return
+        logs.emit(
+            events.PLACES_CHANGED,
+            put={place: one.holder for place, one in change.put.items()},
+            removed=change.removed,
+        )
+
     async def _read(self) -> None:
         try:
             found = await self._source()
@@ -83,6 +107,7 @@
         self._place(found)
         if self._latest.number and list(self._latest.instances) == found:
             return
+        self._is_unsaved = True
         self._counter += 1
         number = (self._node.term << _TERM_SHIFT) + self._counter
         self._latest = pb.Instances(number=number, instances=found)
@@ -94,37 +119,11 @@
         )
 
     def _place(self, found: list[pb.Instance]) -> None:
-        """Give each instance the place it had, or one that is free."""
-        before = self._latest if self._latest.number else self._known()
+        """Give each instance its place."""
+        if self._assigner is None:
+            self._assigner = places.Assigner(self._node.machine.places)
+        seen = [places.Seen(one.id, one.service, one.leaving) for one in found]
         now = asyncio.get_running_loop().time()
-        self._first_seen = {
-            one.id: self._first_seen.get(one.id, now) for one in found
-        }
-        former: dict[str, list[pb.Instance]] = {}
-        for one in before.instances:
-            former.setdefault(one.service, []).append(one)
-        members: dict[str, list[pb.Instance]] = {}
+        given = self._assigner.assign(seen, now)
         for one in found:
-            members.setdefault(one.service, []).append(one)
-        for service, listed in members.items():
-            self._fill(listed, former.get(service, []), now)
-
-    def _fill(
-        self,
-        members: list[pb.Instance],
-        former: list[pb.Instance],
-        now: float,
-    ) -> None:
-        """Give places to the members of one service."""
-        places = {one.id: one.place for one in former}
-        for one in members:
-            one.place = places.get(one.id, '')
-        held = {one.place for one in members if not one.leaving}
-        free = sorted({one.place for one in former} - held - {''})
-        for one in members:
-            if one.place or one.leaving:
-                continue
-            if free:
-                one.place = free.pop(0)
-            elif not former or now - self._first_seen[one.id] >= _SETTLE_S:
-                one.place = one.id
+            one.place = given.get(one.id, '')
--- a/src/honeyport/control/durable.py
+++ b/src/honeyport/control/durable.py
@@ -26,6 +26,7 @@
     pb.ClaimBatch: 'claims',
     pb.Empty: 'empty',
     pb.ReplaceBundle: 'replace',
+    pb.PlaceChange: 'places',
 }
 
 
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -1,5 +1,6 @@
 """The replicated state: what committed log entries add up to."""
 
+import collections.abc
 import json
 import typing
 import zlib
@@ -8,6 +9,7 @@
 
 from honeyport.bundle import entries as bundle_entries
 from honeyport.control import claims
+from honeyport.policy import places
 from honeyport.wire import honeyport_pb2 as pb
 
 _HISTORY = 1000
@@ -40,6 +42,7 @@
         self._accepted = Accepted()
         self._history: dict[int, str] = {}
         self._claims = claims.Claims()
+        self._places: dict[str, places.Holding] = {}
 
     @property
     def accepted(self) -> Accepted:
@@ -56,6 +59,11 @@
         """The claims."""
         return self._claims
 
+    @property
+    def places(self) -> places.Holdings:
+        """Which instance keeps which prefixes, the latest given last."""
+        return self._places
+
     def apply(self, entry: pb.Entry) -> Result:
         """Apply an entry; return what its proposer wants to know."""
         kind = entry.WhichOneof('command')
@@ -65,6 +73,8 @@
             return self._replace(entry.replace)
         if kind == 'claims':
             return self._claims.apply(entry.claims)
+        if kind == 'places':
+            return self._change_places(entry.places)
         return None
 
     def save(self) -> pb.State:
@@ -79,6 +89,7 @@
         )
         for version, digest in self._history.items():
             state.receipts.add(version=version, digest=digest)
+        state.places.extend(_holdings(self._places))
         self._claims.save(state)
         return state
 
@@ -94,6 +105,7 @@
         self._history = {
             receipt.version: receipt.digest for receipt in state.receipts
         }
+        self._places = _by_place(state.places)
         self._claims.restore(state)
 
     def _accept(self, command: pb.AcceptBundle) -> bool:
@@ -139,7 +151,32 @@
         self._remember(command.version, digest)
         return True
 
+    def _change_places(self, command: pb.PlaceChange) -> None:
+        for place in (*command.removed, *(one.place for one in command.put)):
+            self._places.pop(place, None)
+        self._places |= _by_place(command.put)
+
     def _remember(self, version: int, digest: str) -> None:
         self._history[version] = digest
         while len(self._history) > _HISTORY:
             del self._history[next(iter(self._history))]
+
+
+def place_change(change: places.Change) -> pb.PlaceChange:
+    """Return the command that changes places."""
+    return pb.PlaceChange(put=_holdings(change.put), removed=change.removed)
+
+
+def _holdings(found: places.Holdings) -> list[pb.Holding]:
+    return [
+        pb.Holding(place=place, service=one.service, holder=one.holder)
+        for place, one in found.items()
+    ]
+
+
+def _by_place(
+    found: collections.abc.Iterable[pb.Holding],
+) -> dict[str, places.Holding]:
+    return {
+        one.place: places.Holding(one.service, one.holder) for one in found
+    }
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -90,7 +90,7 @@
         )
         desk = None
         if self._boot.replica:
-            desk = await self._start_control(gateway, tree)
+            desk = await self._start_control(tree)
         parts = pages.Parts(
             settings=self._boot,
             gateway=gateway,
@@ -128,9 +128,7 @@
                 self.reload()
 
     async def _start_control(
-        self,
-        gateway: gateway_daemon.Gateway,
-        tree: supervisor.Supervisor,
+        self, tree: supervisor.Supervisor
     ) -> replacement.Desk:
         settings = roles.Control(
             name=self._boot.internal,
@@ -146,13 +144,12 @@
         )
         parts = group.create(settings, tree, self._counters)
         listed = catalog.Catalog(
-            parts.node,
-            listing.source(self._boot.backend_list),
-            lambda: gateway.state.instances,
+            parts.node, listing.source(self._boot.backend_list)
         )
         parts.routers.follow(lambda: listed.latest)
         await group.start(parts, settings, tree)
         tree.task('instances', listed.run)
+        tree.task('places', listed.record)
         return replacement.Desk(parts.node)
 
 
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -107,6 +107,15 @@
 LIST_REGAINED = define(
     2403, 'list_regained', 'info', "The platform's list is read again."
 )
+PLACES_CHANGED = define(
+    2404, 'places_changed', 'info', 'The log has which instance keeps what.'
+)
+PLACES_UNSAVED = define(
+    2405,
+    'places_unsaved',
+    'warning',
+    'A change of places was not committed; it is tried again.',
+)
 VIEW_CHANGED = define(2201, 'view_changed', 'info', 'Routers came or went.')
 ROUTER_EXPIRED = define(
     2202, 'router_expired', 'warning', 'A router let its lease lapse.'
