How long callers keep a list depends on who has been leaving

Ruled out: 5 s always (tried before: worse while gateways are restarted one after the other, callers come to gateways that have left); 0.4 s and 2.5 s.

Change: policy/addresses.py; lists live 5 s, and 1 s while a gateway leaves in an orderly way and 6 s after; control tells who is leaving.

--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -98,7 +98,12 @@
                 router.member
                 for router in self.routers
                 if not router.silent and not router.member.leaving
-            ]
+            ],
+            leaving=[
+                router.member.router
+                for router in self.routers
+                if router.member.leaving
+            ],
         )
 
     def replicas(self) -> dict[str, str]:
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -10,6 +10,7 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
 from honeyport.gateway import server
+from honeyport.policy import addresses
 from honeyport.router import fleetstate
 from honeyport.router import session
 from honeyport.settings import roles
@@ -67,6 +68,7 @@
             counters,
         )
         self._version = 0
+        self._lifetime = addresses.Lifetime()
         self._expose(counters)
 
     @property
@@ -88,6 +90,13 @@
             return 'no configuration yet'
         return '' if self._state.lease_left > 0 else 'cut off from control'
 
+    @property
+    def list_lifetime_s(self) -> float:
+        """How long callers may keep a list of gateways, in seconds."""
+        now = asyncio.get_running_loop().time()
+        self._lifetime.note(self._state.departing, now)
+        return self._lifetime.seconds(now)
+
     def seek(self, control: tuple[str, ...]) -> None:
         """Look for control at other addresses from now on."""
         self._session.seek(control)
@@ -124,6 +133,8 @@
 
     def take_news(self) -> None:
         """Bring choice, connections and limits in line with the state."""
+        now = asyncio.get_running_loop().time()
+        self._lifetime.note(self._state.departing, now)
         usable = self._balancer.regard(
             self._state.instances, self._state.residuals
         )
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -16,18 +16,15 @@
 
 from honeyport.control import replacement
 from honeyport import errors
-from honeyport.gateway import addresses
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport.platform import boot
 from honeyport.platform import configuration
+from honeyport.policy import addresses
 from honeyport.settings import roles
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
 
-# Short, so that few callers come with the address of an instance that is
-# gone; some keep a list three times as long.
-_TTL_S = 1.0
 _LARGEST_BYTES = 32 * 1024 * 1024
 
 
@@ -84,7 +81,7 @@
     found = addresses.choose(parts.gateway.state.present, domain)
     if not found:
         raise errors.NotReady('no gateway is known', retry_after=1.0)
-    ttl_s = min(_TTL_S, parts.settings.ttl_s)
+    ttl_s = min(parts.gateway.list_lifetime_s, parts.settings.ttl_s)
     return _json({'addresses': found, 'ttl_s': ttl_s})
 
 
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -61,6 +61,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._instances = pb.Instances()
         self._present: list[pb.Member] = []
+        self._departing: list[str] = []
 
     @property
     def version(self) -> int:
@@ -113,6 +114,11 @@
         """The routers that callers may be sent to."""
         return self._present
 
+    @property
+    def departing(self) -> list[str]:
+        """The names of the routers that leave in an orderly way."""
+        return self._departing
+
     @property
     def instances(self) -> pb.Instances:
         """The latest list of the backend servers' instances."""
@@ -305,6 +311,7 @@
     def apply_presence(self, presence: pb.Presence) -> None:
         """Take the routers that callers may be sent to."""
         self._present = list(presence.members)
+        self._departing = list(presence.leaving)
 
     def apply_instances(self, instances: pb.Instances) -> None:
         """Take a list of instances, if it is newer."""
