honeyport losses: where requests and time were lost, from logs alone

Change: a verb that sums up ends of requests by second, route and instance, and names the reason of each that was not served and the stage that made each slow one slow. explain and losses read lines with the same module.

--- a/features/steps/telemetry_steps.py
+++ b/features/steps/telemetry_steps.py
@@ -10,6 +10,7 @@
 from honeyport import errors
 from honeyport.telemetry import events
 from honeyport.telemetry import explain
+from honeyport.telemetry import losses
 from honeyport.telemetry import output
 
 
@@ -94,3 +95,65 @@
 def step_names(context):
     names = [event.name for event in events.catalogue()]
     assert len(names) == len(set(names))
+
+
+# -- losses --------------------------------------------------------------
+
+
+def _end(event, **fields):
+    """Return the line of a request's end."""
+    return json.dumps(
+        {
+            'instance': 'edge-1',
+            'timestamp': '2026-12-02T17:00:00+00:00',
+            'event': event,
+            'route': 'yard',
+            **fields,
+        }
+    )
+
+
+@behave.given(
+    'a log line of a request whose first byte came after {first:d} ms'
+)
+def step_slow(context, first):
+    context.fields = {'first_ms': first, 'backend': 'i-1', 'source': 'i-2'}
+
+
+@behave.given(
+    'of that it waited {waited:d} ms and connected for {connect:d} ms'
+)
+def step_of_that(context, waited, connect):
+    stages = {'waited_ms': waited, 'connect_ms': connect, 'offers': 1}
+    context.logs = [[_end('request_served', **context.fields, **stages)]]
+
+
+@behave.given(
+    'log lines of {served:d} requests that were served, and {refused:d} that '
+    'were refused'
+)
+def step_ends(context, served, refused):
+    lines = [_end('request_served', first_ms=20.0)] * served
+    lines += [_end('request_refused', code='HP-3005')] * refused
+    context.logs = [lines, ['no line of ours', '{"json": "of another"}']]
+
+
+@behave.when('losses over {slow:d} ms are summed up')
+def step_losses(context, slow):
+    context.losses = losses.gather(context.logs, slow)
+
+
+@behave.then('the reason for the slow request is "{stage}"')
+def step_stage(context, stage):
+    assert context.losses.stages == {stage: 1}, context.losses
+
+
+@behave.then('one second has {served:d} served and {refused:d} refused')
+def step_second(context, served, refused):
+    (found,) = context.losses.seconds.values()
+    assert (found['served'], found['refused']) == (served, refused), found
+
+
+@behave.then('the reason for the refused ones is "{reason}"')
+def step_reason(context, reason):
+    assert list(context.losses.reasons) == [reason], context.losses
--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -168,6 +168,16 @@
 
         return explain.run(str(request), logs, ahead)
 
+    def losses(self, *logs: str, slow_ms: float = 300.0) -> str:
+        """Sum up where requests and time were lost, from logs alone.
+
+        :param logs: log files; standard input if there are none
+        :param slow_ms: after how many milliseconds a first byte is slow
+        """
+        from honeyport.telemetry import losses
+
+        return losses.run(logs, slow_ms)
+
     def reference(self, folder: str) -> str:
         """Write the reference pages from the code into a folder."""
         from honeyport import reference
--- a/src/honeyport/telemetry/explain.py
+++ b/src/honeyport/telemetry/explain.py
@@ -6,15 +6,13 @@
 """
 
 import collections.abc
-import contextlib
 import datetime
-import json
-import sys
 import typing
 
 import attrs
 
 from honeyport import errors
+from honeyport.telemetry import lines
 
 _REQUEST = 'request'
 # What every line has; the rest is what decided.
@@ -61,11 +59,11 @@
     return found
 
 
-def render(lines: list[Line]) -> str:
+def render(found: list[Line]) -> str:
     """Return a timeline as text, times from its first line on."""
-    first = lines[0].at
+    first = found[0].at
     rows = []
-    for line in lines:
+    for line in found:
         since_s = (line.at - first).total_seconds()
         detail = ' '.join(
             f'{name}={value}' for name, value in line.fields.items()
@@ -92,31 +90,20 @@
             raise errors.UsageInvalid(
                 f'{item!r}: expected INSTANCE=SECONDS'
             ) from None
-    with contextlib.ExitStack() as opened:
-        try:
-            sources = [
-                opened.enter_context(open(path, encoding='utf-8'))
-                for path in logs
-            ]
-        except OSError as error:
-            raise errors.UsageInvalid(str(error)) from None
-        found = timeline(request_id, sources or [sys.stdin], offsets)
+    with lines.opened(logs) as sources:
+        found = timeline(request_id, sources, offsets)
     return render(found)
 
 
 def _parse(text: str, request_id: str) -> Line | None:
-    start = text.find('{')
-    if start < 0 or request_id not in text:
+    if request_id not in text:
         return None
-    try:
-        values = json.loads(text[start:])
-        if values.get(_REQUEST) != request_id:
-            return None
-        return Line(
-            datetime.datetime.fromisoformat(values['timestamp']),
-            values.get('instance', ''),
-            values['event'],
-            {k: v for k, v in values.items() if k not in _COMMON},
-        )
-    except (ValueError, KeyError, AttributeError):
-        return None  # another program's line
+    values = lines.parse(text)
+    if values is None or values.get(_REQUEST) != request_id:
+        return None
+    return Line(
+        values['timestamp'],
+        values.get('instance', ''),
+        values['event'],
+        {k: v for k, v in values.items() if k not in _COMMON},
+    )
