The callers' socket is open before the program is imported

Cause: importing takes 0.35 s.

Ruled out: fewer imports (the largest, gRPC and asyncio, are needed at once).

Change: platform/early.py opens the port of the settings file with the standard library alone; the gateway takes it over. What cannot be opened is left to the start itself, which says why.

--- /dev/null
+++ b/features/steps/early_steps.py
@@ -0,0 +1,76 @@
+"""Steps about the socket that is opened before the program is imported."""
+
+import asyncio
+import os
+
+import behave
+
+from features.steps import gateway_steps
+from honeyport.platform import early
+from honeyport.settings import roles
+
+_VARIABLE = 'HONEYPORT_BOOT'
+_TAKEN = '192.0.2.1:80'  # of a network that no machine here is part of
+_FAULTS = {
+    "has no callers' address": 'zone=thu-duc\n',
+    'has an address of others': f'listen.frontend={_TAKEN}\n',
+}
+
+
+def open_early(context, text):
+    """Open the socket that a settings file names."""
+    path = context.folder / 'boot'
+    if text is not None:
+        path.write_text(text)
+    os.environ[_VARIABLE] = str(path)
+    early.listen()
+
+
+@behave.given('a gateway that is about to start')
+def step_about(context):
+    context.setting = gateway_steps.Setting(['answer'])
+
+
+@behave.when('its socket is opened early, and a caller sends a request')
+def step_open_send(context):
+    address = context.setting.address
+    open_early(context, f'zone=thu-duc\nlisten.frontend={address}\n')
+
+    async def send():
+        reader, writer = await asyncio.open_connection(*roles.split(address))
+        writer.write(gateway_steps.request())
+        return reader, writer
+
+    context.reader, context.writer = context.run(send())
+
+
+@behave.when('the gateway starts on that socket')
+def step_start(context):
+    setting = context.setting
+
+    async def start():
+        opened = early.take(setting.address)
+        assert opened is not None
+        await setting.begin(opened)
+        setting.allow('idempotent')
+        context.got = await gateway_steps.read(context.reader)
+        context.writer.close()
+
+    context.run(start())
+    context.to_stop.append(setting.stop)
+
+
+@behave.given('a settings file that {fault}')
+def step_fault(context, fault):
+    context.text = _FAULTS.get(fault)
+
+
+@behave.when('its socket is opened early')
+def step_open(context):
+    open_early(context, context.text)
+
+
+@behave.then('there is none')
+def step_none(context):
+    assert early.take(_TAKEN) is None
+    assert early.take('') is None
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -11,12 +11,11 @@
 from features.support import instances
 from honeyport.bundle import entries as bundle_entries
 from honeyport.bundle import model
-from honeyport.gateway import affinity
 from honeyport.gateway import balancer
-from honeyport.gateway import budget
 from honeyport.gateway import daemon as gateway_daemon
-from honeyport.gateway import headers as gateway_headers
 from honeyport import local
+from honeyport.policy import prefixes
+from honeyport.policy import repeats
 from honeyport.settings import roles
 from honeyport import supervisor
 from honeyport.telemetry import metrics
@@ -60,7 +59,7 @@
             ),
             _NAMES,
             gateway_daemon.Leaving(refuse_s=0.2, stop_s=2.0),
-            budget.Allowance(extra=extra),
+            repeats.Allowance(extra=extra),
             metrics.Metrics(),
         )
         self.tree = supervisor.Supervisor('g-1')
@@ -71,11 +70,11 @@
         await self.begin()
         self.allow(kind)
 
-    async def begin(self) -> None:
+    async def begin(self, opened=None) -> None:
         """Start everything; the gateway knows nothing yet."""
         for instance in self.instances:
             await instance.start()
-        await self.gateway.start(self.tree)
+        await self.gateway.start(self.tree, opened)
 
     def allow(self, kind: str) -> None:
         """Tell the gateway what it needs for serving."""
@@ -329,9 +328,9 @@
     context.places = [f'place-{number}' for number in range(count)]
     context.prompts = [
         (
-            gateway_headers.Part(f'lead-{number % 4}', 2500),
-            gateway_headers.Part(f'subject-{number}', 6000),
-            gateway_headers.Part(f'own-{number}', 500),
+            prefixes.Part(f'lead-{number % 4}', 2500),
+            prefixes.Part(f'subject-{number}', 6000),
+            prefixes.Part(f'own-{number}', 500),
         )
         for number in range(subjects)
     ]
@@ -341,8 +340,8 @@
 def step_moves(context):
     lost = context.places[0]
     for parts in context.prompts:
-        before = affinity.order(parts, context.places)[0]
-        after = affinity.order(parts, context.places[1:])[0]
+        before = prefixes.order(parts, context.places)[0]
+        after = prefixes.order(parts, context.places[1:])[0]
         assert after == before or before == lost, (before, after)
 
 
@@ -379,8 +378,8 @@
         *roles.split(setting.address)
     )
     try:
-        writer.write(_request(key, path, host, limit_ms=limit_ms))
-        return await _read(reader)
+        writer.write(request(key, path, host, limit_ms=limit_ms))
+        return await read(reader)
     finally:
         writer.close()
 
@@ -391,24 +390,29 @@
     )
     found = []
     for number in range(count):
-        writer.write(_request(_KEY, '/r/x', _HOST, f'q-{number}'))
-        found.append(await _read(reader))
+        writer.write(request(_KEY, '/r/x', _HOST, f'q-{number}'))
+        found.append(await read(reader))
     writer.close()
     return found
 
 
 async def _leave(setting: Setting) -> None:
     _, writer = await asyncio.open_connection(*roles.split(setting.address))
-    writer.write(_request(_KEY, '/r/x', _HOST))
+    writer.write(request(_KEY, '/r/x', _HOST))
     async with asyncio.timeout(_SOON_S):
         while not setting.script.arrivals:
             await asyncio.sleep(0.01)
     writer.close()
 
 
-def _request(
-    key: str, path: str, host: str, name: str = 'q-1', limit_ms: int = 5000
+def request(
+    key: str = _KEY,
+    path: str = '/r/x',
+    host: str = _HOST,
+    name: str = 'q-1',
+    limit_ms: int = 5000,
 ) -> bytes:
+    """Return the bytes of a caller's request."""
     return (
         f'POST {path} HTTP/1.1\r\nHost: {host}\r\n'
         f'Authorization: Bearer {key}\r\n'
@@ -419,7 +423,8 @@
     ).encode()
 
 
-async def _read(reader: asyncio.StreamReader) -> _Got:
+async def read(reader: asyncio.StreamReader) -> _Got:
+    """Return what a caller gets."""
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
     line, *rest = head.strip().split('\r\n')
     headers = dict(one.split(': ', 1) for one in rest)
--- a/launch.py
+++ b/launch.py
@@ -5,6 +5,10 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent / 'src'))
 
+from honeyport.platform import early  # noqa: E402
+
+early.listen()
+
 from honeyport.platform import node  # noqa: E402
 
 node.main()
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -1,6 +1,7 @@
 """A gateway as part of a process."""
 
 import asyncio
+import socket
 
 import attrs
 
@@ -115,10 +116,20 @@
         """Look for control at other addresses from now on."""
         self._session.seek(control)
 
-    async def start(self, tree: supervisor.Supervisor) -> None:
-        """Start serving under a supervisor."""
-        host, port = roles.split(self._settings.listen)
-        self._entry.listen(host, port)
+    async def start(
+        self,
+        tree: supervisor.Supervisor,
+        opened: socket.socket | None = None,
+    ) -> None:
+        """Start serving under a supervisor.
+
+        :param opened: a listening socket on which callers may wait already
+        """
+        if opened is None:
+            host, port = roles.split(self._settings.listen)
+            self._entry.listen(host, port)
+        else:
+            self._entry.adopt(opened)
         self._gate.start()
         tree.on_stop('connections', self._close)
         tree.task('session', self._session.run)
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 import json
+import socket
 import typing
 
 from tornado import http1connection
@@ -64,6 +65,10 @@
         """Take connections."""
         self._server.listen(port, host)
 
+    def adopt(self, opened: socket.socket) -> None:
+        """Take connections from a socket that listens already."""
+        self._server.add_socket(opened)
+
     def limit(self, limits: model.RequestLimits) -> None:
         """Set what callers may send, and how long they may be idle."""
         parameters = self._server.conn_params
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -18,6 +18,7 @@
 from honeyport.gateway import budget
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport.platform import boot
+from honeyport.platform import early
 from honeyport.platform import listing
 from honeyport.platform import names
 from honeyport.platform import pages
@@ -99,7 +100,7 @@
         )
         for server in pages.serve(parts):
             tree.on_stop('pages', status.closer(server))
-        await gateway.start(tree)
+        await gateway.start(tree, early.take(self._boot.callers))
         tree.task('settings', self._watch_settings)
 
     def reload(self) -> None:
