--- a/src/honeyport/wire/channels.py
+++ b/src/honeyport/wire/channels.py
@@ -16,9 +16,7 @@
     *_OPTIONS,
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.min_reconnect_backoff_ms', 100),
-    # After a loss of all processes the first that is back waits for the last:
-    # of the time from there to a leader (0.15 s) this was the most.
-    ('grpc.max_reconnect_backoff_ms', 150),
+    ('grpc.max_reconnect_backoff_ms', 1000),
     ('grpc.keepalive_time_ms', 5000),
     ('grpc.keepalive_timeout_ms', 3000),
     ('grpc.enable_http_proxy', 0),
