An instance that leaves keeps its place under a new leader

Cause: the place of an instance that leaves is its successor's by then, and a new leader knew the successor's alone: gateways lost the one to copy from.

Change: a holding names the instance before, too.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -41,6 +41,13 @@
     And d has the place of c
     And e has the place of b
 
+  Scenario: an instance that leaves keeps its place over a loss of all processes
+    Given a catalog that has read the instances a, b, c
+    When it reads a, b, c, d, and c is leaving
+    And all processes start anew and one reads a, b, c, d, and c is leaving
+    Then c has the place of c
+    And d has the place of c
+
   Scenario: places that the log did not take are written later
     Given a catalog that has read the instances a, b, c
     When the log takes no entries
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -105,6 +105,14 @@
     context.catalog.loop.run_until_complete(asyncio.sleep(seconds))
 
 
+@behave.when(
+    'all processes start anew and one reads {names}, and {leaving} is leaving'
+)
+def step_lead_leaving(context, names, leaving):
+    context.catalog.start_anew()
+    context.catalog.read(names, leaving)
+
+
 @behave.when('another replica leads and reads {names}')
 @behave.when('all processes start anew and one reads {names}')
 def step_lead(context, names):
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -169,7 +169,12 @@
 
 def _holdings(found: places.Holdings) -> list[pb.Holding]:
     return [
-        pb.Holding(place=place, service=one.service, holder=one.holder)
+        pb.Holding(
+            place=place,
+            service=one.service,
+            holder=one.holder,
+            former=one.former,
+        )
         for place, one in found.items()
     ]
 
@@ -178,5 +183,6 @@
     found: collections.abc.Iterable[pb.Holding],
 ) -> dict[str, places.Holding]:
     return {
-        one.place: places.Holding(one.service, one.holder) for one in found
+        one.place: places.Holding(one.service, one.holder, one.former)
+        for one in found
     }
--- a/src/honeyport/policy/places.py
+++ b/src/honeyport/policy/places.py
@@ -24,10 +24,16 @@
 
 @attrs.frozen
 class Holding:
-    """A place and the instance that had it last."""
+    """Who has a place.
+
+    :ivar holder: the instance that had it last
+    :ivar former: the one before, which may still be leaving: its successor
+        copies prefixes from it, also after a loss of all our processes
+    """
 
     service: str
     holder: str
+    former: str = ''
 
 
 Holdings = collections.abc.Mapping[str, Holding]
@@ -64,6 +70,11 @@
     def __init__(self, holdings: Holdings) -> None:
         self._holdings = dict(holdings)
         self._places = {
+            holding.former: place
+            for place, holding in holdings.items()
+            if holding.former
+        }
+        self._places |= {
             holding.holder: place for place, holding in holdings.items()
         }
         self._first_seen: dict[str, float] = {}
@@ -120,8 +131,9 @@
             del self._holdings[place]
 
     def _give(self, place: str, one: Seen) -> None:
-        self._holdings.pop(place, None)  # the latest given stands last
-        self._holdings[place] = Holding(one.service, one.id)
+        before = self._holdings.pop(place, None)  # the latest stands last
+        former = before.holder if before else ''
+        self._holdings[place] = Holding(one.service, one.id, former)
         self._places[one.id] = place
 
     def _forget_successors(self) -> None:
