--- a/features/gateway/budget.feature
+++ b/features/gateway/budget.feature
@@ -22,3 +22,14 @@
     Given 9 gateways and an allowance of 0.2 and 58 more
     When each of them gets 30 requests, and one of them fails
     Then 9 requests are offered once more
+
+  Scenario: an instance crashes and all that ran there breaks at once
+    Given 10 gateways and an allowance of 0.2 and 60 more
+    When 86 requests a second come in for 12 seconds
+    And 52 streams break at once, 10 at one gateway
+    Then 52 requests are offered once more
+
+  Scenario: whatever fails and starts anew
+    Given 10 gateways and an allowance of 0.2 and 60 more
+    When random loads with failures and restarts are played 20 times
+    Then no window of the operators has more than the allowance
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -1,10 +1,13 @@
 """Steps about the allowance for offers beyond the first."""
 
+import random
+
 import behave
 
 from honeyport.policy import repeats
 
 _SERVICE = 'app'
+_WINDOW_S = 10.0
 
 
 @behave.given(
@@ -16,6 +19,7 @@
     context.budgets = make(context, count)
     context.requests = 0
     context.repeated = 0
+    context.now = 0.0
 
 
 @behave.when('each of them gets {count:d} requests, and all offers fail')
@@ -34,6 +38,84 @@
     context.budgets = make(context, len(context.budgets))
 
 
+@behave.when('{per_s:d} requests a second come in for {seconds:d} seconds')
+def step_load(context, per_s, seconds):
+    for number in range(per_s * seconds):
+        context.now += 1 / per_s
+        budgets = context.budgets[number % len(context.budgets)]
+        budgets.earn(_SERVICE, context.now)
+
+
+@behave.when('{count:d} streams break at once, {most:d} at one gateway')
+def step_break(context, count, most):
+    hit = [0] * most
+    others = len(context.budgets) - 1
+    hit += [1 + number % others for number in range(count - most)]
+    context.repeated = sum(
+        context.budgets[number].spend(_SERVICE, context.now) for number in hit
+    )
+
+
+@behave.when(
+    'random loads with failures and restarts are played {count:d} times'
+)
+def step_random(context, count):
+    context.over = []
+    for seed in range(count):
+        context.over += play(context, random.Random(seed))
+
+
+@behave.then('no window of the operators has more than the allowance')
+def step_no_window(context):
+    assert not context.over, context.over[:3]
+
+
+def play(context, chance):
+    """Play a minute of load; return the windows over the allowance."""
+    context.budgets = make(context, len(context.budgets))
+    sent, repeated = [], []
+    now = 0.0
+    per_s = chance.choice((5, 30, 90))
+    failing = restart = 0.0
+    while now < 60.0:
+        now += chance.expovariate(per_s)
+        if chance.random() < 0.002:
+            failing = now + chance.uniform(0.5, 8.0)
+        if chance.random() < 0.0005 and now - restart > _WINDOW_S / 2:
+            context.budgets = make(context, len(context.budgets))
+            restart = now
+        budgets = chance.choice(context.budgets)
+        budgets.earn(_SERVICE, now)
+        sent.append(now)
+        for _ in range(2):
+            if now < failing and budgets.spend(_SERVICE, now):
+                repeated.append(now)
+    return [
+        (at, found, most)
+        for at in (step * 0.5 for step in range(120))
+        if (found := within(repeated, at))
+        > (most := allowed(context, sent, at))
+    ]
+
+
+def within(times, begin):
+    """Return how many times lie in the window from a moment on."""
+    return sum(begin <= time < begin + _WINDOW_S for time in times)
+
+
+def allowed(context, sent, begin):
+    """Return what the operators allow in a window.
+
+    The requests are those of the window, of the one before, or of the one
+    half a window before, whichever has most.
+    """
+    most = max(
+        within(sent, begin - shift)
+        for shift in (0.0, _WINDOW_S / 2, _WINDOW_S)
+    )
+    return context.allowance.ratio * most + context.allowance.extra
+
+
 @behave.then('the offers beyond the first are within the allowance')
 def step_within(context):
     allowance = context.allowance
@@ -58,9 +140,9 @@
     """Send requests to each gateway; repeat those that fail if it may."""
     for budgets in context.budgets:
         for number in range(count):
-            budgets.earn(_SERVICE)
+            budgets.earn(_SERVICE, context.now)
             context.requests += 1
-            while fails(number) and budgets.spend(_SERVICE):
+            while fails(number) and budgets.spend(_SERVICE, context.now):
                 context.repeated += 1
                 if not number:
                     break
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -110,7 +110,7 @@
         match = table.find(request.host, request.path, request.api_key)
         timeout_s = match.route.timeout_ms / 1000
         service = routes.pick_service(match.route)
-        self._budgets.earn(service)
+        self._budgets.earn(service, request.received)
         return exchanges.Exchange(
             request,
             reply,
@@ -276,7 +276,8 @@
 
     def _spend(self, exchange: exchanges.Exchange) -> bool:
         """Take one more offer out of the allowance, if there is one."""
-        allowed = self._budgets.spend(exchange.service)
+        now = asyncio.get_running_loop().time()
+        allowed = self._budgets.spend(exchange.service, now)
         if not allowed:
             logs.emit(
                 events.ALLOWANCE_SPENT,
--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -17,6 +17,7 @@
 _GRACE_S = 8.0
 _RETRY_RATIO = 0.2
 _RETRY_EXTRA = 50.0  # below the least that a page names, 58
+_RETRY_WINDOW_S = 10.0
 _TTL_S = 5.0
 # Where metrics are served, as `deploy/system.toml` names it: the platform
 # draws all other ports anew each day. Usual for exporters of metrics.
@@ -46,6 +47,7 @@
     :ivar retry_ratio: arrivals beyond the first of each request that all of
         us together may cause at a service, as a share of its requests
     :ivar retry_extra: and so many more in each window that is counted
+    :ivar retry_window_s: the length of that window
     :ivar grace_s: from SIGTERM to SIGKILL
     :ivar ttl_s: longest time that callers keep an address list
     """
@@ -67,6 +69,7 @@
     revocation_s: float
     retry_ratio: float
     retry_extra: float
+    retry_window_s: float
     grace_s: float
     ttl_s: float
 
@@ -155,6 +158,9 @@
             retry_extra=self._number(
                 'bounds.retry_budget_extra', _RETRY_EXTRA
             ),
+            retry_window_s=self._number(
+                'bounds.budget_window_s', _RETRY_WINDOW_S
+            ),
             grace_s=self._number('bounds.grace_period_s', _GRACE_S),
             ttl_s=self._number('bounds.ttl_max_s', _TTL_S),
         )
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -85,7 +85,9 @@
                 refuse_s=_REFUSE_S, stop_s=self._boot.grace_s - _EXIT_S
             ),
             repeats.Allowance(
-                ratio=self._boot.retry_ratio, extra=self._boot.retry_extra
+                ratio=self._boot.retry_ratio,
+                extra=self._boot.retry_extra,
+                window_s=self._boot.retry_window_s,
             ),
             self._counters,
         )
