--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -39,6 +39,9 @@
     max_size=30,
 )
 
+# Places that one proposal of a history brings, so that some histories reach a
+# snapshot (every 12 entries).
+_PLACES = 6
 # A leader that stands for so long is not unseated by a candidate that stood
 # at the same time: an election timeout of these replicas.
 _LEADS_ON_S = 0.3
@@ -78,6 +81,7 @@
     await group.run_for(3)
     acknowledged = {}
     proposing = []
+    placing = []
     for number, (what, which) in enumerate(events):
         name = group.names[which % size]
         if what == 'kill':
@@ -97,17 +101,24 @@
             group.disks[name].full = what == 'fill'
         elif what == 'propose':
             proposing.append(asyncio.create_task(group.propose(f'e{number}')))
+            placing += [
+                asyncio.create_task(group.place(f'p{number}-{part}'))
+                for part in range(_PLACES)
+            ]
         await group.run_for(0.4)
     for found in await asyncio.gather(*proposing):
         if found is not None:
             version, digest = found
             known = acknowledged.setdefault(version, digest)
             assert known == digest
+    placed = await asyncio.gather(*placing)
     await group.settle()
     for node in group.nodes.values():
         kept = node.machine.history
         for version, digest in acknowledged.items():
             assert kept.get(version) == digest, (version, digest, kept)
+        lost = set(filter(None, placed)) - set(node.machine.places)
+        assert not lost, (lost, node.machine.places)
     await group.stop()
 
 
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -11,9 +11,11 @@
 import typing
 
 from features.support import power
+from honeyport.control import machine
 from honeyport.control import replica
 from honeyport.control import storage
 from honeyport import errors
+from honeyport.policy import places
 from honeyport.wire import honeyport_pb2 as pb
 
 _FOLDER = pathlib.Path('/data')
@@ -131,6 +133,20 @@
                 pass
         return None
 
+    async def place(self, name: str) -> str:
+        """Propose a place; return its name if that was acknowledged."""
+        change = places.Change({name: places.Holding('llm', name)}, ())
+        for node in list(self.nodes.values()):
+            if node.role != replica.LEADER:
+                continue
+            try:
+                async with asyncio.timeout(1.0):
+                    await node.propose(machine.place_change(change))
+                    return name
+            except (errors.HoneyportError, TimeoutError):
+                pass
+        return ''
+
     async def run_for(self, seconds: float) -> None:
         """Let time pass, observing all the while."""
         loop = asyncio.get_running_loop()
