Who waits for the first lease is decided by when it usually comes

Change: who can wait for the usual time (0.4 s) waits, 0.7 s at most, and gets its refusal 0.1 s before it leaves.

--- a/features/gateway/allowed.feature
+++ b/features/gateway/allowed.feature
@@ -16,10 +16,10 @@
 
   Scenario: a caller that cannot wait for the first lease is refused at once
     Given a gateway that has just started
-    When a caller with 400 ms sends a request, and the lease comes after 250 ms
+    When a caller with 300 ms sends a request, and the lease comes after 250 ms
     Then it gets 503, and 0 requests arrived
     And it has that within 100 ms
-    And it is told to come back in 500 to 700 ms
+    And it is told to come back in 300 to 400 ms
 
   Scenario: a first lease that is late does not hold a caller for long
     Given a gateway that has just started
--- a/src/honeyport/policy/admission.py
+++ b/src/honeyport/policy/admission.py
@@ -14,8 +14,13 @@
 import attrs
 
 # From a start to the first lease after a loss of all processes, in seconds:
-# 0.25 to 0.7 on machines of half a core, the last replica's start included.
-_FIRST_LEASE_S = 0.7
+# usually, and at the most (0.2 to 0.65 on machines of half a core, the start
+# of the last replica included). Who leaves before the first is refused.
+_USUAL_S = 0.4
+_LONGEST_S = 0.7
+# How long before it leaves a caller that waited gets its refusal, and when
+# one may come back that was refused shortly before the lease is due.
+_SOON_S = 0.1
 # When the first lease is later than that, there is no quorum yet; replicas
 # take about so long to come back one by one.
 _NO_QUORUM_S = 1.0
@@ -41,15 +46,18 @@
     :param until: when its caller leaves
     :returns: a time, or ``None`` if it is refused at once
     """
-    due = standing.started + _FIRST_LEASE_S
-    if standing.has_served or now >= due or until <= due:
+    last = standing.started + _LONGEST_S
+    if standing.has_served or now >= last:
         return None
-    return due
+    if until <= max(now, standing.started + _USUAL_S):
+        return None
+    return min(last, until - _SOON_S)
 
 
 def come_back_s(standing: Standing, now: float) -> float:
     """Return when a refused caller may come back, in seconds."""
     if standing.has_served:
         return _ELSEWHERE_S
-    due_s = standing.started + _FIRST_LEASE_S - now
-    return due_s if due_s > 0 else _NO_QUORUM_S
+    if now >= standing.started + _LONGEST_S:
+        return _NO_QUORUM_S
+    return max(_SOON_S, standing.started + _USUAL_S - now)
