--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -97,9 +97,7 @@
     @property
     def list_lifetime_s(self) -> float:
         """How long callers may keep a list of gateways, in seconds."""
-        now = asyncio.get_running_loop().time()
-        self._lifetime.note(self._state.departing, now)
-        return self._lifetime.seconds(now)
+        return self._lifetime.seconds(asyncio.get_running_loop().time())
 
     def addresses(self, domain: str) -> list[str]:
         """Return where a caller from a failure domain may connect."""
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -31,7 +31,8 @@
 from honeyport.telemetry import status
 
 _PATH_VARIABLE = 'HONEYPORT_BOOT'
-# Callers keep a list for a second, some of them for three.
+# Callers keep a list that they got while a gateway leaves for a second, some
+# of them for three; who has an older one is refused then, and goes elsewhere.
 _REFUSE_S = 3.3
 _WATCH_S = 2.0  # between two looks at the settings file
 _EXIT_S = 1.0  # before SIGKILL: time to close files and connections
--- a/src/honeyport/policy/retries.py
+++ b/src/honeyport/policy/retries.py
@@ -15,11 +15,6 @@
         self._most = most
         self._tokens = most
 
-    def limit(self, most: float) -> None:
-        """Save up so many at the most from now on."""
-        self._most = most
-        self._tokens = min(self._tokens, most)
-
     def earn(self) -> None:
         """Count a request."""
         self._tokens = min(self._most, self._tokens + self._share)
