--- /dev/null
+++ b/features/steps/choice_steps.py
@@ -0,0 +1,50 @@
+"""Steps about the choice among many instances."""
+
+import contextlib
+
+import behave
+
+from honeyport.gateway import balancer
+from honeyport.policy import prefixes
+from honeyport.wire import honeyport_pb2 as pb
+
+
+@behave.given('{count:d} instances and prompts with {subjects:d} subjects')
+def step_prompts(context, count, subjects):
+    context.places = [f'place-{number}' for number in range(count)]
+    context.prompts = [
+        (
+            prefixes.Part(f'lead-{number % 4}', 2500),
+            prefixes.Part(f'subject-{number}', 6000),
+            prefixes.Part(f'own-{number}', 500),
+        )
+        for number in range(subjects)
+    ]
+
+
+@behave.then('losing an instance moves only the subjects it had')
+def step_moves(context):
+    lost = context.places[0]
+    for parts in context.prompts:
+        before = prefixes.order(parts, context.places)[0]
+        after = prefixes.order(parts, context.places[1:])[0]
+        assert after == before or before == lost, (before, after)
+
+
+@behave.then('no instance is over its bound though one subject is hot')
+def step_bound(context):
+    async def place():
+        choice = balancer.Balancer('thu-duc')
+        listed = pb.Instances(number=1)
+        for place in context.places:
+            listed.instances.add(id=place, service='llm', place=place)
+        choice.regard(listed, {})
+        with contextlib.ExitStack() as held:
+            for _ in range(200):
+                found = choice.choose('llm', context.prompts[0], ())
+                held.enter_context(choice.hold(found.instance))
+            return dict(choice.running)
+
+    running = context.run(place())
+    mean = sum(running.values()) / len(context.places)
+    assert max(running.values()) <= 2 * mean + 3, running
--- a/features/steps/early_steps.py
+++ b/features/steps/early_steps.py
@@ -6,6 +6,7 @@
 import behave
 
 from features.steps import gateway_steps
+from features.support import caller
 from honeyport.platform import early
 from honeyport.settings import roles
 
@@ -38,7 +39,7 @@
 
     async def send():
         reader, writer = await asyncio.open_connection(*roles.split(address))
-        writer.write(gateway_steps.request())
+        writer.write(caller.request())
         return reader, writer
 
     context.reader, context.writer = context.run(send())
@@ -53,7 +54,7 @@
         assert opened is not None
         await setting.begin(opened)
         setting.allow('idempotent')
-        context.got = await gateway_steps.read(context.reader)
+        context.got = await caller.read(context.reader)
         context.writer.close()
 
     context.run(start())
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,20 +1,17 @@
 """Steps about the gateway, with instances that follow a script."""
 
 import asyncio
-import contextlib
 import json
 import zlib
 
-import attrs
 import behave
 
+from features.support import caller
 from features.support import instances
 from honeyport.bundle import entries as bundle_entries
 from honeyport.bundle import model
-from honeyport.gateway import balancer
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport import local
-from honeyport.policy import prefixes
 from honeyport.policy import repeats
 from honeyport.settings import roles
 from honeyport import supervisor
@@ -22,23 +19,13 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _NAMES = instances.NAMES
-_HOST = 'yard.example'
 _TIMEOUT_MS = 1500
 _OBJECTIVE_MS = 200
 _GAP_MS = 100
 _LEASE_MS = 60_000
-_KEY = 'key-of-district'
 _SOON_S = 0.5
 
 
-@attrs.define
-class _Got:
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    whole: bool
-
-
 class Setting:
     """One gateway, a few instances, and what a caller got."""
 
@@ -91,12 +78,14 @@
         now = asyncio.get_running_loop().time()
         self.gateway.state.renew(now, lease_ms)
 
-    def configure(self, kind: str, keys: tuple[str, ...] = (_KEY,)) -> None:
+    def configure(
+        self, kind: str, keys: tuple[str, ...] = (caller.KEY,)
+    ) -> None:
         """Put a configuration with one route in force."""
         self.version += 1
         semantics, _, resumable = kind.partition(' ')
         route = model.Route(
-            host=_HOST,
+            host=caller.HOST,
             prefix='/r/',
             semantics=semantics,
             weights={'app': 1},
@@ -320,124 +309,44 @@
     assert found == {name}, found
 
 
-# -- choice --------------------------------------------------------------
-
-
-@behave.given('{count:d} instances and prompts with {subjects:d} subjects')
-def step_prompts(context, count, subjects):
-    context.places = [f'place-{number}' for number in range(count)]
-    context.prompts = [
-        (
-            prefixes.Part(f'lead-{number % 4}', 2500),
-            prefixes.Part(f'subject-{number}', 6000),
-            prefixes.Part(f'own-{number}', 500),
-        )
-        for number in range(subjects)
-    ]
-
-
-@behave.then('losing an instance moves only the subjects it had')
-def step_moves(context):
-    lost = context.places[0]
-    for parts in context.prompts:
-        before = prefixes.order(parts, context.places)[0]
-        after = prefixes.order(parts, context.places[1:])[0]
-        assert after == before or before == lost, (before, after)
-
-
-@behave.then('no instance is over its bound though one subject is hot')
-def step_bound(context):
-    async def place():
-        choice = balancer.Balancer('thu-duc')
-        listed = pb.Instances(number=1)
-        for place in context.places:
-            listed.instances.add(id=place, service='llm', place=place)
-        choice.regard(listed, {})
-        with contextlib.ExitStack() as held:
-            for _ in range(200):
-                found = choice.choose('llm', context.prompts[0], ())
-                held.enter_context(choice.hold(found.instance))
-            return dict(choice.running)
-
-    running = context.run(place())
-    mean = sum(running.values()) / len(context.places)
-    assert max(running.values()) <= 2 * mean + 3, running
-
-
 # -- the caller ----------------------------------------------------------
 
 
 async def _ask(
     setting: Setting,
-    key: str = _KEY,
+    key: str = caller.KEY,
     path: str = '/r/x?a=1',
-    host: str = _HOST,
+    host: str = caller.HOST,
     limit_ms: int = 5000,
-) -> _Got:
+) -> caller.Got:
     reader, writer = await asyncio.open_connection(
         *roles.split(setting.address)
     )
     try:
-        writer.write(request(key, path, host, limit_ms=limit_ms))
-        return await read(reader)
+        writer.write(caller.request(key, path, host, limit_ms=limit_ms))
+        return await caller.read(reader)
     finally:
         writer.close()
 
 
-async def _ask_many(setting: Setting, count: int) -> list[_Got]:
+async def _ask_many(setting: Setting, count: int) -> list[caller.Got]:
     reader, writer = await asyncio.open_connection(
         *roles.split(setting.address)
     )
     found = []
     for number in range(count):
-        writer.write(request(_KEY, '/r/x', _HOST, f'q-{number}'))
-        found.append(await read(reader))
+        writer.write(
+            caller.request(caller.KEY, '/r/x', caller.HOST, f'q-{number}')
+        )
+        found.append(await caller.read(reader))
     writer.close()
     return found
 
 
 async def _leave(setting: Setting) -> None:
     _, writer = await asyncio.open_connection(*roles.split(setting.address))
-    writer.write(request(_KEY, '/r/x', _HOST))
+    writer.write(caller.request(caller.KEY, '/r/x', caller.HOST))
     async with asyncio.timeout(_SOON_S):
         while not setting.script.arrivals:
             await asyncio.sleep(0.01)
     writer.close()
-
-
-def request(
-    key: str = _KEY,
-    path: str = '/r/x',
-    host: str = _HOST,
-    name: str = 'q-1',
-    limit_ms: int = 5000,
-) -> bytes:
-    """Return the bytes of a caller's request."""
-    return (
-        f'POST {path} HTTP/1.1\r\nHost: {host}\r\n'
-        f'Authorization: Bearer {key}\r\n'
-        f'{_NAMES.request_id}: {name}\r\n'
-        f'{_NAMES.deadline_ms}: {limit_ms}\r\n'
-        f'{_NAMES.account}: forged\r\n'
-        'Content-Length: 4\r\n\r\nbody'
-    ).encode()
-
-
-async def read(reader: asyncio.StreamReader) -> _Got:
-    """Return what a caller gets."""
-    head = (await reader.readuntil(b'\r\n\r\n')).decode()
-    line, *rest = head.strip().split('\r\n')
-    headers = dict(one.split(': ', 1) for one in rest)
-    got = _Got(int(line.split()[1]), headers, b'', True)
-    try:
-        if 'Content-Length' in headers:
-            length = int(headers['Content-Length'])
-            got.body = await reader.readexactly(length)
-            return got
-        while size := int(await reader.readuntil(b'\r\n'), 16):
-            got.body += await reader.readexactly(size)
-            await reader.readexactly(2)
-        await reader.readexactly(2)
-    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-        got.whole = False
-    return got
