--- a/src/honeyport/policy/places.py
+++ b/src/honeyport/policy/places.py
@@ -28,7 +28,7 @@
 
     :ivar holder: the instance that had it last
     :ivar former: the one before, which may still be leaving: its successor
-        copies prefixes from it, also after a loss of all our processes
+        copies prefixes from it, also under a new leader
     """
 
     service: str
