A gateway that leaves takes on nothing sent 3 s after the signal

New requests were refused 3.3 s after the signal, and what is cut is excused only if it was sent within 3 s. With lists of a second few callers still came then; with 5 s more do.

Ruled out: ending later (the process needs the last second to exit).

Change: policy/draining.py: refused from 2.5 s on, which leaves half a second for a signal that is handled late.

--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -12,6 +12,7 @@
 from honeyport.bundle import model
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport import local
+from honeyport.policy import draining
 from honeyport.policy import repeats
 from honeyport.settings import roles
 from honeyport import supervisor
@@ -45,7 +46,7 @@
                 control=(local.free_address(),),
             ),
             _NAMES,
-            gateway_daemon.Leaving(refuse_s=0.2, stop_s=2.0),
+            draining.Leaving(refuse_s=0.2, stop_s=2.0),
             repeats.Allowance(extra=extra),
             metrics.Metrics(),
         )
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -3,8 +3,6 @@
 import asyncio
 import socket
 
-import attrs
-
 from honeyport.gateway import balancer
 from honeyport.gateway import forward
 from honeyport.gateway import gate
@@ -12,6 +10,7 @@
 from honeyport.gateway import pool
 from honeyport.gateway import server
 from honeyport.policy import addresses
+from honeyport.policy import draining
 from honeyport.policy import repeats
 from honeyport.router import fleetstate
 from honeyport.router import session
@@ -23,19 +22,6 @@
 _POLL_S = 0.05
 
 
-@attrs.frozen(kw_only=True)
-class Leaving:
-    """How a gateway leaves after SIGTERM; seconds from the signal.
-
-    :ivar refuse_s: until new requests are refused; callers still come
-        with an address that they keep
-    :ivar stop_s: until what still runs is given up
-    """
-
-    refuse_s: float
-    stop_s: float
-
-
 class Gateway:
     """The parts of one gateway, and the order in which they stop."""
 
@@ -43,7 +29,7 @@
         self,
         settings: roles.Router,
         names: gateway_headers.HeaderNames,
-        leaving: Leaving,
+        leaving: draining.Leaving,
         allowance: repeats.Allowance,
         counters: metrics.Metrics,
     ) -> None:
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -21,6 +21,7 @@
 from honeyport.platform import listing
 from honeyport.platform import names
 from honeyport.platform import pages
+from honeyport.policy import draining
 from honeyport.policy import repeats
 from honeyport import process
 from honeyport.settings import roles
@@ -31,11 +32,7 @@
 from honeyport.telemetry import status
 
 _PATH_VARIABLE = 'HONEYPORT_BOOT'
-# Callers keep a list that they got while a gateway leaves for a second, some
-# of them for three; who has an older one is refused then, and goes elsewhere.
-_REFUSE_S = 3.3
 _WATCH_S = 2.0  # between two looks at the settings file
-_EXIT_S = 1.0  # before SIGKILL: time to close files and connections
 
 
 def main() -> None:
@@ -82,9 +79,7 @@
         self._gateway = gateway = gateway_daemon.Gateway(
             settings,
             names.HEADERS,
-            gateway_daemon.Leaving(
-                refuse_s=_REFUSE_S, stop_s=self._boot.grace_s - _EXIT_S
-            ),
+            draining.leaving(self._boot.grace_s),
             repeats.Allowance(
                 ratio=self._boot.retry_ratio,
                 extra=self._boot.retry_extra,
