--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -27,8 +27,8 @@
 # of it. It serves for 3 s from when it is listed as leaving and then ends what
 # it runs; it left the list 4.6 to 6.2 s after we heard. An instance that
 # copies from one that is gone waits 300 ms for it first: 54 of 450 requests
-# were late within 2 s by that. With 2 s, 0.01 of the worth of a day went to
-# parts that were read again.
+# were late within 2 s by that. With 2 s, 44,000 more prompt tokens were read
+# again (mean of ten runs of 45 s with 86 requests a second).
 _COPIED_WHILE_LEAVING_S = 3.0
 
 
