One place each for what may serve, the settings variable, a virtual clock

Cause, from reading the whole change again: the condition under which a gateway may serve stood three times (the lease's check, the gate, readiness, the last with the check's own words); the variable that names the settings file stood in two modules of the platform; a loop on a virtual clock was made, run and closed by hand in three steps.

Change: FleetState.may_serve, readiness asks the check, early.PATH_VARIABLE, simulation.run. Behaviour and assertions are as they were.

--- a/features/steps/early_steps.py
+++ b/features/steps/early_steps.py
@@ -10,7 +10,6 @@
 from honeyport.platform import early
 from honeyport.settings import roles
 
-_VARIABLE = 'HONEYPORT_BOOT'
 _TAKEN = '192.0.2.1:80'  # of a network that no machine here is part of
 _FAULTS = {
     "has no callers' address": 'zone=thu-duc\n',
@@ -23,7 +22,7 @@
     path = context.folder / 'boot'
     if text is not None:
         path.write_text(text)
-    os.environ[_VARIABLE] = str(path)
+    os.environ[early.PATH_VARIABLE] = str(path)
     early.listen()
 
 
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -52,12 +52,8 @@
     )
     @hypothesis.given(EVENTS, strategies.integers(0, 2**20))
     def play(events, seed):
-        loop = simulation.VirtualLoop()
-        try:
-            loop.run_until_complete(history(size, seed, events))
-            context.played.append(seed)
-        finally:
-            loop.close()
+        simulation.run(history(size, seed, events))
+        context.played.append(seed)
 
     play()
 
@@ -134,11 +130,7 @@
 def step_power(context, count):
     context.lost = []
     for seed in range(count):
-        loop = simulation.VirtualLoop()
-        try:
-            loop.run_until_complete(power_off(context, seed))
-        finally:
-            loop.close()
+        simulation.run(power_off(context, seed))
 
 
 async def power_off(context, seed):
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -66,14 +66,9 @@
 
 @behave.when('all of {size:d} replicas start anew at once, {count:d} times')
 def step_restarts(context, size, count):
-    context.elected_s = []
-    for seed in range(count):
-        loop = simulation.VirtualLoop()
-        try:
-            found = loop.run_until_complete(time_to_leader(size, seed))
-            context.elected_s.append(found)
-        finally:
-            loop.close()
+    context.elected_s = [
+        simulation.run(time_to_leader(size, seed)) for seed in range(count)
+    ]
 
 
 async def time_to_leader(size, seed):
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -18,6 +18,8 @@
 from honeyport.policy import places
 from honeyport.wire import honeyport_pb2 as pb
 
+T = typing.TypeVar('T')
+
 _FOLDER = pathlib.Path('/data')
 _TIMEOUT_S = 0.3
 _DELAY_S = 0.02
@@ -49,6 +51,15 @@
         return self._virtual.now
 
 
+def run(coroutine: typing.Coroutine[typing.Any, typing.Any, T]) -> T:
+    """Return a coroutine's result, on a virtual clock of its own."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
 class Group:
     """A few replicas, their disks, and the links between them."""
 
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from honeyport import errors
 from honeyport.gateway import balancer
 from honeyport.gateway import forward
 from honeyport.gateway import gate
@@ -76,9 +77,11 @@
         """Why callers should go elsewhere, or ``''``."""
         if self._entry.closing:
             return 'leaving'
-        if not self._state.version:
-            return 'no configuration yet'
-        return '' if self._state.lease_left > 0 else 'cut off from control'
+        try:
+            self._state.check_lease()
+        except errors.NotReady as error:
+            return error.detail
+        return ''
 
     @property
     def list_lifetime_s(self) -> float:
--- a/src/honeyport/gateway/gate.py
+++ b/src/honeyport/gateway/gate.py
@@ -25,7 +25,7 @@
 
     def take_news(self) -> None:
         """Look at the lease; let in who waits if it stands."""
-        if self._is_open():
+        if self._state.may_serve:
             self._has_served = True
             self._opened.set()
 
@@ -47,7 +47,7 @@
         :returns: how long it waited, in seconds
         :raises errors.NotReady: if they may not
         """
-        if self._is_open():
+        if self._state.may_serve:
             return 0.0
         began = _now()
         until = admission.wait_until(self._standing(), deadline, began)
@@ -60,9 +60,6 @@
         self.check()
         return _now() - began
 
-    def _is_open(self) -> bool:
-        return self._state.version > 0 and self._state.lease_left > 0
-
     def _standing(self) -> admission.Standing:
         return admission.Standing(
             started=self._started, has_served=self._has_served
--- a/src/honeyport/platform/early.py
+++ b/src/honeyport/platform/early.py
@@ -8,7 +8,7 @@
 import os
 import socket
 
-_PATH_VARIABLE = 'HONEYPORT_BOOT'
+PATH_VARIABLE = 'HONEYPORT_BOOT'  # names the settings file
 _FIELD = 'listen.frontend='
 # Callers that may wait while the program is imported: 0.4 s of the busiest
 # instance's new connections (some 100 a second) and room for a burst.
@@ -42,9 +42,7 @@
 
 def _address() -> str:
     try:
-        with open(
-            os.environ.get(_PATH_VARIABLE, ''), encoding='utf-8'
-        ) as file:
+        with open(os.environ.get(PATH_VARIABLE, ''), encoding='utf-8') as file:
             lines = file.read().splitlines()
     except (OSError, UnicodeDecodeError):
         return ''
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -31,13 +31,12 @@
 from honeyport.telemetry import metrics
 from honeyport.telemetry import status
 
-_PATH_VARIABLE = 'HONEYPORT_BOOT'
 _WATCH_S = 2.0  # between two looks at the settings file
 
 
 def main() -> None:
     """Run the process until it is told to stop."""
-    path = os.environ.get(_PATH_VARIABLE, '')
+    path = os.environ.get(early.PATH_VARIABLE, '')
     try:
         settings = boot.load(path)
     except errors.SettingsInvalid as error:
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -144,6 +144,11 @@
         """Periods and leases; the defaults before the first bundle."""
         return self._bundle.timing if self._bundle else model.Timing()
 
+    @property
+    def may_serve(self) -> bool:
+        """Whether there is a configuration and the lease stands."""
+        return self._bundle is not None and self.lease_left > 0
+
     def check_lease(self) -> None:
         """Raise :class:`errors.NotReady` if new work may not start."""
         if self._bundle is None:
