Sight: where control is sought, and why a stream was not to be had

Cause: the logs held neither the addresses of new settings nor a single failed try to reach the leader, so three hypotheses looked alike. Change: reloaded names the control addresses, session_failed (3007) names address, reason and count, session_lost names its reason; the counter control_tries counts all by outcome. At most one line for an address and reason, and one in fifty after it. No decision is changed.

--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -116,7 +116,7 @@
         self._boot = fresh
         if self._gateway is not None:
             self._gateway.seek(fresh.control)
-        logs.emit(events.RELOADED, changed=changed)
+        logs.emit(events.RELOADED, changed=changed, control=fresh.control)
 
     async def _watch_settings(self) -> None:
         """Notice changes of the file that no signal tells of."""
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -16,6 +16,7 @@
 
 from honeyport import errors
 from honeyport.router import fleetstate
+from honeyport.router import search
 from honeyport.settings import roles
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
@@ -79,6 +80,7 @@
         self._pending: dict[int, _Pending] = {}
         self._gap = True
         self._attached_to = ''
+        self._search = search.Search(counters)
         self._control = settings.control
         self._turn = 0
         self._start_over = False  # our configuration led nowhere
@@ -129,12 +131,14 @@
             address = self._leader or self._next_address()
             self._leader = ''
             try:
-                await self._attach(address)
-            except grpc.RpcError:
-                pass
+                reason = await self._attach(address)
+            except grpc.aio.AioRpcError as error:
+                reason = error.code().name.lower()
             except errors.ConfigUnusable as error:
                 logs.emit(events.CONFIG_UNUSABLE, detail=error.detail)
                 self._start_over = True
+                reason = error.code
+            self._search.end(address, reason)
             if not self._leader:
                 await asyncio.sleep(_PAUSE_S)
 
@@ -144,7 +148,8 @@
         self._turn += 1
         return address
 
-    async def _attach(self, address: str) -> None:
+    async def _attach(self, address: str) -> str:
+        """Open a stream and read it to its end; return why it ended."""
         channel = channels.connect(address)
         box: outbox.Outbox[pb.RouterItem] = outbox.Outbox()
         box.put(pb.RouterItem(hello=self._hello()))
@@ -152,23 +157,29 @@
         call = rpc.SessionStub(channel).Attach(self._batches(box))
         try:
             first = await asyncio.wait_for(call.read(), _ATTACH_S)
-            if first is grpc.aio.EOF or self._redirected(first):
-                return
+            if first is grpc.aio.EOF:
+                return search.ENDED
+            if self._redirected(first):
+                return search.REDIRECTED if self._leader else search.NO_LEADER
             self._begin(box)
             self._attached_to = address
-            logs.emit(events.SESSION_OPENED, leader=address)
+            self._search.open(address)
             reporter = asyncio.create_task(self._report(box))
             self._take(first)
             while (batch := await self._next(call)) is not grpc.aio.EOF:
                 if self._redirected(batch):
-                    return
+                    return search.REDIRECTED
                 self._take(batch)
+            return search.ENDED
         except TimeoutError:
-            return  # silent: frozen, or cut off
+            return search.SILENT  # frozen, or cut off
         finally:
             call.cancel()
             if reporter is not None:
-                await self._end(reporter, box)
+                self._outbox = None
+                reporter.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await reporter
             box.close()
             await channel.close()
 
@@ -191,17 +202,6 @@
         for pending in list(self._pending.values()):
             box.put(pb.RouterItem(claim=pending.request))
 
-    async def _end(
-        self,
-        reporter: asyncio.Task[None],
-        box: outbox.Outbox[pb.RouterItem],
-    ) -> None:
-        self._outbox = None
-        reporter.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await reporter
-        logs.emit(events.SESSION_LOST)
-
     def _redirected(self, batch: pb.ControlBatch) -> bool:
         for item in batch.items:
             if item.HasField('redirect'):
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -150,6 +150,12 @@
     'error',
     'A version does not fit the one held here; the stream starts over.',
 )
+SESSION_FAILED = define(
+    3007,
+    'session_failed',
+    'warning',
+    'An address that was asked for the leader led to no stream.',
+)
 ENGINE_TAKEN = define(3101, 'engine_taken', 'info', 'Steward of an engine.')
 ENGINE_LEFT = define(3102, 'engine_left', 'info', 'No longer its steward.')
 BACKEND_DOWN = define(
