A failing test: control is not found when the settings name other instances

Cause: a gateway takes each address of its settings for a control replica and forgets what it knew when they change. The platform may name any three instances; gateways without a disk listen to nobody there. Ruled out: a leader that turns gateways away (no try reached one), and a search that stopped (a try every 0.1 s).

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -41,7 +41,7 @@
         found = [await _voters(node) for node in context.platform.nodes]
         return found == [count] * len(found)
 
-    context.run(_until(voting, _READ_S))
+    context.run(until(voting, _READ_S))
 
 
 @behave.when(
@@ -100,7 +100,7 @@
     shutil.rmtree(node.data)
     node.data.mkdir()
     platform.launch(node)
-    context.run(_until(lambda: _reads(platform, node, 7), _READ_S))
+    context.run(until(lambda: _reads(platform, node, 7), _READ_S))
     # It is a learner first; its vote comes back with the next change.
     context.run(asyncio.sleep(1.0))
 
@@ -127,7 +127,7 @@
 def step_freeze(context, seconds):
     platform = context.platform
     last = platform.nodes[2]
-    context.run(_until(lambda: _is_ready(platform, last), _READ_S))
+    context.run(until(lambda: _is_ready(platform, last), _READ_S))
     for node in platform.nodes[:2]:
         platform.send_signal(node, signal.SIGSTOP)
     context.run(asyncio.sleep(seconds))
@@ -155,7 +155,7 @@
         logs = [node.log.read_text() for node in platform.nodes]
         return any('member_removed' in text for text in logs)
 
-    context.run(_until(removed, _READ_S))
+    context.run(until(removed, _READ_S))
 
 
 @behave.when('an operator sends version {version:d} to instance {number:d}')
@@ -169,7 +169,7 @@
     'instance {number:d} reads back what was sent as version {version:d}'
 )
 def step_one_reads_back(context, number, version):
-    _check_reads(context, (number,), version)
+    check_reads(context, (number,), version)
 
 
 @behave.then('it is acknowledged')
@@ -184,12 +184,7 @@
 
 @behave.then('every instance is ready within {seconds:g} seconds')
 def step_ready(context, seconds):
-    for node in context.platform.nodes:
-        context.run(
-            _until(
-                lambda node=node: _is_ready(context.platform, node), seconds
-            )
-        )
+    check_ready(context, context.platform.nodes, seconds)
 
 
 @behave.then('a caller is told {count:d} addresses')
@@ -201,7 +196,7 @@
         status, body = await platform.ask(platform.nodes[0], 3, path)
         return status == 200 and len(json.loads(body)['addresses']) == count
 
-    context.run(_until(told, _READ_S))
+    context.run(until(told, _READ_S))
 
 
 @behave.then("a caller's request to each of them is answered")
@@ -213,12 +208,12 @@
 
 @behave.then('every instance reads back what was sent as version {version:d}')
 def step_reads_back(context, version):
-    _check_reads(context, (1, 2, 3), version)
+    check_reads(context, (1, 2, 3), version)
 
 
 @behave.then('instances 1 and 3 read back what was sent as version 7')
 def step_two_read_back(context):
-    _check_reads(context, (1, 3), 7)
+    check_reads(context, (1, 3), 7)
 
 
 @behave.then('instance {number:d} ends by itself with code 0')
@@ -237,11 +232,20 @@
     assert 'cut-off' not in platform.runs
 
 
-def _check_reads(context, numbers, version):
+def check_ready(context, nodes, seconds):
+    """Check that each of some nodes becomes ready."""
+    for node in nodes:
+        context.run(
+            until(lambda node=node: _is_ready(context.platform, node), seconds)
+        )
+
+
+def check_reads(context, numbers, version):
+    """Check that each of some nodes shows a version, and no other."""
     for number in numbers:
         node = context.platform.nodes[number - 1]
         context.run(
-            _until(
+            until(
                 lambda node=node: _reads(context.platform, node, version),
                 _READ_S,
             )
@@ -264,18 +268,24 @@
 
 async def _voters(node):
     """Return how many members vote, as a node shows it; 0 if it is silent."""
+    return int(await read_gauge(node, 'control_voters'))
+
+
+async def read_gauge(node, name):
+    """Return a gauge of a node; 0 if it is silent."""
     client = httpclient.AsyncHTTPClient()
     try:
         found = await client.fetch(f'http://{node.ip}:{_METRICS_PORT}/metrics')
     except (OSError, httpclient.HTTPError):
-        return 0
+        return 0.0
     for line in found.body.decode().splitlines():
-        if line.startswith('honeyport_control_voters '):
-            return int(float(line.split()[1]))
-    return 0
+        if line.startswith(f'honeyport_{name} '):
+            return float(line.split()[1])
+    return 0.0
 
 
-async def _until(check, seconds):
+async def until(check, seconds):
+    """Wait until a check holds, or fail."""
     async with asyncio.timeout(seconds):
         while not await check():
             await asyncio.sleep(0.1)
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -156,22 +156,16 @@
         for server in self._servers:
             server.stop()
 
+    def name_seeds(self, nodes: list[Node]) -> None:
+        """Write other seeds into the settings of all, and say so."""
+        self._seeds = [node.ip for node in nodes]
+        for node in self.nodes:
+            self._write_settings(node, first=False)
+            self.send_signal(node, signal.SIGHUP)
+
     def launch(self, node: Node, *, first: bool = False) -> None:
         """Start a node's process."""
-        seeds = ','.join(f'{ip}:{self.ports[2]}' for ip in self._seeds)
-        node.settings.write_text(
-            _SETTINGS.format(
-                name=node.name,
-                zone=node.zone,
-                ip=node.ip,
-                ports=self.ports,
-                seeds=seeds,
-                bootstrap=str(first).lower(),
-                data=node.data or '',
-                cloud=self._cloud,
-                losses=self.losses,
-            )
-        )
+        self._write_settings(node, first=first)
         node.process = subprocess.Popen(
             [sys.executable, str(_ROOT / 'launch.py')],
             env={**os.environ, 'HONEYPORT_BOOT': str(node.settings)},
@@ -252,6 +246,22 @@
             self._folder / f'{name}.log',
         )
 
+    def _write_settings(self, node: Node, *, first: bool) -> None:
+        seeds = ','.join(f'{ip}:{self.ports[2]}' for ip in self._seeds)
+        node.settings.write_text(
+            _SETTINGS.format(
+                name=node.name,
+                zone=node.zone,
+                ip=node.ip,
+                ports=self.ports,
+                seeds=seeds,
+                bootstrap=str(first).lower(),
+                data=node.data or '',
+                cloud=self._cloud,
+                losses=self.losses,
+            )
+        )
+
 
 def _listen(address: str, routes: list[typing.Any]) -> typing.Any:
     host, _, port = address.rpartition(':')
