Gateways keep what they learnt of control, and tell the way

Cause: a gateway asked only the addresses of its settings, and took each of them for a control replica. Ruled out before: a leader that turns gateways away, a search that stopped. Change: the leader names the members of the control group on each stream; a gateway asks those first and its settings' addresses after them, whatever the settings say now. An instance without a replica listens at the same port and names the leader to whoever asks it. After a loss of all nobody knows the way: still red.

--- a/features/platform/seeds.feature
+++ b/features/platform/seeds.feature
@@ -30,3 +30,7 @@
     When all processes are killed and started again
     Then every instance is ready within 10 seconds
     And every instance with a disk reads back what was sent as version 7
+
+  Scenario: an instance joins that knows only instances without disks
+    When an instance 7 without a disk joins
+    Then every living instance is ready within 10 seconds
--- /dev/null
+++ b/features/steps/contact_steps.py
@@ -0,0 +1,60 @@
+"""Steps about whom a router asks where control is."""
+
+import behave
+
+from honeyport.policy import contacts
+
+
+@behave.given('a router whose settings name {names}')
+def step_router(context, names):
+    context.contacts = contacts.Contacts(_split(names))
+
+
+@behave.given('a router beside the replica {own} whose settings name {names}')
+def step_router_beside(context, own, names):
+    context.contacts = contacts.Contacts(_split(names), own)
+
+
+@behave.when('the leader names the replicas {names}')
+def step_learn(context, names):
+    context.contacts.learn(_split(names))
+
+
+@behave.when('new settings name {names}')
+def step_name(context, names):
+    context.contacts.name(_split(names))
+
+
+@behave.when(
+    'another instance names the leader {leader} and the replicas {names}'
+)
+def step_hear(context, leader, names):
+    context.contacts.hear(leader, _split(names))
+
+
+@behave.when('another instance names no leader and the replicas {names}')
+def step_hear_no_leader(context, names):
+    context.contacts.hear('', _split(names))
+
+
+@behave.when('{count:d} instances name a replica each')
+def step_hear_many(context, count):
+    for number in range(count):
+        context.contacts.hear('', [f'r{number}'])
+
+
+@behave.then('it asks {names} in turn')
+def step_asks(context, names):
+    wanted = _split(names)
+    asked = [context.contacts.next() for _ in wanted]
+    assert asked == wanted, asked
+
+
+@behave.then('it asks {name} within {count:d} tries')
+def step_asks_within(context, name, count):
+    asked = [context.contacts.next() for _ in range(count)]
+    assert name in asked, asked
+
+
+def _split(names):
+    return names.split(', ')
--- a/features/steps/seed_steps.py
+++ b/features/steps/seed_steps.py
@@ -55,6 +55,14 @@
     context.run(asyncio.sleep(_LEASE_S))
 
 
+@behave.when('an instance {number:d} without a disk joins')
+def step_join(context, number):
+    platform = context.platform
+    node = platform.make_node(number, disk=False)
+    platform.nodes.append(node)
+    platform.launch(node)
+
+
 @behave.then('every living instance is ready within {seconds:g} seconds')
 def step_living_ready(context, seconds):
     living = [
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -118,6 +118,11 @@
         found = membership.find(self.members, self._leader)
         return found.address if found else ''
 
+    @property
+    def member_addresses(self) -> list[str]:
+        """Where the members listen."""
+        return [member.address for member in self.members.replicas]
+
     @property
     def admitted(self) -> bool:
         """Whether this replica, with this disk, may vote."""
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -47,6 +47,7 @@
     sent_loads: int = 0
     sent_instances: int = 0
     sent_presence: pb.Presence | None = None
+    sent_replicas: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -249,6 +250,7 @@
             session.sent_view = view.number
             session.outbox.put(pb.ControlItem(view=view))
         self._send_presence(session)
+        self._send_replicas(session)
         instances = self._instances()
         if instances.number > session.sent_instances:
             session.sent_instances = instances.number
@@ -267,6 +269,14 @@
             session.sent_presence = self._presence
             session.outbox.put(pb.ControlItem(presence=self._presence))
 
+    def _send_replicas(self, session: Session) -> None:
+        """Name the control group: where to look for the next leader."""
+        addresses = self._node.member_addresses
+        if addresses != session.sent_replicas:
+            session.sent_replicas = addresses
+            replicas = pb.Replicas(addresses=addresses)
+            session.outbox.put(pb.ControlItem(replicas=replicas))
+
     async def _commit_claims(self, live: list[_Waiting]) -> None:
         batch = pb.ClaimBatch(now_s=time.time())
         batch.requests.extend(one.request for one in live)
@@ -309,7 +319,10 @@
 
     def _redirect(self) -> pb.ControlItem:
         return pb.ControlItem(
-            redirect=pb.Redirect(leader=self._node.leader_address)
+            redirect=pb.Redirect(
+                leader=self._node.leader_address,
+                replicas=self._node.member_addresses,
+            )
         )
 
 
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -15,6 +15,7 @@
 from honeyport.policy import repeats
 from honeyport.router import fleetstate
 from honeyport.router import session
+from honeyport.router import signpost
 from honeyport.settings import roles
 from honeyport import supervisor
 from honeyport.telemetry import metrics
@@ -118,6 +119,10 @@
         else:
             self._entry.adopt(opened)
         self._gate.start()
+        if not self._settings.replica:  # its replica listens there already
+            await signpost.serve(
+                self._settings.peer_listen, self._session, tree
+            )
         tree.on_stop('connections', self._close)
         tree.task('session', self._session.run)
         tree.on_stop('drain', self._drain)
--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -18,6 +18,7 @@
 from honeyport.router import relay
 from honeyport.router import services
 from honeyport.router import session
+from honeyport.router import signpost
 from honeyport.router import steward
 from honeyport.settings import roles
 from honeyport import supervisor
@@ -80,6 +81,9 @@
         """Start serving under a supervisor."""
         peers = channels.server()
         rpc.add_PeerServicer_to_server(relay.PeerServicer(self._serve), peers)
+        rpc.add_SessionServicer_to_server(
+            signpost.Signpost(self._session), peers
+        )
         peers.add_insecure_port(self._settings.peer_listen)
         await peers.start()
         tree.on_stop('links', self._links.close)
--- a/src/honeyport/router/search.py
+++ b/src/honeyport/router/search.py
@@ -51,6 +51,8 @@
             logs.emit(events.SESSION_LOST, leader=address, reason=reason)
             return
         self._counters.count('control_tries', outcome=reason)
+        if reason == REDIRECTED:
+            return  # not a failure: the next try follows at once
         self._failed[address, reason] += 1
         tries = self._failed[address, reason]
         if tries == 1 or tries % _LINE_EVERY == 0:
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -15,6 +15,8 @@
 import grpc
 
 from honeyport import errors
+from honeyport.policy import addresses
+from honeyport.policy import contacts
 from honeyport.router import fleetstate
 from honeyport.router import search
 from honeyport.settings import roles
@@ -69,7 +71,7 @@
         self._metrics = counters
         self._incarnation = uuid.uuid4().hex[:12]
         self._outbox: outbox.Outbox[pb.RouterItem] | None = None
-        self._leader = ''
+        self._contacts = contacts.Contacts(settings.control, settings.replica)
         self._numbers = itertools.count(1)
         self._sent: dict[int, float] = {}
         self._reported: dict[int, pb.Report] = {}
@@ -81,8 +83,6 @@
         self._gap = True
         self._attached_to = ''
         self._search = search.Search(counters)
-        self._control = settings.control
-        self._turn = 0
         self._start_over = False  # our configuration led nowhere
 
     @property
@@ -101,8 +101,20 @@
         return self._attached_to if self.attached else ''
 
     def seek(self, control: tuple[str, ...]) -> None:
-        """Look for the leader at other addresses, the stream kept."""
-        self._control = control
+        """Look for the leader at other addresses, too; the stream stays."""
+        self._contacts.name(control)
+
+    def whereabouts(self) -> pb.Redirect:
+        """Return where control is, for an instance that asks us.
+
+        A leader that has fallen silent is not named: whoever asks would lose
+        a try on it.
+        """
+        is_lost = addresses.is_out_of_touch(self._state.silence_s)
+        return pb.Redirect(
+            leader='' if is_lost else self.leader,
+            replicas=self._contacts.replicas,
+        )
 
     def hurry(self) -> None:
         """Send the next report at once."""
@@ -128,8 +140,7 @@
     async def run(self) -> None:
         """Keep a stream to the leader until cancelled."""
         while True:
-            address = self._leader or self._next_address()
-            self._leader = ''
+            address = self._contacts.next()
             try:
                 reason = await self._attach(address)
             except grpc.aio.AioRpcError as error:
@@ -139,15 +150,9 @@
                 self._start_over = True
                 reason = error.code
             self._search.end(address, reason)
-            if not self._leader:
+            if not self._contacts.has_leader:
                 await asyncio.sleep(_PAUSE_S)
 
-    def _next_address(self) -> str:
-        """Return the control address whose turn it is."""
-        address = self._control[self._turn % len(self._control)]
-        self._turn += 1
-        return address
-
     async def _attach(self, address: str) -> str:
         """Open a stream and read it to its end; return why it ended."""
         channel = channels.connect(address)
@@ -160,7 +165,9 @@
             if first is grpc.aio.EOF:
                 return search.ENDED
             if self._redirected(first):
-                return search.REDIRECTED if self._leader else search.NO_LEADER
+                if self._contacts.has_leader:
+                    return search.REDIRECTED
+                return search.NO_LEADER
             self._begin(box)
             self._attached_to = address
             self._search.open(address)
@@ -205,7 +212,8 @@
     def _redirected(self, batch: pb.ControlBatch) -> bool:
         for item in batch.items:
             if item.HasField('redirect'):
-                self._leader = item.redirect.leader
+                redirect = item.redirect
+                self._contacts.hear(redirect.leader, redirect.replicas)
                 return True
         return False
 
@@ -226,6 +234,8 @@
                 self._state.apply_loads(item.loads)
             elif kind == 'presence':
                 self._state.apply_presence(item.presence)
+            elif kind == 'replicas':
+                self._contacts.learn(item.replicas.addresses)
             elif kind == 'instances':
                 self._state.apply_instances(item.instances)
             elif kind == 'claim':
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -33,7 +33,8 @@
         'where other routers connect', check=fields.address
     )
     control: tuple[str, ...] = fields.field(
-        'the addresses of the control replicas, IP:PORT each'
+        'where to ask for control, IP:PORT each: control replicas, or any '
+        'other instances'
     )
     replica: str = fields.field(
         'IP:PORT of the control replica in the same process, or none', ''
