A failing test: a group that was just founded forgets its founders

Measured: three replicas that founded, died and start again with other settings stay followers in term 0, none admitted, for 30 s of virtual time.

--- a/features/control/replica.feature
+++ b/features/control/replica.feature
@@ -49,3 +49,12 @@
     When the one with the newest log is cut off and another loses its disk
     Then nobody is elected until the newest one is back
     And what was acknowledged is still there
+
+  # A replica that holds no entry yet took the instances that its settings name
+  # for the members of its group. When all died right after the founding and
+  # the settings then named others, none found itself among them, so nobody
+  # could vote: r0, r1 and r2 stayed followers in term 0, none admitted.
+  Scenario: a group that was just founded does not depend on its settings
+    Given 3 replicas that have just founded their group and elected nobody
+    When all of them are started again with settings that name others
+    Then all of them agree on a leader
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -182,3 +182,30 @@
 
     context.virtual.run_until_complete(check())
     context.virtual.close()
+
+
+@behave.given(
+    '3 replicas that have just founded their group and elected nobody'
+)
+def step_just_founded(context):
+    context.virtual = simulation.VirtualLoop()
+    context.group = simulation.Group(3, 7)
+    context.virtual.run_until_complete(context.group.found())
+    terms = [node.term for node in context.group.nodes.values()]
+    assert terms == [0, 0, 0], terms
+
+
+@behave.when('all of them are started again with settings that name others')
+def step_restart_with_others(context):
+    async def restart():
+        group = context.group
+        for name in group.names:
+            await group.kill(name)
+        group.founders = {other: other for other in ('x0', 'x1', 'x2')}
+
+    context.virtual.run_until_complete(restart())
+
+
+@behave.then('all of them agree on a leader')
+def step_agree_on_leader(context):
+    context.virtual.run_until_complete(context.group.settle())
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -72,6 +72,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.leaders: dict[int, set[str]] = {}
         self.accepted: dict[int, str] = {}
+        self.founders = {name: name for name in self.names}
 
     def start(self, name: str) -> None:
         """Start a replica from its disk."""
@@ -79,7 +80,7 @@
             name,
             storage.Storage(_FOLDER, self.disks[name]),
             _persist,
-            {other: other for other in self.names},
+            self.founders,
             lambda other, address: _Link(self, name, other),
             _OPTIONS,
             self.random.getrandbits(32),
@@ -105,6 +106,17 @@
         await self.kill(name)
         self.disks[name].lose_power()
 
+    async def found(self) -> None:
+        """Start all replicas, until each has noted that it founded."""
+        for name in self.names:
+            self.start(name)
+        while not all(self._has_founded(name) for name in self.names):
+            await asyncio.sleep(0.001)
+
+    def _has_founded(self, name: str) -> bool:
+        found = self.disks[name].read(_FOLDER / 'identity') or b''
+        return b'"founded": true' in found
+
     def isolate(self, name: str) -> None:
         """Cut all links of a replica, both ways."""
         for other in self.names:
