Founders are noted on the disk together with the founding

Cause: before the first entry of the log, the settings decided who is a member; they may name other instances at the next start. Change: the identity file holds the founders, written and synced with the note of the founding; settings count only before it. Older files are read.

--- a/src/honeyport/control/durable.py
+++ b/src/honeyport/control/durable.py
@@ -60,7 +60,10 @@
         self._journal = journal.Journal()
         self._applied = 0
         self._snapshot_due = snapshot_entries
-        self._founding = membership.founding(founding)
+        # Settings may name other instances at the next start: what was noted
+        # at the founding decides who is a member before the first entry.
+        founders = disk.identity.founders or founding
+        self._founding = membership.founding(founders)
         self._base_members = self._founding
         self._restore(contents.snapshot, contents.entries)
         self._commit = self._applied
@@ -121,8 +124,11 @@
         return self._journal.members(index) or self._base_members
 
     async def found(self) -> None:
-        """Note on the disk that it took part in the founding."""
-        await self._sync(self._disk.found)
+        """Note on the disk that it took part in the founding, and who else."""
+        founders = {
+            member.name: member.address for member in self._founding.replicas
+        }
+        await self._sync(self._disk.found, founders)
 
     async def save_vote(self, vote: storage.Vote) -> None:
         """Sync a term and a vote.
--- a/src/honeyport/control/storage.py
+++ b/src/honeyport/control/storage.py
@@ -46,10 +46,15 @@
 
 @attrs.frozen
 class Identity:
-    """Which disk this is, and whether it took part in the founding."""
+    """Which disk this is, and whether it took part in the founding.
+
+    :ivar founders: the founding members, name to address; empty before the
+        founding, and on disks that were founded before this was noted
+    """
 
     disk: str
     founded: bool
+    founders: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -92,9 +97,9 @@
         """The identity of this disk."""
         return self._identity
 
-    def found(self) -> None:
-        """Note that this disk took part in the founding."""
-        founded = attrs.evolve(self._identity, founded=True)
+    def found(self, founders: dict[str, str]) -> None:
+        """Note that this disk took part in the founding, and who else."""
+        founded = attrs.evolve(self._identity, founded=True, founders=founders)
         self._write_identity(founded)
         self._identity = founded
 
