--- a/features/steps/early_steps.py
+++ b/features/steps/early_steps.py
@@ -2,15 +2,20 @@
 
 import asyncio
 import os
+import signal
 
 import behave
 
 from features.steps import gateway_steps
+from features.steps import platform_steps
 from features.support import caller
 from honeyport.platform import early
 from honeyport.settings import roles
 
 _TAKEN = '192.0.2.1:80'  # of a network that no machine here is part of
+_START_S = 1.0
+# Longer than the pause between two looks at the settings file, 2 s.
+_READ_S = 5.0
 _FAULTS = {
     "has no callers' address": 'zone=thu-duc\n',
     'has an address of others': f'listen.frontend={_TAKEN}\n',
@@ -74,3 +79,42 @@
 def step_none(context):
     assert early.take(_TAKEN) is None
     assert early.take('') is None
+
+
+@behave.when(
+    'instance {number:d} starts again and is told of other seeds as its port '
+    'opens'
+)
+def step_told_early(context, number):
+    platform = context.platform
+    node = platform.nodes[number - 1]
+    platform.send_signal(node, signal.SIGKILL)
+    platform.launch(node)
+    context.run(platform.await_port(node))
+    platform.seeds = platform.seeds[1:]
+    platform.tell_settings(node)
+
+
+@behave.then('instance {number:d} still runs')
+def step_still_runs(context, number):
+    process = context.platform.nodes[number - 1].process
+    context.run(asyncio.sleep(_START_S))
+    assert process.poll() is None, process.poll()
+
+
+@behave.then(
+    'instance {number:d} has read the settings that name the other seeds'
+)
+def step_has_read(context, number):
+    platform = context.platform
+    node = platform.nodes[number - 1]
+
+    async def read():
+        lines = [
+            line
+            for line in node.log.read_text().splitlines()
+            if '"settings_read"' in line or '"reloaded"' in line
+        ]
+        return f'"control": ["{platform.seeds[0]}:' in lines[-1]
+
+    context.run(platform_steps.until(read, _READ_S))
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -120,7 +120,7 @@
         self.sent: dict[int, typing.Any] = {}
         self.ports = _free_ports(5)
         self.nodes = [self.make_node(number) for number in (1, 2, 3)]
-        self._seeds = [node.ip for node in self.nodes]
+        self.seeds = [node.ip for node in self.nodes]
         self._asked = 0
         self.only: Node | None = None
 
@@ -158,10 +158,14 @@
 
     def name_seeds(self, nodes: list[Node]) -> None:
         """Write other seeds into the settings of all, and say so."""
-        self._seeds = [node.ip for node in nodes]
+        self.seeds = [node.ip for node in nodes]
         for node in self.nodes:
-            self._write_settings(node, first=False)
-            self.send_signal(node, signal.SIGHUP)
+            self.tell_settings(node)
+
+    def tell_settings(self, node: Node) -> None:
+        """Write the settings of a node anew, and say so."""
+        self._write_settings(node, first=False)
+        self.send_signal(node, signal.SIGHUP)
 
     def launch(self, node: Node, *, first: bool = False) -> None:
         """Start a node's process."""
@@ -180,6 +184,19 @@
         if number == signal.SIGKILL:
             node.process.wait()
 
+    async def await_port(self, node: Node) -> None:
+        """Return when a node listens for callers."""
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(
+                    node.ip, self.ports[0]
+                )
+            except OSError:
+                await asyncio.sleep(0.001)
+                continue
+            writer.close()
+            return
+
     async def replace(self, change: dict[str, typing.Any]) -> int:
         """Send a configuration until there is a clear response."""
         tree = {**copy.deepcopy(CONFIGURATION), **change}
@@ -247,7 +264,7 @@
         )
 
     def _write_settings(self, node: Node, *, first: bool) -> None:
-        seeds = ','.join(f'{ip}:{self.ports[2]}' for ip in self._seeds)
+        seeds = ','.join(f'{ip}:{self.ports[2]}' for ip in self.seeds)
         node.settings.write_text(
             _SETTINGS.format(
                 name=node.name,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -101,7 +101,7 @@
     chance = random.Random(seed)
     count = chance.randint(*_FAULTS)
     chosen = names or [
-        chance.choice(sorted(faults.FAULTS)) for _ in range(count)
+        chance.choice(faults.drawn_by(seed)) for _ in range(count)
     ]
     return [
         _Strike(chance.uniform(0, _CHAOS_S), name, chance.getrandbits(32))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,11 @@
     collections.abc.Awaitable[None],
 ]
 FAULTS: dict[str, Fault] = {}
+# The first seed that draws from all faults. Lower ones were played before
+# some were added, and keep the plans that they had.
+_ALL_SINCE = 1000
+_LATER: set[str] = set()
+_SEEDS = 3  # instances that the platform names to each
 
 
 def fault(function: Fault) -> Fault:
@@ -34,6 +39,21 @@
     return function
 
 
+def later_fault(function: Fault) -> Fault:
+    """Enter a fault that only seeds from 1000 on draw."""
+    _LATER.add(function.__name__)
+    return fault(function)
+
+
+def drawn_by(seed: int) -> list[str]:
+    """Return the names of the faults that a seed draws from."""
+    return [
+        name
+        for name in sorted(FAULTS)
+        if seed >= _ALL_SINCE or name not in _LATER
+    ]
+
+
 @contextlib.contextmanager
 def _disturbed(
     site: soak_site.Site, *names: str
@@ -157,6 +177,33 @@
             site.send_signal(node, signal.SIGHUP)
 
 
+@later_fault
+async def kill_all(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
+    """All processes are killed at the same moment."""
+    if any(site.busy.get(node.name) for node in site.nodes):
+        return
+    with _held(site, *site.nodes):
+        for node in site.nodes:
+            site.kill(node)
+        await _pause(chance, 0.1, 1.0)
+        for node in site.nodes:
+            site.restart(node)
+
+
+@later_fault
+async def other_seeds(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
+    """The settings name any instances, also such as have no disk."""
+    site.name_seeds(chance.sample(site.nodes, _SEEDS))
+
+
 @fault
 async def lose_disk(
     site: soak_site.Site,
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -75,6 +75,7 @@
         self, settings: roles.Router, tree: supervisor.Supervisor
     ) -> None:
         """Start all parts under a supervisor."""
+        logs.emit(events.SETTINGS_READ, control=settings.control)
         self._gateway = gateway = gateway_daemon.Gateway(
             settings,
             names.HEADERS,
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -44,6 +44,9 @@
 RELOAD_FAILED = define(
     1006, 'reload_failed', 'error', 'The new settings are invalid; ignored.'
 )
+SETTINGS_READ = define(
+    1007, 'settings_read', 'info', 'What the settings named at the start.'
+)
 
 ELECTED = define(2001, 'elected', 'info', 'This replica leads the term.')
 STEPPED_DOWN = define(2002, 'stepped_down', 'info', 'It leads no longer.')
