SIGHUP is ignored until there is a handler for it

Cause: the default of SIGHUP ends a process; until the modules are imported and the loop runs there was no handler. Ruled out: a crash at the start (exit code -1, nothing in the logs). Change: the signal is ignored from the first lines of a process on, also of the command line's router and control replica. The settings file's time is taken before the file is read, so that what the signal told of is noticed within the two seconds of the watch.

--- a/features/platform/early.feature
+++ b/features/platform/early.feature
@@ -28,3 +28,12 @@
     Then instance 2 still runs
     And every instance is ready within 10 seconds
     And instance 2 has read the settings that name the other seeds
+
+  Scenario Outline: the same for the roles of the command line
+    When the role <role> stands before its imports
+    Then SIGHUP does not end it
+
+    Examples:
+      | role    |
+      | router  |
+      | control |
--- a/features/promises/soak.feature
+++ b/features/promises/soak.feature
@@ -9,3 +9,4 @@
       | seed |
       | 11   |
       | 13   |
+      | 1018 |
--- a/features/steps/early_steps.py
+++ b/features/steps/early_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import os
 import signal
+import subprocess
+import sys
 
 import behave
 
@@ -118,3 +120,25 @@
         return f'"control": ["{platform.seeds[0]}:' in lines[-1]
 
     context.run(platform_steps.until(read, _READ_S))
+
+
+@behave.when('the role {role} stands before its imports')
+def step_before_imports(context, role):
+    # The import of the role's module fails here, and ends the verb.
+    program = (
+        'import signal, sys\n'
+        'from honeyport import cli\n'
+        f'sys.modules["honeyport.{role}"] = None\n'
+        'try:\n'
+        f'    cli.Commands().{role}("settings.yaml")\n'
+        'except ImportError:\n'
+        '    print(signal.getsignal(signal.SIGHUP).name)\n'
+    )
+    context.disposition = subprocess.run(
+        [sys.executable, '-c', program], capture_output=True, text=True
+    ).stdout.strip()
+
+
+@behave.then('SIGHUP does not end it')
+def step_ignored(context):
+    assert context.disposition == 'SIG_IGN', context.disposition
--- a/launch.py
+++ b/launch.py
@@ -6,7 +6,9 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent / 'src'))
 
 from honeyport.platform import early  # noqa: E402
+from honeyport import signals  # noqa: E402
 
+signals.ignore_reload()
 early.listen()
 
 from honeyport.platform import node  # noqa: E402
--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -7,6 +7,7 @@
 from fire import core as fire_core
 
 from honeyport import errors
+from honeyport import signals
 
 _USAGE_EXIT = 2
 
@@ -147,12 +148,14 @@
 
     def router(self, settings: str) -> None:
         """Run a router with a settings file."""
+        signals.ignore_reload()
         from honeyport.router import daemon
 
         _run(settings, 'Router', daemon.start)
 
     def control(self, settings: str) -> None:
         """Run a control replica with a settings file."""
+        signals.ignore_reload()
         from honeyport.control import daemon
 
         _run(settings, 'Control', daemon.start)
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -36,12 +36,14 @@
 
 def main() -> None:
     """Run the process until it is told to stop."""
-    path = os.environ.get(early.PATH_VARIABLE, '')
+    path = pathlib.Path(os.environ.get(early.PATH_VARIABLE, ''))
+    # Before it is read: a change after this is noticed by the watch.
+    changed_at = _changed_at(path)
     try:
         settings = boot.load(path)
     except errors.SettingsInvalid as error:
         sys.exit(f'honeyport: {error.code}: {error.detail}')
-    node = Node(settings, pathlib.Path(path))
+    node = Node(settings, path, changed_at)
     process.run(node.router_settings, node.start, node.reload)
 
 
@@ -50,12 +52,15 @@
 
     :param settings: what it was told at its start
     :param path: where that came from, and where changes will stand
+    :param changed_at: when that was written, in nanoseconds since the epoch
     """
 
-    def __init__(self, settings: boot.Boot, path: pathlib.Path) -> None:
+    def __init__(
+        self, settings: boot.Boot, path: pathlib.Path, changed_at: int
+    ) -> None:
         self._boot = settings
         self._path = path
-        self._changed_at = _changed_at(path)
+        self._changed_at = changed_at
         self._counters = metrics.Metrics()
         self._gateway: gateway_daemon.Gateway | None = None
 
