The voting rule stands apart from the replica that asks for it

Two faults of the soak shared their body. Change: control/voting.py decides from what a voter knows; no behaviour is changed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -101,6 +101,19 @@
     await asyncio.sleep(chance.uniform(least, most))
 
 
+async def _kill_together(
+    site: soak_site.Site, nodes: list[platform.Node], chance: random.Random
+) -> None:
+    if any(site.busy.get(node.name) for node in nodes):
+        return
+    with _held(site, *nodes):
+        for node in nodes:
+            site.kill(node)
+        await _pause(chance, 0.1, 1.0)
+        for node in nodes:
+            site.restart(node)
+
+
 @fault
 async def kill(
     site: soak_site.Site,
@@ -124,14 +137,7 @@
     chance: random.Random,
 ) -> None:
     """All processes with a disk are killed at the same moment."""
-    if any(site.busy.get(node.name) for node in site.core):
-        return
-    with _held(site, *site.core):
-        for node in site.core:
-            site.kill(node)
-        await _pause(chance, 0.1, 1.0)
-        for node in site.core:
-            site.restart(node)
+    await _kill_together(site, site.core, chance)
 
 
 @fault
@@ -184,14 +190,7 @@
     chance: random.Random,
 ) -> None:
     """All processes are killed at the same moment."""
-    if any(site.busy.get(node.name) for node in site.nodes):
-        return
-    with _held(site, *site.nodes):
-        for node in site.nodes:
-            site.kill(node)
-        await _pause(chance, 0.1, 1.0)
-        for node in site.nodes:
-            site.restart(node)
+    await _kill_together(site, site.nodes, chance)
 
 
 @later_fault
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -19,6 +19,7 @@
 from honeyport.control import membership
 from honeyport.control import storage
 from honeyport.control import timer
+from honeyport.control import voting
 from honeyport import errors
 from honeyport.wire import honeyport_pb2 as pb
 
@@ -202,7 +203,7 @@
     async def on_vote(self, request: pb.VoteRequest) -> pb.VoteAnswer:
         """Answer a request for a vote (section 3.4; trial: 9.6)."""
         async with self._lock:
-            granted = self._may_vote(request)
+            granted = voting.may_vote(self._voter(), request)
             if granted and not request.trial:
                 self._step_down()
                 await self._save_vote(request.term, request.candidate)
@@ -315,30 +316,16 @@
             self._name, self.members, request, self._reach
         )
 
-    def _may_vote(self, request: pb.VoteRequest) -> bool:
-        if not self.admitted:
-            return False
-        if self._timer.hears_leader:
-            return self._repeats_vote(request)
-        if self._timer.is_early and not request.unanimous:
-            return self._repeats_vote(request)
-        if request.unanimous and self._role == LEADER:
-            return False
-        if self.leads or request.term < self.term:
-            return False
-        if request.term == self.term and not request.trial:
-            if self._log.vote.candidate not in ('', request.candidate):
-                return False
+    def _voter(self) -> voting.Voter:
         journal = self._log.journal
-        theirs = (request.last_term, request.last_index)
-        return theirs >= (journal.last_term, journal.last_index)
-
-    def _repeats_vote(self, request: pb.VoteRequest) -> bool:
-        """Whether the vote was given to the same candidate already."""
-        return (
-            not request.trial
-            and request.term == self.term
-            and request.candidate == self._log.vote.candidate
+        return voting.Voter(
+            admitted=self.admitted,
+            hears_leader=self._timer.hears_leader,
+            is_early=self._timer.is_early,
+            is_leader=self._role == LEADER,
+            has_lease=self.leads,
+            vote=self._log.vote,
+            last=(journal.last_term, journal.last_index),
         )
 
     async def _follow(self, term: int, leader: str) -> None:
