The callers' library asks routers that answers have named, too

Change: up to sixteen routers that answers named are kept, and asked after the given ones. Measured: 'the callers' library outlives the routers that it was given' fails before with NotSent and passes now; the five others of its feature pass.

--- a/features/promises/served.feature
+++ b/features/promises/served.feature
@@ -33,3 +33,12 @@
     When a caller sends "router-1" a body that is not JSON
     Then it is refused with "HP-3001" and "not run"
     And nothing ran
+
+  # The library asked only the routers that it was given, and it was given one.
+  # Once that one was gone a new chat found nobody, though answers had named
+  # others: "NotSent: 127.0.0.2:39885 cannot be reached" at the first of them.
+  Scenario: the callers' library outlives the routers that it was given
+    Given a callers' library that was given "router-1" alone
+    When 6 chats go through the library
+    And "router-1" is gone for good
+    Then 6 new chats through the library are answered whole
--- a/src/honeyport/client.py
+++ b/src/honeyport/client.py
@@ -29,6 +29,9 @@
 _ASK_S = 2.0
 _REMEMBERED = 100_000  # chats with an address or a placement
 _TAIL = 256  # bytes that hold the end marks
+# Routers that answers named and that are asked when the first ones are gone:
+# a list names the few of one failure domain, so this holds several lists.
+_MOST_MET = 16
 
 
 @attrs.frozen
@@ -62,6 +65,7 @@
         self, addresses: collections.abc.Sequence[str], account: str
     ) -> None:
         self._first = list(addresses)
+        self._met: list[str] = []  # the latest first
         self._account = account
         self._known: dict[tuple[str, str], _Known] = {}
         self._placements: dict[tuple[str, str], str] = {}
@@ -244,8 +248,7 @@
             }
         )
         request = http.Request(method='GET', path=f'/v1/addresses?{query}')
-        first = self._first
-        for address in self._random.sample(first, len(first)):
+        for address in self._routers():
             try:
                 start, body = await http.read(
                     self._pool(address), request, _ASK_S
@@ -257,11 +260,24 @@
             found = json.loads(body)
             addresses = [one['address'] for one in found['addresses']]
             until = now + found['ttl_s']
+            self._meet(addresses)
             self._known[service, chat] = _Known(addresses, until)
             _trim(self._known)
             return addresses
         return known.addresses if known else self._first
 
+    def _routers(self) -> list[str]:
+        """Return whom to ask for addresses, the first ones in any order.
+
+        Those may all be gone one day; what answers named since is asked, too.
+        """
+        first = self._random.sample(self._first, len(self._first))
+        return [*first, *(one for one in self._met if one not in first)]
+
+    def _meet(self, addresses: list[str]) -> None:
+        met = dict.fromkeys([*addresses, *self._met])
+        self._met = list(met)[:_MOST_MET]
+
     def _remember(self, service: str, chat: str, start: http.Start) -> None:
         placement = start.headers.get('Honeyport-Placement', '')
         if placement:
