Names that a newcomer expects; a call after a return is logged again

Cause: signpost is a metaphor, and 'caller' means a client everywhere else here. A router that came back and was missing again in one leadership had no line of its next call, since the outcome was the same as before. Change: redirector.py, Redirector, next_address, use_settings; the outcome of the latest call is forgotten when a router has its stream.

--- a/features/steps/contact_steps.py
+++ b/features/steps/contact_steps.py
@@ -22,7 +22,7 @@
 
 @behave.when('new settings name {names}')
 def step_name(context, names):
-    context.contacts.name(_split(names))
+    context.contacts.use_settings(_split(names))
 
 
 @behave.when(
@@ -46,13 +46,13 @@
 @behave.then('it asks {names} in turn')
 def step_asks(context, names):
     wanted = _split(names)
-    asked = [context.contacts.next() for _ in wanted]
+    asked = [context.contacts.next_address() for _ in wanted]
     assert asked == wanted, asked
 
 
 @behave.then('it asks {name} within {count:d} tries')
 def step_asks_within(context, name, count):
-    asked = [context.contacts.next() for _ in range(count)]
+    asked = [context.contacts.next_address() for _ in range(count)]
     assert name in asked, asked
 
 
--- a/src/honeyport/control/group.py
+++ b/src/honeyport/control/group.py
@@ -48,7 +48,7 @@
     node: replica.Replica
     routers: sessions.Sessions
     server: grpc.aio.Server
-    caller: introductions.Introductions
+    introductions: introductions.Introductions
 
 
 def create(
@@ -87,8 +87,8 @@
     counters.gauge(
         'control_bundle_version', lambda: node.machine.accepted.version
     )
-    caller = introductions.Introductions(node, routers, counters)
-    return Group(node, routers, server, caller)
+    calls = introductions.Introductions(node, routers, counters)
+    return Group(node, routers, server, calls)
 
 
 async def start(
@@ -101,7 +101,7 @@
     tree.task('replica', group.node.run)
     tree.task('sessions', group.routers.run)
     tree.task('claims', group.routers.run_claims)
-    tree.task('introductions', group.caller.run)
+    tree.task('introductions', group.introductions.run)
     most = max(settings.voters, len(settings.members))
     members = succession.Succession(group.node, group.routers, most)
     tree.task('succession', members.run)
--- a/src/honeyport/control/introductions.py
+++ b/src/honeyport/control/introductions.py
@@ -55,6 +55,7 @@
                 self._outcomes.clear()
                 continue
             self._call_missing()
+            self._forget_outcomes()
             await self._forget()
 
     async def _forget(self) -> None:
@@ -71,6 +72,11 @@
             return
         logs.emit(events.ROUTERS_CHANGED, put=[], removed=gone)
 
+    def _forget_outcomes(self) -> None:
+        """Have the next call to a router that came back logged again."""
+        for name in self._sessions.attached:
+            self._outcomes.pop(name, None)
+
     def _call_missing(self) -> None:
         known = self._node.machine.routers
         for name in self._roster.due(known, self._sessions.attached, _now()):
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -130,6 +130,22 @@
             reader.cancel()
             self._close(session)
 
+    async def run(self) -> None:
+        """Watch leadership, leases and the accepted version."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self._watch_leadership()
+            if self._in_charge:
+                self._tick()
+
+    async def run_claims(self) -> None:
+        """Commit claims, many at a time."""
+        while True:
+            waiting = await self._claims.take()
+            live = [one for one in waiting if not one.session.outbox.closed]
+            if live:
+                await self._commit_claims(live)
+
     @property
     def _in_charge(self) -> bool:
         """Whether we lead and have taken up this term's routers."""
@@ -157,22 +173,6 @@
         logs.emit(events.ROUTERS_CHANGED, put=sorted(put), removed=[])
         return self._in_charge
 
-    async def run(self) -> None:
-        """Watch leadership, leases and the accepted version."""
-        while True:
-            await asyncio.sleep(_TICK_S)
-            self._watch_leadership()
-            if self._in_charge:
-                self._tick()
-
-    async def run_claims(self) -> None:
-        """Commit claims, many at a time."""
-        while True:
-            waiting = await self._claims.take()
-            live = [one for one in waiting if not one.session.outbox.closed]
-            if live:
-                await self._commit_claims(live)
-
     def _watch_leadership(self) -> None:
         if self._node.role == replica.LEADER:
             if self._term != self._node.term and self._node.leads:
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -16,8 +16,8 @@
 from honeyport.policy import draining
 from honeyport.policy import repeats
 from honeyport.router import fleetstate
+from honeyport.router import redirector
 from honeyport.router import session
-from honeyport.router import signpost
 from honeyport.settings import roles
 from honeyport import supervisor
 from honeyport.telemetry import metrics
@@ -108,7 +108,7 @@
 
     def register(self, server: grpc.aio.Server) -> None:
         """Let the server of the replica beside us take a leader's call."""
-        signpost.register(server, self._session, beside_replica=True)
+        redirector.register(server, self._session, beside_replica=True)
 
     async def start(
         self,
@@ -126,7 +126,7 @@
             self._entry.adopt(opened)
         self._gate.start()
         if not self._settings.replica:  # its replica listens there already
-            await signpost.serve(
+            await redirector.serve(
                 self._settings.peer_listen, self._session, tree
             )
         tree.on_stop('connections', self._close)
--- a/src/honeyport/policy/contacts.py
+++ b/src/honeyport/policy/contacts.py
@@ -3,7 +3,7 @@
 The load this answers: the settings of all instances name others at once,
 which have no control replica, and then whole groups of processes lose their
 streams. What a router learnt while it had one is the better address book, and
-whoever else has a stream can tell the way.
+whoever else has a stream knows where it leads.
 """
 
 import collections.abc
@@ -40,7 +40,7 @@
         """Whether somebody has just named the leader."""
         return bool(self._leader)
 
-    def name(self, named: collections.abc.Iterable[str]) -> None:
+    def use_settings(self, named: collections.abc.Iterable[str]) -> None:
         """Take the addresses of new settings.
 
         What was learnt stays: settings may name instances that know less.
@@ -64,7 +64,7 @@
         found = _distinct(replicas, self._heard)
         self._heard = found[:_MOST_HEARD]
 
-    def next(self) -> str:
+    def next_address(self) -> str:
         """Return whom to ask now: the leader, if one was just named.
 
         Otherwise replicas come first in each round, and all others follow,
--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -17,8 +17,8 @@
 from honeyport.router import fleetstate
 from honeyport.router import relay
 from honeyport.router import services
+from honeyport.router import redirector
 from honeyport.router import session
-from honeyport.router import signpost
 from honeyport.router import steward
 from honeyport.settings import roles
 from honeyport import supervisor
@@ -81,7 +81,7 @@
         """Start serving under a supervisor."""
         peers = channels.server()
         rpc.add_PeerServicer_to_server(relay.PeerServicer(self._serve), peers)
-        signpost.register(peers, self._session, beside_replica=False)
+        redirector.register(peers, self._session, beside_replica=False)
         peers.add_insecure_port(self._settings.peer_listen)
         await peers.start()
         tree.on_stop('links', self._links.close)
--- a/src/honeyport/router/signpost.py
+++ b/src/honeyport/router/redirector.py
@@ -1,4 +1,4 @@
-"""Tells others where control is, and listens to a leader that calls."""
+"""What a router answers to other processes that look for control."""
 
 import collections.abc
 
@@ -13,7 +13,7 @@
 _STOP_GRACE_S = 0.2
 
 
-class Contact(rpc.ContactServicer):
+class ContactServicer(rpc.ContactServicer):
     """Lets a leader say where it is."""
 
     def __init__(self, own: session.Session) -> None:
@@ -26,7 +26,7 @@
         return pb.Empty()
 
 
-class Signpost(rpc.SessionServicer):
+class Redirector(rpc.SessionServicer):
     """Sends on whoever takes this process for a control replica."""
 
     def __init__(self, own: session.Session) -> None:
@@ -49,9 +49,9 @@
     :param beside_replica: whether a control replica is served there, which
         says by itself who leads
     """
-    rpc.add_ContactServicer_to_server(Contact(own), server)
+    rpc.add_ContactServicer_to_server(ContactServicer(own), server)
     if not beside_replica:
-        rpc.add_SessionServicer_to_server(Signpost(own), server)
+        rpc.add_SessionServicer_to_server(Redirector(own), server)
 
 
 async def serve(
@@ -62,4 +62,4 @@
     register(server, own, beside_replica=False)
     server.add_insecure_port(address)
     await server.start()
-    tree.on_stop('signpost', lambda: server.stop(_STOP_GRACE_S))
+    tree.on_stop('redirector', lambda: server.stop(_STOP_GRACE_S))
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -102,7 +102,7 @@
 
     def seek(self, control: tuple[str, ...]) -> None:
         """Look for the leader at other addresses, too; the stream stays."""
-        self._contacts.name(control)
+        self._contacts.use_settings(control)
 
     def meet(self, introduction: pb.Redirect) -> None:
         """Take it that a leader called; it is asked next, if we have none."""
@@ -146,7 +146,7 @@
     async def run(self) -> None:
         """Keep a stream to the leader until cancelled."""
         while True:
-            address = self._contacts.next()
+            address = self._contacts.next_address()
             try:
                 reason = await self._attach(address)
             except grpc.aio.AioRpcError as error:
