--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -15,9 +15,9 @@
 from honeyport.router import dispatch
 from honeyport.router import edge
 from honeyport.router import fleetstate
+from honeyport.router import redirector
 from honeyport.router import relay
 from honeyport.router import services
-from honeyport.router import redirector
 from honeyport.router import session
 from honeyport.router import steward
 from honeyport.settings import roles
