Random histories of the control log while the settings name others

Cause: the histories always started replicas with the same founders. Change: a further scenario in which restarts come with changed settings.

--- a/features/control/replica.feature
+++ b/features/control/replica.feature
@@ -8,6 +8,10 @@
     When 25 random histories of 5 replicas are played, with lost disks
     Then in each all replicas end with everything that was acknowledged
 
+  Scenario: the same while the settings come to name others
+    When 60 random histories of 3 replicas are played, with lost disks and changed settings
+    Then in each all replicas end with everything that was acknowledged
+
   Scenario: what was acknowledged outlives a loss of all power
     Given disks whose syncs last
     When all of 3 replicas lose power right after a change, 25 times
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -9,27 +9,28 @@
 from features.support import simulation
 from honeyport import errors
 
-EVENTS = strategies.lists(
-    strategies.tuples(
-        strategies.sampled_from(
-            (
-                'kill',
-                'start',
-                'isolate',
-                'heal',
-                'lose',
-                'power',
-                'fill',
-                'free',
-                'propose',
-                'wait',
-            )
-        ),
-        strategies.integers(0, 4),
-    ),
-    min_size=5,
-    max_size=30,
+_EVENTS = (
+    'kill',
+    'start',
+    'isolate',
+    'heal',
+    'lose',
+    'power',
+    'fill',
+    'free',
+    'propose',
+    'wait',
 )
+_STRANGERS = ('x0', 'x1', 'x2')  # instances that are no replicas
+
+
+def _histories(events):
+    """Return the strategy of histories that are made of some events."""
+    one = strategies.tuples(
+        strategies.sampled_from(events), strategies.integers(0, 4)
+    )
+    return strategies.lists(one, min_size=5, max_size=30)
+
 
 # Places that one proposal of a history brings, so that some histories reach a
 # snapshot (every 12 entries).
@@ -41,6 +42,18 @@
     'disks'
 )
 def step_histories(context, count, size):
+    _play_histories(context, count, size, _EVENTS)
+
+
+@behave.when(
+    '{count:d} random histories of {size:d} replicas are played, with lost '
+    'disks and changed settings'
+)
+def step_histories_with_settings(context, count, size):
+    _play_histories(context, count, size, (*_EVENTS, 'rename'))
+
+
+def _play_histories(context, count, size, kinds):
     context.played = []
 
     @hypothesis.settings(
@@ -50,7 +63,7 @@
         derandomize=True,
         suppress_health_check=list(hypothesis.HealthCheck),
     )
-    @hypothesis.given(EVENTS, strategies.integers(0, 2**20))
+    @hypothesis.given(_histories(kinds), strategies.integers(0, 2**20))
     def play(events, seed):
         simulation.run(history(size, seed, events))
         context.played.append(seed)
@@ -85,6 +98,9 @@
             await group.lose_power(name)
         elif what in ('fill', 'free'):
             group.disks[name].full = what == 'fill'
+        elif what == 'rename':
+            named = group.names[:which] + list(_STRANGERS[which:])
+            group.founders = {other: other for other in named}
         elif what == 'propose':
             proposing.append(asyncio.create_task(group.propose(f'e{number}')))
             placing += [
