--- a/features/platform/seeds.feature
+++ b/features/platform/seeds.feature
@@ -12,8 +12,9 @@
   #    10.71 edge-sala-cartago-1 session_failed address "10.1.0.39:7620"
   #         reason "unavailable"
   #
-  # The three are instances without a disk, and nothing listens there: 815 of
-  # 815 refusals of the first incident were HP-3005, "no configuration yet".
+  # The three are instances without a disk, and nothing listens there. Six
+  # instances that were started again refused 575 requests, all of them with
+  # HP-3005, "no configuration yet".
 
   Background:
     Given a platform of three instances with disks and three without
