Each entry of the instance list is decoded by itself

Cause: the list was taken whole or not at all, and hardly checked.

Ruled out: filtering by the services of the configuration; nothing routes to others, and a list may come before its configuration. Handing the last list on to the next leader: gateways keep the one they have, so only a leader that never had one waits for the platform.

Change: platform/entries.py decodes entry by entry and salvages a page that one entry spoils; policy/readings.py says what a reading changes: duplicates leave if one entry says so, and where later pages are missing the instances that were known stay. Refusals are counted and logged when they change.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -66,3 +66,14 @@
     Given a catalog that has read the instances a, b, c
     When it cannot read the list
     Then the instances are still a, b, c
+
+  Scenario: the later pages of a list cannot be read
+    Given a catalog that has read the instances a, b, c
+    When a part that names a is all that it can read
+    Then the instances are still a, b, c
+
+  Scenario: an entry in what could be read of a list names no instance
+    Given a catalog that has read the instances a, b, c
+    When a part with a spoilt entry of b that names a is all it reads
+    Then the instances are still a, c
+    And 1 entry is counted as refused
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -8,6 +8,8 @@
 from honeyport.control import catalog
 from honeyport.control import machine
 from honeyport import errors
+from honeyport.policy import readings
+from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
 # Longer than a change of places waits, shorter than between two readings.
@@ -37,12 +39,15 @@
     def __init__(self) -> None:
         self.loop = simulation.VirtualLoop()
         self.listed: list[pb.Instance] | None = []
+        self.missing = ''
+        self.refusals: list[readings.Refusal] = []
+        self.counters = metrics.Metrics()
         self.node = _Leader()
         self.lead()
 
     def lead(self) -> None:
         """Begin a leadership."""
-        self.catalog = catalog.Catalog(self.node, self._read)
+        self.catalog = catalog.Catalog(self.node, self._read, self.counters)
 
     def start_anew(self) -> None:
         """Begin with nothing but what a snapshot keeps."""
@@ -73,10 +78,14 @@
             task.cancel()
         await asyncio.wait([reading, recording])
 
-    async def _read(self) -> list[pb.Instance]:
+    async def _read(self) -> readings.Reading:
         if self.listed is None:
             raise errors.ListUnreadable('no answer')
-        return self.listed
+        return readings.Reading(
+            instances=self.listed,
+            refusals=self.refusals,
+            missing=self.missing,
+        )
 
     def place(self, name: str) -> str:
         """Return the place of an instance."""
@@ -90,6 +99,22 @@
     context.catalog.read(names)
 
 
+@behave.when('a part that names {names} is all that it can read')
+def step_read_part(context, names):
+    context.catalog.missing = 'no answer'
+    context.catalog.read(names)
+    context.catalog.missing = ''
+
+
+@behave.when(
+    'a part with a spoilt entry of {name} that names {names} is all it reads'
+)
+def step_read_part_refused(context, names, name):
+    refusal = readings.Refusal(id=name, reason='slots is unusable')
+    context.catalog.refusals = [refusal]
+    step_read_part(context, names)
+
+
 @behave.when('it reads {names}, and {leaving} is leaving')
 def step_read_leaving(context, names, leaving):
     context.catalog.read(names, leaving)
@@ -160,6 +185,18 @@
     assert context.catalog.place(name) == ''
 
 
+@behave.then('{name} is leaving')
+def step_leaving(context, name):
+    latest = context.catalog.catalog.latest
+    assert name in [one.id for one in latest.instances if one.leaving]
+
+
+@behave.then('{count:d} entry is counted as refused')
+def step_refused(context, count):
+    found = context.catalog.counters.counter('list_entries_refused')
+    assert found == count, found
+
+
 @behave.then('the instances are still {names}')
 def step_still(context, names):
     found = [one.id for one in context.catalog.catalog.latest.instances]
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -134,6 +134,7 @@
                 'service': 'app',
                 'address': work,
                 'zone': _ZONES[0],
+                'version': 'v1',
                 'slots': 8,
                 'state': 'ready',
                 'cold_remaining_ms': 0,
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -58,6 +58,7 @@
             'service': self.service,
             'address': self.relay.address,
             'zone': 'thu-duc',
+            'version': 'v1',
             'slots': 64,
             'state': self.state,
             'cold_remaining_ms': 0,
--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -17,8 +17,10 @@
 from honeyport.control import replica
 from honeyport import errors
 from honeyport.policy import places
+from honeyport.policy import readings
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
 # A third of the shortest bound that the platforms set between the first
@@ -29,8 +31,11 @@
 # time between two changes of the list, and each look is a comparison.
 _RECORD_S = 0.2
 
+# Reasons for entries that are left out, in one log line.
+_MOST_REASONS = 5
+
 Source = collections.abc.Callable[
-    [], collections.abc.Awaitable[list[pb.Instance]]
+    [], collections.abc.Awaitable[readings.Reading]
 ]
 
 
@@ -40,9 +45,13 @@
     :param source: reads the platform's list
     """
 
-    def __init__(self, node: replica.Replica, source: Source) -> None:
+    def __init__(
+        self, node: replica.Replica, source: Source, counters: metrics.Metrics
+    ) -> None:
         self._node = node
         self._source = source
+        self._metrics = counters
+        self._refusals: tuple[readings.Refusal, ...] = ()
         self._assigner: places.Assigner | None = None
         self._is_unsaved = False
         self._latest = pb.Instances()
@@ -94,16 +103,13 @@
 
     async def _read(self) -> None:
         try:
-            found = await self._source()
+            reading = await self._source()
         except errors.ListUnreadable as error:
-            if self._readable:
-                logs.emit(events.LIST_LOST, reason=error.detail)
-            self._readable = False
+            self._note_readable(error.detail)
             return
-        if not self._readable:
-            logs.emit(events.LIST_REGAINED, instances=len(found))
-        self._readable = True
-        found.sort(key=lambda instance: instance.id)
+        self._note_readable(reading.missing)
+        self._note_refusals(tuple(reading.refusals))
+        found = readings.merge(self._latest.instances, reading)
         self._place(found)
         if self._latest.number and list(self._latest.instances) == found:
             return
@@ -118,6 +124,28 @@
             leaving=[one.id for one in found if one.leaving],
         )
 
+    def _note_readable(self, missing: str) -> None:
+        """Log when the list, or a part of it, is lost and regained."""
+        if missing and self._readable:
+            logs.emit(events.LIST_LOST, reason=missing)
+        elif not missing and not self._readable:
+            logs.emit(events.LIST_REGAINED)
+        self._readable = not missing
+
+    def _note_refusals(self, refusals: tuple[readings.Refusal, ...]) -> None:
+        """Count the entries that are left out; log them when they change."""
+        self._metrics.count('list_entries_refused', len(refusals))
+        if refusals and refusals != self._refusals:
+            logs.emit(
+                events.LIST_ENTRIES_REFUSED,
+                entries=len(refusals),
+                reasons=[
+                    f'{one.id}: {one.reason}'
+                    for one in refusals[:_MOST_REASONS]
+                ],
+            )
+        self._refusals = refusals
+
     def _place(self, found: list[pb.Instance]) -> None:
         """Give each instance its place."""
         if self._assigner is None:
--- a/src/honeyport/platform/listing.py
+++ b/src/honeyport/platform/listing.py
@@ -1,8 +1,6 @@
-"""The platform's list of the instances of backend servers."""
+"""The platform's list of the instances of backend servers, page by page."""
 
 import functools
-import json
-import typing
 import urllib.parse
 
 from tornado import httpclient
@@ -10,12 +8,13 @@
 
 from honeyport.control import catalog
 from honeyport import errors
+from honeyport.platform import entries
+from honeyport.policy import readings
 from honeyport.wire import honeyport_pb2 as pb
 
 # A list that has not come by then is asked for again at the next period.
 _TIMEOUT_S = 0.8
 _MOST_PAGES = 200  # 50 instances a page: twice the largest fleet known
-_LEAVING = 'draining'
 
 
 def source(address: str) -> catalog.Source:
@@ -26,26 +25,40 @@
 
 async def _read(
     client: httpclient.AsyncHTTPClient, address: str
-) -> list[pb.Instance]:
-    found: list[pb.Instance] = []
+) -> readings.Reading:
+    """Read all pages, or those before one that cannot be read.
+
+    :raises errors.ListUnreadable: if that is the first one
+    """
+    decoded: list[pb.Instance | readings.Refusal] = []
     token = ''
-    for _ in range(_MOST_PAGES):
-        page = await _page(client, address, token)
+    for number in range(_MOST_PAGES):
         try:
-            found += [_instance(entry) for entry in page['instances']]
-            token = page.get('next') or ''
-        except (KeyError, TypeError, ValueError) as error:
-            raise errors.ListUnreadable(
-                f'unexpected entry: {error!r}'
-            ) from None
+            page = await _page(client, address, token)
+        except errors.ListUnreadable as error:
+            if not number:
+                raise
+            return _reading(decoded, error.detail)
+        decoded += [entries.decode(entry) for entry in page.entries]
+        token = page.next
         if not token:
-            return found
-    raise errors.ListUnreadable(f'more than {_MOST_PAGES} pages')
+            return _reading(decoded, '')
+    return _reading(decoded, f'more than {_MOST_PAGES} pages')
+
+
+def _reading(
+    decoded: list[pb.Instance | readings.Refusal], missing: str
+) -> readings.Reading:
+    return readings.Reading(
+        instances=[one for one in decoded if isinstance(one, pb.Instance)],
+        refusals=[one for one in decoded if isinstance(one, readings.Refusal)],
+        missing=missing,
+    )
 
 
 async def _page(
     client: httpclient.AsyncHTTPClient, address: str, token: str
-) -> dict[str, typing.Any]:
+) -> entries.Page:
     url = f'http://{address}/instances'
     if token:
         url += '?' + urllib.parse.urlencode({'page_token': token})
@@ -53,19 +66,6 @@
         response = await client.fetch(
             url, request_timeout=_TIMEOUT_S, connect_timeout=_TIMEOUT_S
         )
-        return json.loads(response.body)
+        return entries.decode_page(response.body)
     except (OSError, httpclient.HTTPError, ValueError) as error:
         raise errors.ListUnreadable(f'{url}: {error!r}') from None
-
-
-def _instance(entry: dict[str, typing.Any]) -> pb.Instance:
-    return pb.Instance(
-        id=entry['id'],
-        service=entry['service'],
-        address=entry['address'],
-        domain=entry['zone'],
-        leaving=entry['state'] == _LEAVING,
-        slots=int(entry['slots']),
-        # ``cold_remaining_ms`` is left out: it falls with every call, and
-        # each list would differ from the one before.
-    )
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -148,7 +148,9 @@
         )
         parts = group.create(settings, tree, self._counters)
         listed = catalog.Catalog(
-            parts.node, listing.source(self._boot.backend_list)
+            parts.node,
+            listing.source(self._boot.backend_list),
+            self._counters,
         )
         parts.routers.follow(lambda: listed.latest)
         gateway.register(parts.server)
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -105,7 +105,10 @@
     2401, 'list_changed', 'info', "The platform's list of instances changed."
 )
 LIST_LOST = define(
-    2402, 'list_lost', 'warning', "The platform's list cannot be read."
+    2402,
+    'list_lost',
+    'warning',
+    "The platform's list, or a part, cannot be read.",
 )
 LIST_REGAINED = define(
     2403, 'list_regained', 'info', "The platform's list is read again."
@@ -119,6 +122,12 @@
     'warning',
     'A change of places was not committed; it is tried again.',
 )
+LIST_ENTRIES_REFUSED = define(
+    2406,
+    'list_entries_refused',
+    'warning',
+    "Entries of the platform's list name no instance to use.",
+)
 VIEW_CHANGED = define(2201, 'view_changed', 'info', 'Routers came or went.')
 ROUTER_EXPIRED = define(
     2202, 'router_expired', 'warning', 'A router let its lease lapse.'
