Two checkouts can be tested at once; what hangs is ended whole

Cause: scenarios took the hosts 127.0.0.2 on whoever else tested there; a scenario that hung was ended without the processes that it had started, which kept their ports. Two suites at once: 7 failed in one, 5 in the other, all for 'Address already in use' on the port of metrics, and again alone for as long as 14 such processes were left (6 failed).

Change: a run locks the hosts that it uses; each scenario is a session of its own and ends with all its processes.

--- a/features/run.py
+++ b/features/run.py
@@ -1,9 +1,9 @@
 """Runs all features; the last line is ``N passed, N failed``.
 
 Every scenario runs in a process of its own, several at a time, each on a
-loopback host of its own, so that no two want the same port. Those with
-the tag ``alone`` judge what shows only with processor time to spare; they
-run one at a time, after all others.
+loopback host of its own, so that no two want the same port, also where two
+checkouts are tested at once. Those with the tag ``alone`` judge what shows
+only with processor time to spare; they run one at a time, after all others.
 
 A scenario named in ``KNOWN-RED.txt`` may fail: it is printed, and counts
 neither way. One that is named there and passes counts as a failure, so
@@ -11,11 +11,16 @@
 shows only under load and may pass.
 """
 
+import collections.abc
 import concurrent.futures
+import contextlib
+import fcntl
 import os
 import pathlib
+import signal
 import subprocess
 import sys
+import tempfile
 
 import attrs
 from behave import configuration
@@ -30,6 +35,7 @@
 # A scenario that has not ended by then hangs; the longest takes 25 s.
 _LONGEST_S = 60.0
 _FIRST_HOST = 2  # 127.0.0.1 is left to connections that go out
+_LAST_HOST = 250
 
 
 @attrs.frozen
@@ -100,9 +106,11 @@
 
 def _run(scenarios: list[Scenario], count: int) -> list[Result]:
     """Run so many scenarios at once; print each result as it comes."""
-    hosts = [f'127.0.0.{_FIRST_HOST + one}' for one in range(count)]
     results = []
-    with concurrent.futures.ThreadPoolExecutor(count) as workers:
+    with (
+        _own_hosts(count) as hosts,
+        concurrent.futures.ThreadPoolExecutor(count) as workers,
+    ):
         waiting = [
             workers.submit(_run_one, scenario, hosts) for scenario in scenarios
         ]
@@ -116,25 +124,47 @@
     return results
 
 
+@contextlib.contextmanager
+def _own_hosts(count: int) -> collections.abc.Iterator[list[str]]:
+    """Give out loopback hosts that no other run uses meanwhile."""
+    hosts: list[str] = []
+    with contextlib.ExitStack() as locks:
+        for number in range(_FIRST_HOST, _LAST_HOST + 1):
+            host = f'127.0.0.{number}'
+            path = pathlib.Path(tempfile.gettempdir(), f'honeyport-{host}')
+            lock = locks.enter_context(path.open('a'))
+            with contextlib.suppress(BlockingIOError):
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                hosts.append(host)
+            if len(hosts) == count:
+                break
+        yield hosts
+
+
 def _run_one(scenario: Scenario, hosts: list[str]) -> Result:
     """Run a scenario on a host that no other one uses now."""
     host = hosts.pop()
+    # In a session of its own, so that a scenario that hangs is ended with
+    # all processes that it started: they would keep their ports.
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'features.run', '--one', scenario.place],
+        cwd=_ROOT,
+        env={**os.environ, 'HONEYPORT_TEST_HOST': host},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors='replace',
+        start_new_session=True,
+    )
     try:
-        ended = subprocess.run(
-            [sys.executable, '-m', 'features.run', '--one', scenario.place],
-            cwd=_ROOT,
-            env={**os.environ, 'HONEYPORT_TEST_HOST': host},
-            capture_output=True,
-            text=True,
-            timeout=_LONGEST_S,
-        )
-    except subprocess.TimeoutExpired as expired:
-        output = (expired.stdout or b'').decode(errors='replace')
+        output, _ = process.communicate(timeout=_LONGEST_S)
+    except subprocess.TimeoutExpired:
+        os.killpg(process.pid, signal.SIGKILL)
+        output, _ = process.communicate()
         return Result(scenario, False, f'{output}\nit did not end')
     finally:
         hosts.append(host)
-    output = ended.stdout + ended.stderr
-    return Result(scenario, ended.returncode == 0, output)
+    return Result(scenario, process.returncode == 0, output)
 
 
 def _behave(place: str) -> int:
