Requests without a prefix go where little likely runs by now

Cause: the least loaded instance was chosen by counts of other gateways that are 0.28 s old on average, and requests to the application last 0.1 s. With few gateways the own, exact count decides; with hundreds all choose the same instance until the next counts come. A constant that fits few: that what is known is true now.

Change: policy/stale.py takes what ran to have ended with the age of the counts over the time that requests run (observed), and arrivals to have filled up who ran least (Dahlin, ICDCS 1999); each request goes there by lot.

--- a/features/steps/choice_steps.py
+++ b/features/steps/choice_steps.py
@@ -38,7 +38,7 @@
         listed = pb.Instances(number=1)
         for place in context.places:
             listed.instances.add(id=place, service='llm', place=place)
-        choice.regard(listed, {})
+        choice.regard(listed, {}, 0.0)
         with contextlib.ExitStack() as held:
             for _ in range(200):
                 found = choice.choose('llm', context.prompts[0], ())
--- a/features/steps/prefix_steps.py
+++ b/features/steps/prefix_steps.py
@@ -35,7 +35,7 @@
                 leaving=listed.leaving,
                 place=listed.place,
             )
-        self.balancer.regard(news, {})
+        self.balancer.regard(news, {}, 0.0)
 
     def ranked(self, rank):
         """Return the instance of a rank for a prompt of the subject."""
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -16,6 +16,7 @@
 from honeyport.policy import health
 from honeyport.policy import placement
 from honeyport.policy import prefixes
+from honeyport.policy import stale
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
@@ -38,6 +39,8 @@
         self._running: collections.Counter[str] = collections.Counter()
         self._health = health.Health()
         self._others: collections.abc.Mapping[str, int] = {}
+        self._others_at = float('-inf')
+        self._stays = stale.Stays()
         self._holders = prefixes.Holders()
         self._leaving_since: dict[str, float] = {}
 
@@ -50,12 +53,15 @@
         self,
         instances: pb.Instances,
         others: collections.abc.Mapping[str, int],
+        counted_at: float,
     ) -> set[str] | None:
         """Take the latest list, and what runs through other gateways.
 
+        :param counted_at: when that was so, as loop time
         :returns: the instances that may be used, if the list is new
         """
         self._others = others
+        self._others_at = counted_at
         if instances.number == self._number:
             return None
         had_list = self._number > 0
@@ -111,23 +117,30 @@
                 retry_after=_COME_BACK_S,
             )
         usable = self._sound(found) or found
+        counts = stale.Counts(
+            own=lambda name: self._running[name],
+            others=lambda name: self._others.get(name, 0),
+            age_s=_now() - self._others_at,
+            stay_s=self._stays.of(service),
+        )
         if not parts:
-            return placement.least_loaded(usable, self.load, self._domain)
-        choice = placement.by_prefix(parts, usable, self.load, self._domain)
+            return placement.by_load(usable, counts, self._domain)
+        choice = placement.by_prefix(parts, usable, counts, self._domain)
         return self._with_source(service, parts, choice)
 
-    def load(self, instance: str) -> int:
-        """Return what runs there, through any gateway."""
-        return self._running[instance] + self._others.get(instance, 0)
-
     @contextlib.contextmanager
     def hold(
         self, instance: placement.Instance
     ) -> collections.abc.Iterator[None]:
         """Count a request while it runs on an instance."""
         self._running[instance.id] += 1
+        began = _now()
         try:
             yield
+        except BaseException:
+            raise  # how long a failure took says nothing of the others
+        else:
+            self._stays.note(instance.service, _now() - began)
         finally:
             self._running[instance.id] -= 1
             if not self._running[instance.id]:
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -161,7 +161,9 @@
         now = asyncio.get_running_loop().time()
         self._lifetime.note(self._state.departing, now)
         usable = self._balancer.regard(
-            self._state.instances, self._state.residuals
+            self._state.instances,
+            self._state.residuals,
+            now - self._state.loads_age_s,
         )
         if usable is not None:
             self._pool.retain(usable)
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -5,18 +5,19 @@
 rank the places by rendezvous hashing and take the first one whose load is
 under a bound (consistent hashing with bounded loads; Mirrokni, Thorup and
 Zadimoghaddam, 2016), so a prefix stays where it is cached until its instance
-is over the bound. All others take the least loaded instance.
+is over the bound. All others take an instance that likely runs little
+(:mod:`honeyport.policy.stale`).
 
 The load this answers: few prefixes get much of the traffic, and prompts are
 long. Reading 10,500 tokens takes 94 ms and holds up all that runs beside it.
 """
 
 import collections.abc
-import random
 
 import attrs
 
 from honeyport.policy import prefixes
+from honeyport.policy import stale
 
 # The most load of an instance as a multiple of the mean, and what is
 # allowed on top while the mean is small. Under the limit that platforms
@@ -50,7 +51,7 @@
     """An instance, and what decided for it.
 
     :ivar rank: its position among those that suit the prompt, or -1 if
-        the least loaded one was taken
+        only its load decided
     :ivar load: what ran there, through any gateway
     :ivar bound: the load it had to be under; 0 if none
     :ivar usable: how many instances there were to choose from
@@ -66,19 +67,24 @@
 
 
 Instances = collections.abc.Collection[Instance]
-Load = collections.abc.Callable[[str], int]
 
 
 def by_prefix(
-    parts: prefixes.Parts, found: Instances, load: Load, domain: str
+    parts: prefixes.Parts,
+    found: Instances,
+    counts: stale.Counts,
+    domain: str,
 ) -> Choice:
     """Return the first instance for a prompt that is under the bound.
 
     :param parts: the parts of the prompt, not empty
     :param found: the instances to choose from, not empty
-    :param load: returns what runs on an instance, through any gateway
     :param domain: our failure domain
     """
+
+    def load(name: str) -> int:
+        return counts.own(name) + counts.others(name)
+
     total = sum(load(instance.id) for instance in found)
     bound = _BOUND * (total + 1) / len(found) + _BOUND_EXTRA
     by_place = {one.place: one for one in found if one.place}
@@ -87,21 +93,25 @@
         running = load(instance.id)
         if running < bound:
             return Choice(instance, rank, running, bound, len(found))
-    return least_loaded(found, load, domain)
+    return by_load(found, counts, domain)
+
 
+def by_load(found: Instances, counts: stale.Counts, domain: str) -> Choice:
+    """Return an instance that likely runs least.
 
-def least_loaded(found: Instances, load: Load, domain: str) -> Choice:
-    """Return the instance that runs least, of our domain if several do.
+    While nothing is known to run anywhere, one of our domain if there is one.
 
     :param found: the instances to choose from, not empty
+    :param domain: our failure domain
     """
-
-    def cost(instance: Instance) -> tuple[int, bool, float]:
-        far = instance.domain != domain
-        return load(instance.id), far, random.random()
-
-    best = min(found, key=cost)
-    return Choice(best, -1, load(best.id), 0.0, len(found))
+    by_id = {one.id: one for one in found}
+    loads = {name: counts.own(name) + counts.others(name) for name in by_id}
+    names = list(by_id)
+    if not any(loads.values()):
+        near = [one.id for one in found if one.domain == domain]
+        names = near or names
+    chosen = stale.choose(names, counts)
+    return Choice(by_id[chosen], -1, loads[chosen], 0.0, len(found))
 
 
 def may_be_copied(leaving_s: float, *, is_sound: bool) -> bool:
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -139,6 +139,14 @@
         """Seconds since the report that control answered last."""
         return asyncio.get_running_loop().time() - self._heard_as_of
 
+    @property
+    def loads_age_s(self) -> float:
+        """How old the others' loads are on average, in seconds.
+
+        They were reported within a period before control answered us.
+        """
+        return self.silence_s + self.timing.report_ms / 1000 / 2
+
     @property
     def timing(self) -> model.Timing:
         """Periods and leases; the defaults before the first bundle."""
