What a failed instance was seen to hold is forgotten

Cause: an instance may start again under its name and then holds nothing. What a gateway had seen it hold stayed, so prefixes were read there again in place of being copied.

Ruled out: asking each instance for its time of start: the calls are priced like probes, and a gateway sees a crash by its connections. What else is kept by name may stay: the place (the same prefixes come back), the pause after a failure (it ends with the first answer), counts (they end with their requests), idle connections (checked before each use, closed by the peer).

Change: a failure forgets the instance's parts; naming a source for a prefix that is still there moves nothing.

Test: 'an instance that starts again under its name holds nothing', failed before. A gateway that had nothing to do with an instance while it was away does not notice; its next prompt there is read again.

--- a/features/gateway/prefixes.feature
+++ b/features/gateway/prefixes.feature
@@ -54,3 +54,10 @@
   Scenario: what is remembered is bounded
     Given 5000 parts that were read on an instance
     Then the latest 2048 of them are remembered
+
+  Scenario: an instance that starts again under its name holds nothing
+    Given a choice among the instances a, b, c
+    When the first choice of a prompt answers it
+    And it fails
+    And 0.6 seconds pass
+    Then the next prompt of the subject goes there again, and copies from its second choice
--- a/features/steps/prefix_steps.py
+++ b/features/steps/prefix_steps.py
@@ -216,3 +216,18 @@
         if context.holders.of(f'part-{number}')
     ]
     assert found == list(range(context.count - kept, context.count))
+
+
+@behave.then(
+    'the next prompt of the subject goes there again, and copies from its '
+    'second choice'
+)
+def step_again(context):
+    async def check():
+        setting = context.setting
+        found = setting.choose()
+        assert found.instance.id == setting.first.id, found
+        assert found.source is not None
+        assert found.source.id == setting.ranked(1).id, found
+
+    context.run(check())
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -137,9 +137,7 @@
         began = _now()
         try:
             yield
-        except BaseException:
-            raise  # how long a failure took says nothing of the others
-        else:
+            # Not where it failed: that took more time, or none at all.
             self._stays.note(instance.service, _now() - began)
         finally:
             self._running[instance.id] -= 1
@@ -155,7 +153,13 @@
             self._holders.note(part.id, instance.id)
 
     def failed(self, instance: placement.Instance, reason: str) -> None:
-        """Note that an instance cannot be used; it is left alone a while."""
+        """Note that an instance cannot be used; it is left alone a while.
+
+        It may come back under its name and hold nothing: a prefix that it
+        was seen to hold is copied to it again, which costs nothing where it
+        is still there.
+        """
+        self._holders.forget(instance.id)
         pause = self._health.failed(instance.id, _now())
         logs.emit(
             events.INSTANCE_AVOIDED,
--- a/src/honeyport/policy/prefixes.py
+++ b/src/honeyport/policy/prefixes.py
@@ -67,10 +67,17 @@
         """Return the instances that hold a part, the latest one first."""
         return self._found.get(part, ())
 
+    def forget(self, instance: str) -> None:
+        """Forget what one instance holds: it may have started again."""
+        self._forget(lambda name: name == instance)
+
     def forget_others(self, present: collections.abc.Container[str]) -> None:
         """Forget the instances that are gone."""
+        self._forget(lambda name: name not in present)
+
+    def _forget(self, is_gone: collections.abc.Callable[[str], bool]) -> None:
         for part, known in list(self._found.items()):
-            left = tuple(name for name in known if name in present)
+            left = tuple(name for name in known if not is_gone(name))
             if left:
                 self._found[part] = left
             else:
