--- a/features/platform/fleet.feature
+++ b/features/platform/fleet.feature
@@ -75,3 +75,13 @@
     And all processes are killed, and instances 1 and 2 lose their disks
     Then every instance reads back what was sent as version 7
     And every instance is ready within 10 seconds
+
+  Scenario: entries of another writer stand in the instance list from the start
+    Given a platform of three instances with disks
+    And its instance list holds entries of another writer
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    And a caller's request to each of them is answered
+    When all processes are killed and started again
+    Then every instance is ready within 10 seconds
+    And a caller's request to each of them is answered
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -35,6 +35,20 @@
     context.to_stop.append(context.platform.stop)
 
 
+@behave.given('its instance list holds entries of another writer')
+def step_foreign(context):
+    listed = context.platform.listed
+    [good] = listed
+    listed += [
+        None,
+        'i-7',
+        {**good, 'id': 'i-2', 'slots': '8'},
+        {**good, 'id': 'i-3', 'state': 'of tomorrow'},
+        {**good, 'id': 'i-4', 'address': 'nowhere'},
+        {key: kept for key, kept in good.items() if key != 'zone'},
+    ]
+
+
 @behave.when('all {count:d} vote')
 def step_all_vote(context, count):
     async def voting():
