One sum of known counts, one way to pack a version; tests share a step

Read again as a whole. What runs on an instance as it is known was added up in three places (both choices, the replay's old choice): it is a method of Counts. Two steps of the list's tests replaced an entry and read in the same words.

--- a/features/steps/listing_steps.py
+++ b/features/steps/listing_steps.py
@@ -128,17 +128,13 @@
 
 @behave.then('it names {names} whenever a field of {spoilt} cannot be used')
 def step_each_field(context, names, spoilt):
-    before = context.listed.entries
     for field, value in context.table:
         entry = {'id': spoilt, **_GOOD}
         if value == 'missing':
             del entry[field]
         else:
             entry[field] = json.loads(value)
-        context.listed.entries = [
-            entry if one['id'] == spoilt else one for one in before
-        ]
-        context.reading = context.run(context.listed.read())
+        read_instead(context, spoilt, entry)
         step_names(context, names)
         [refusal] = context.reading.refusals
         assert refusal.reason.startswith(field), refusal
@@ -146,16 +142,21 @@
 
 @behave.then('it names {names} whatever stands in place of {spoilt}')
 def step_each_entry(context, names, spoilt):
-    before = context.listed.entries
     for row in context.table:
-        context.listed.entries = [
-            json.loads(row['entry']) if one['id'] == spoilt else one
-            for one in before
-        ]
-        context.reading = context.run(context.listed.read())
+        read_instead(context, spoilt, json.loads(row['entry']))
         step_names(context, names)
 
 
+def read_instead(context, spoilt, entry):
+    """Read the list with another entry in place of one."""
+    before = context.listed.entries
+    context.listed.entries = [
+        entry if one['id'] == spoilt else one for one in before
+    ]
+    context.reading = context.run(context.listed.read())
+    context.listed.entries = before
+
+
 @behave.given('the bytes of {name} are no UTF-8')
 def step_bytes(context, name):
     good = json.dumps({'id': name, **_GOOD}).encode()
--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -9,8 +9,8 @@
 import collections
 import heapq
 import itertools
-import math
 import random
+import statistics
 import typing
 
 import attrs
@@ -137,12 +137,13 @@
     """Choose as if what is known of other gateways were true now."""
 
     def known(name: str) -> tuple[float, float]:
-        return counts.own(name) + counts.others(name), random.random()
+        return counts.known(name), random.random()
 
     return min(names, key=known)
 
 
 def mean_refused(load: Load, choose: typing.Any = stale.choose) -> float:
     """Return the mean share of three seeds."""
-    found = [Replay(load, seed, choose).refused_share() for seed in (1, 2, 3)]
-    return math.fsum(found) / len(found)
+    return statistics.fmean(
+        Replay(load, seed, choose).refused_share() for seed in (1, 2, 3)
+    )
--- a/src/honeyport/control/replacement.py
+++ b/src/honeyport/control/replacement.py
@@ -9,6 +9,7 @@
 
 from honeyport.bundle import entries as bundle_entries
 from honeyport.bundle import model
+from honeyport.bundle import packed
 from honeyport.control import replica
 from honeyport import errors
 from honeyport.telemetry import events
@@ -41,11 +42,11 @@
         if version <= held:
             logs.emit(events.REPLACEMENT_OVERTAKEN, version=version, has=held)
             return
-        text = bundle_entries.canonical(bundle_entries.split(bundle))
+        entries = bundle_entries.split(bundle)
         await self._node.propose(
             pb.ReplaceBundle(
                 version=version,
-                entries=zlib.compress(text.encode()),
+                entries=packed.pack_snapshot(entries),
                 document=zlib.compress(document),
             )
         )
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -81,16 +81,12 @@
     :param found: the instances to choose from, not empty
     :param domain: our failure domain
     """
-
-    def load(name: str) -> int:
-        return counts.own(name) + counts.others(name)
-
-    total = sum(load(instance.id) for instance in found)
+    total = sum(counts.known(instance.id) for instance in found)
     bound = _BOUND * (total + 1) / len(found) + _BOUND_EXTRA
     by_place = {one.place: one for one in found if one.place}
     for rank, place in enumerate(prefixes.order(parts, by_place)):
         instance = by_place[place]
-        running = load(instance.id)
+        running = counts.known(instance.id)
         if running < bound:
             return Choice(instance, rank, running, bound, len(found))
     return by_load(found, counts, domain)
@@ -105,13 +101,13 @@
     :param domain: our failure domain
     """
     by_id = {one.id: one for one in found}
-    loads = {name: counts.own(name) + counts.others(name) for name in by_id}
     names = list(by_id)
-    if not any(loads.values()):
+    if not any(map(counts.known, names)):
         near = [one.id for one in found if one.domain == domain]
         names = near or names
     chosen = stale.choose(names, counts)
-    return Choice(by_id[chosen], -1, loads[chosen], 0.0, len(found))
+    running = counts.known(chosen)
+    return Choice(by_id[chosen], -1, running, 0.0, len(found))
 
 
 def may_be_copied(leaving_s: float, *, is_sound: bool) -> bool:
--- a/src/honeyport/policy/stale.py
+++ b/src/honeyport/policy/stale.py
@@ -41,6 +41,10 @@
     age_s: float
     stay_s: float
 
+    def known(self, name: str) -> int:
+        """Return what runs on an instance, the others' as it was known."""
+        return self.own(name) + self.others(name)
+
 
 class Stays:
     """How long requests run, by service: a moving mean."""
