--- a/bench/pieces.py
+++ b/bench/pieces.py
@@ -6,7 +6,7 @@
 from bench import registry
 from honeyport.bundle import entries
 from honeyport.bundle import model
-from honeyport.control import sessions
+from honeyport.bundle import packed
 from honeyport.policy import hashing
 from honeyport.wire import honeyport_pb2 as pb
 
@@ -37,9 +37,7 @@
     figures['join_snapshot_ms'] = _milliseconds(
         lambda: entries.EntrySet(entries.split(entries.join(1, items))), 3
     )
-    text = entries.canonical(items)
-    packed = sessions.zlib.compress(text.encode())
-    figures['snapshot_kb'] = len(packed) / 1000
+    figures['snapshot_kb'] = len(packed.pack_snapshot(items)) / 1000
     near = [f'router-{number}' for number in range(_ROUTERS_NEAR)]
     engines = [f'engine-{number}' for number in range(_ENGINES)]
 
--- a/src/honeyport/bundle/packed.py
+++ b/src/honeyport/bundle/packed.py
@@ -21,9 +21,9 @@
     return _pack([delta.put, delta.removed])
 
 
-def read_snapshot(config: pb.Config) -> bundle_entries.Entries:
-    """Return the entries of a snapshot."""
-    return json.loads(zlib.decompress(config.snapshot))
+def read_snapshot(data: bytes) -> bundle_entries.Entries:
+    """Return all entries of a version that was packed."""
+    return json.loads(zlib.decompress(data))
 
 
 def read_delta(config: pb.Config) -> bundle_entries.Delta:
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -1,13 +1,12 @@
 """The replicated state: what committed log entries add up to."""
 
 import collections.abc
-import json
 import typing
-import zlib
 
 import attrs
 
 from honeyport.bundle import entries as bundle_entries
+from honeyport.bundle import packed
 from honeyport.control import claims
 from honeyport.policy import places
 from honeyport.wire import honeyport_pb2 as pb
@@ -146,7 +145,7 @@
         if command.version <= self._accepted.version:
             return False
         held = self._accepted
-        entries = json.loads(zlib.decompress(command.entries))
+        entries = packed.read_snapshot(command.entries)
         # What did not change is shared with the versions before: a leader
         # keeps some, and a large bundle is a megabyte each.
         contents = held.contents.apply(
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -250,7 +250,7 @@
             )
             return False
         if config.snapshot:
-            entries = packed.read_snapshot(config)
+            entries = packed.read_snapshot(config.snapshot)
             contents = bundle_entries.EntrySet(entries)
             changed: collections.abc.Iterable[str] = entries
         else:
