Sight: a request is recognised when it comes again, an end is told from a cut

Logs could not tell whether two attempts are the same request, nor why an attempt broke. Each request's lines carry a fingerprint of account, host, path and body (no content); a broken attempt says how its connection broke; and a witness finds out whether its instance ended: nothing listens there 0.05 or 0.4 s later, or the list drops it though it was not leaving. Nothing is decided by it yet.

A connection or two for each instance on which something broke, kept for the next request.

--- /dev/null
+++ b/features/steps/end_steps.py
@@ -0,0 +1,119 @@
+"""Steps about instances that end, and what a gateway sees of it."""
+
+import asyncio
+
+import behave
+
+from features.support import caller
+from honeyport.policy import fingerprints
+from honeyport.settings import roles
+
+_HOST = 'yard.example'
+_NO_BODY = '-'
+
+
+@behave.when('{seconds:g} seconds pass at the gateway')
+def step_pass(context, seconds):
+    context.run(asyncio.sleep(seconds))
+
+
+@behave.when(
+    'callers send {count:d} different requests at once, and one instance is '
+    'listed'
+)
+def step_send_different(context, count):
+    context.run(_send_different(context.setting, count))
+
+
+@behave.when('the instances that got requests are no longer listed')
+def step_unlisted(context):
+    async def drop():
+        context.setting.list(gone=_arrived_at(context.setting))
+
+    context.run(drop())
+
+
+@behave.when('the instances that got requests are listed as leaving')
+def step_listed_leaving(context):
+    async def leave():
+        context.setting.list(leaving=_arrived_at(context.setting))
+
+    context.run(leave())
+
+
+@behave.when(
+    'a caller sends a request, and meanwhile its instance leaves and ends'
+)
+def step_leave_and_end(context):
+    context.run(_leave_and_end(context.setting))
+
+
+@behave.then('{ends:d} ends of instances are seen, with {requests:d} requests')
+def step_seen(context, ends, requests):
+    counters = context.setting.counters
+    found = (
+        counters.counter('instances_ended'),
+        counters.counter('requests_under_ends'),
+    )
+    assert found == (ends, requests), found
+
+
+@behave.given(
+    'a request of the account "{account}" for "{target}" with the body '
+    '"{body}"'
+)
+def step_request(context, account, target, body):
+    context.fingerprint = _fingerprint(account, target, body)
+
+
+@behave.then(
+    'another of the account "{account}" for "{target}" with "{body}" is {same}'
+)
+def step_same(context, account, target, body, same):
+    found = _fingerprint(account, target, body) == context.fingerprint
+    assert found == (same == 'the same'), found
+
+
+def _fingerprint(account, target, body):
+    sent = b'' if body == _NO_BODY else body.encode()
+    return fingerprints.of(account, _HOST, target, sent)
+
+
+def _arrived_at(setting):
+    """Return the names of the instances that got requests."""
+    return tuple({one.instance for one in setting.script.arrivals})
+
+
+async def _send_different(setting, count):
+    setting.list(gone=tuple(one.name for one in setting.instances[1:]))
+    async with asyncio.TaskGroup() as group:
+        for number in range(count):
+            group.create_task(_ask(setting, f'/r/{number}'))
+            await _until_arrived(setting, number + 1)
+
+
+async def _leave_and_end(setting):
+    asked = asyncio.create_task(_ask(setting, '/r/x'))
+    await _until_arrived(setting, 1)
+    [name] = _arrived_at(setting)
+    setting.list(leaving=(name,))
+    [instance] = [one for one in setting.instances if one.name == name]
+    instance.end()
+    await asked
+
+
+async def _until_arrived(setting, count):
+    async with asyncio.timeout(2.0):
+        while len(setting.script.arrivals) < count:
+            await asyncio.sleep(0.01)
+
+
+async def _ask(setting, path):
+    reader, writer = await asyncio.open_connection(
+        *roles.split(setting.address)
+    )
+    try:
+        writer.write(caller.request(path=path))
+        return await caller.read(reader)
+    finally:
+        writer.close()
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -37,6 +37,7 @@
             for number in (1, 2, 3)
         ]
         self.address = local.free_address()
+        self.counters = metrics.Metrics()
         self.gateway = gateway_daemon.Gateway(
             roles.Router(
                 name='g-1',
@@ -48,7 +49,7 @@
             _NAMES,
             draining.Leaving(refuse_s=0.2, stop_s=2.0),
             repeats.Allowance(extra=extra),
-            metrics.Metrics(),
+            self.counters,
         )
         self.tree = supervisor.Supervisor('g-1')
         self.version = 0
@@ -114,11 +115,15 @@
             )
         )
 
-    def list(self, leaving: tuple[str, ...] = ()) -> None:
+    def list(
+        self, leaving: tuple[str, ...] = (), gone: tuple[str, ...] = ()
+    ) -> None:
         """Tell the gateway which instances there are."""
         self.number += 1
         listed = pb.Instances(number=self.number)
         for one in self.instances:
+            if one.name in gone:
+                continue
             listed.instances.add(
                 id=one.name,
                 service='app',
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -67,6 +67,13 @@
         for writer in self._writers:
             writer.close()
 
+    def end(self) -> None:
+        """End as a process does: nothing listens, connections are reset."""
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -78,6 +85,9 @@
                 arrival = await self._read(reader, connection)
                 self._script.arrivals.append(arrival)
                 step = self._script.next()
+                if step == 'end':
+                    self.end()
+                    return
                 if not await _play(step, arrival, reader, writer):
                     break
         writer.close()
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -193,6 +193,11 @@
     hint = 'The backend server could not be reached; it was not run.'
 
 
+@register('HP-3015')
+class ConnectionRefused(NotSent):
+    hint = 'Nothing listens at the address of the backend server; not run.'
+
+
 @register('HP-3008')
 class BackendLost(HoneyportError):
     status = 502
@@ -305,6 +310,11 @@
     hint = 'The instance refused the request; it was not run. Come back.'
 
 
+@register('HP-3207')
+class Misdirected(NotExecuted):
+    hint = 'Another instance has the address; it was not run. Come back.'
+
+
 @register('HP-3206')
 class AttemptFailed(HoneyportError):
     status = 502
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -19,6 +19,13 @@
 _EVENT_STREAM = 'text/event-stream'
 # Answers to other requests that are read and thrown away before ours.
 _MOST_FOREIGN = 2
+# How a connection broke, in words; the first that fits.
+_CAUSES: dict[type[BaseException], str] = {
+    ConnectionResetError: 'reset by the instance',
+    TimeoutError: 'not acknowledged by the instance',
+    iostream.StreamClosedError: 'closed by the instance',
+    httputil.HTTPInputError: 'not HTTP',
+}
 _BROKEN = (iostream.StreamClosedError, httputil.HTTPInputError, OSError)
 
 
@@ -147,7 +154,7 @@
                 if not reader.foreign:
                     return self._whole(reader)
         except _BROKEN as error:
-            raise errors.BackendLost(repr(error)) from None
+            raise errors.BackendLost(_cause(error)) from None
         raise errors.ForeignAnswer('only answers to other requests came')
 
     def _parser(self) -> http1connection.HTTP1Connection:
@@ -172,12 +179,21 @@
         if head is None or not reader.complete:
             raise errors.BackendLost('no whole answer came')
         if self._connection.stream.error is not None:
-            raise errors.BackendLost(repr(self._connection.stream.error))
+            raise errors.BackendLost(_cause(self._connection.stream.error))
         if head.is_success and self._names.digest not in head.headers:
             raise errors.ForeignAnswer('a success without its digest')
         return Answer(head, bytes(reader.body), reader.relayed)
 
 
+def _cause(error: BaseException) -> str:
+    """Return in one line how a connection broke."""
+    cause = getattr(error, 'real_error', None) or error
+    for kind, text in _CAUSES.items():
+        if isinstance(cause, kind):
+            return f'{text}: {cause!r}'
+    return repr(cause)
+
+
 def keep_alive_s(head: Head) -> float | None:
     """Return the timeout that an answer names for idle connections.
 
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -12,6 +12,7 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
 from honeyport.gateway import server
+from honeyport.gateway import witness
 from honeyport.policy import addresses
 from honeyport.policy import draining
 from honeyport.policy import repeats
@@ -39,10 +40,12 @@
     ) -> None:
         self._settings = settings
         self._leaving = leaving
+        self._metrics = counters
         self._state = fleetstate.FleetState()
         self._balancer = balancer.Balancer(settings.domain)
         self._pool = pool.Pool()
         self._gate = gate.Gate(self._state)
+        self._witness = witness.Witness(self._pool, self._on_end)
         self._forwarder = forward.Forwarder(
             self._state,
             self._gate,
@@ -50,6 +53,7 @@
             self._balancer,
             self._pool,
             repeats.Budgets(allowance, lambda: len(self._state.present)),
+            self._witness,
             counters,
         )
         self._entry = server.Entry(self._forwarder, names)
@@ -148,6 +152,7 @@
 
     async def _close(self) -> None:
         await self._entry.stop()
+        self._witness.close()
         self._pool.close()
 
     def _fill(self, report: pb.Report) -> None:
@@ -167,10 +172,24 @@
         )
         if usable is not None:
             self._pool.retain(usable)
+            self._regard_list()
         if self._state.version != self._version:
             self._version = self._state.version
             self._entry.limit(self._state.bundle.requests)
 
+    def _regard_list(self) -> None:
+        """Show the witness a new list of instances."""
+        listed = self._state.instances.instances
+        self._witness.regard(
+            {one.id for one in listed},
+            {one.id for one in listed if one.leaving},
+        )
+
+    def _on_end(self, instance: str, requests: frozenset[str]) -> None:
+        """Count an instance that ended under requests of this gateway."""
+        self._metrics.count('instances_ended')
+        self._metrics.count('requests_under_ends', len(requests))
+
     def _expose(self, counters: metrics.Metrics) -> None:
         counters.gauge('config_version', lambda: self._state.version)
         counters.gauge('view', lambda: self._state.view)
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -48,6 +48,7 @@
 
     :ivar until: loop time by which it has its final answer
     :ivar version: of the configuration that admitted it
+    :ivar fingerprint: the same for each attempt of the same request
     :ivar tried: the instances that it was offered to
     :ivar runs: how many of them may have run it
     :ivar failure: the last one's answer, a failure that may be passed on
@@ -62,6 +63,7 @@
     service: str
     until: float
     version: int
+    fingerprint: str
     splitter: sse.Splitter = attrs.field(factory=sse.Splitter)
     tried: set[str] = attrs.field(factory=set)
     offers: int = 0
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -17,6 +17,8 @@
 from honeyport.gateway import pool
 from honeyport.gateway import routes
 from honeyport.gateway import watch
+from honeyport.gateway import witness
+from honeyport.policy import fingerprints
 from honeyport.policy import placement
 from honeyport.policy import repeats
 from honeyport.policy import silence
@@ -50,6 +52,7 @@
         choice: balancer.Balancer,
         connections: pool.Pool,
         budgets: repeats.Budgets,
+        ends: witness.Witness,
         counters: metrics.Metrics,
     ) -> None:
         self._state = state
@@ -60,6 +63,7 @@
         self._metrics = counters
         self._table: routes.Table | None = None
         self._budgets = budgets
+        self._witness = ends
         self._running = 0
 
     @property
@@ -118,6 +122,9 @@
             service,
             min(request.deadline, request.received + timeout_s),
             table.version,
+            fingerprints.of(
+                match.account, request.host, request.target, request.body
+            ),
         )
 
     async def _run(self, exchange: exchanges.Exchange) -> None:
@@ -127,6 +134,7 @@
                 await self._try_instances(exchange)
         except TimeoutError:
             if exchange.may_have_run:
+                self._testify(exchange, errors.DeadlinePassed())
                 raise errors.DeadlinePassed() from None
             raise errors.Overloaded(retry_after=_COME_BACK_S) from None
 
@@ -219,7 +227,10 @@
             instance may be tried
         """
         head = answer.head
-        if self._names.not_run in head.headers or head.status == _MISDIRECTED:
+        if head.status == _MISDIRECTED:
+            exchange.runs -= 1
+            raise errors.Misdirected(retry_after=_COME_BACK_S)
+        if self._names.not_run in head.headers:
             exchange.runs -= 1
             raise errors.NotExecuted(
                 f'status {head.status}', retry_after=_COME_BACK_S
@@ -250,11 +261,29 @@
             code=error.code,
             detail=error.detail,
             offers=exchange.offers,
+            fingerprint=exchange.fingerprint,
         )
         self._metrics.count('attempts_failed', code=error.code)
+        self._testify(exchange, error)
         if isinstance(error, (errors.NotSent, errors.BackendLost)):
             self._balancer.failed(instance, error.code)
 
+    def _testify(
+        self, exchange: exchanges.Exchange, error: errors.HoneyportError
+    ) -> None:
+        """Tell the witness what a failed offer says of its instance."""
+        if exchange.choice is None:
+            return
+        instance = exchange.choice.instance
+        if isinstance(error, (errors.BackendSilent, errors.DeadlinePassed)):
+            self._witness.fell_silent(instance, exchange.fingerprint)
+        elif isinstance(error, errors.BackendLost):
+            self._witness.broke(instance, exchange.fingerprint)
+        elif isinstance(error, errors.ConnectionRefused):
+            self._witness.is_gone(instance.id, witness.REFUSES)
+        elif isinstance(error, errors.Misdirected):
+            self._witness.is_gone(instance.id, witness.REPLACED)
+
     def _may_go_on(
         self, exchange: exchanges.Exchange, error: errors.HoneyportError
     ) -> bool:
@@ -328,6 +357,7 @@
                 'instances_version': self._state.instances.number,
                 'service': exchange.service,
                 'offers': exchange.offers,
+                'fingerprint': exchange.fingerprint,
             } | exchange.stages()
             if exchange.choice is not None:
                 fields |= balancer.to_fields(exchange.choice)
--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -27,6 +27,9 @@
 _KEPT_SHARE = 0.5  # of the timeout that the peer names
 _MOST_KEPT = 4  # of one instance: connections are counted by all callers
 _BUFFER_BYTES = 1024 * 1024
+# When an instance may take connections again that took none, in seconds: the
+# first pause in which it is left alone.
+_COME_BACK_S = 0.5
 
 
 @attrs.define
@@ -91,6 +94,13 @@
         """Close all idle connections."""
         self.retain(())
 
+    async def probe(self, instance: placement.Instance) -> None:
+        """Connect to an instance; the connection is kept for a request.
+
+        :raises errors.NotSent: if that fails
+        """
+        self.give(await self._connect(instance), None)
+
     async def _connect(self, instance: placement.Instance) -> Connection:
         host, _, port = instance.address.rpartition(':')
         try:
@@ -102,14 +112,24 @@
                 timeout=_CONNECT_S,
             )
         except (OSError, TimeoutError) as error:
-            raise errors.NotSent(
-                f'{instance.address}: {error!r}', retry_after=0.5
-            ) from None
+            raise _not_connected(instance, error) from None
         stream.set_nodelay(True)
         _watch(stream.socket)
         return Connection(instance, stream)
 
 
+def _not_connected(
+    instance: placement.Instance, error: Exception
+) -> errors.NotSent:
+    """Return why there is no connection to an instance."""
+    # Tornado says that its stream is closed; why is kept beside it.
+    cause = getattr(error, 'real_error', None) or error
+    kind = errors.NotSent
+    if isinstance(cause, ConnectionRefusedError):
+        kind = errors.ConnectionRefused
+    return kind(f'{instance.address}: {cause!r}', retry_after=_COME_BACK_S)
+
+
 def _watch(connected: socket.socket) -> None:
     """Have the kernel notice a peer that is gone without a word."""
     options = (
--- /dev/null
+++ b/src/honeyport/gateway/witness.py
@@ -0,0 +1,176 @@
+"""Whether an instance ended under the requests that broke there.
+
+A broken connection alone says little: it may have been reset on its way, or
+its answer lost, while the instance is well. What tells an end is that nothing
+listens at the instance's address right after, or that the platform's list
+drops it though it was not leaving.
+"""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from honeyport import errors
+from honeyport.gateway import pool
+from honeyport.policy import placement
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+
+# When an instance is asked for a connection after a request broke there, in
+# seconds. A process that ends closes its connections over some 10 ms, and
+# takes new ones meanwhile; it is back no sooner than after a second.
+_PROBES_S = (0.05, 0.4)
+# For how long a request that broke without such a sign may still be under an
+# end, in seconds. The platform's list drops an instance 5 s after its end.
+_DOUBT_S = 15.0
+# Fingerprints in one log line.
+_MOST_LOGGED = 20
+
+# What shows that an instance ended, in the log.
+REFUSES = 'nothing listens there'
+REPLACED = 'another instance is there'
+_UNLISTED = 'the list names it no longer'
+
+OnEnd = collections.abc.Callable[[str, frozenset[str]], None]
+
+
+@attrs.define
+class _Doubt:
+    """Requests that broke on an instance, by fingerprint, and when."""
+
+    instance: placement.Instance
+    broke: dict[str, float] = attrs.field(factory=dict)
+    task: asyncio.Task[None] | None = None
+
+
+class Witness:
+    """Watches instances on which requests of this gateway broke.
+
+    :param on_end: called with an instance and the requests under its end
+    """
+
+    def __init__(self, connections: pool.Pool, on_end: OnEnd) -> None:
+        self._pool = connections
+        self._on_end = on_end
+        self._doubts: dict[str, _Doubt] = {}
+        self._listed: set[str] = set()
+        self._leaving: set[str] = set()
+
+    def broke(self, instance: placement.Instance, fingerprint: str) -> None:
+        """Note that a request's connection broke; find out why."""
+        doubt = self._note(instance, fingerprint)
+        if doubt.task is None:
+            doubt.task = asyncio.create_task(self._probe(doubt))
+
+    def fell_silent(
+        self, instance: placement.Instance, fingerprint: str
+    ) -> None:
+        """Note that a request got no answer in time.
+
+        Instances that are slow do that often; none is probed for it.
+        """
+        self._note(instance, fingerprint)
+
+    def is_gone(self, instance: str, sign: str) -> None:
+        """Note that an instance is no longer at its address.
+
+        :param sign: what shows it, for the log
+        """
+        doubt = self._doubts.pop(instance, None)
+        if doubt is not None:
+            self._end(doubt, sign)
+
+    def regard(self, listed: set[str], leaving: set[str]) -> None:
+        """Take the platform's list; who was on it and is not has ended.
+
+        :param leaving: those that leave in an orderly way
+        """
+        for name in self._listed - listed:
+            self.is_gone(name, _UNLISTED)
+        # One that just left the list in an orderly way may still be about to
+        # close its connections.
+        left = self._leaving & (self._listed - listed)
+        self._listed = listed
+        self._leaving = leaving | left
+        self._forget_old()
+
+    async def settle(self, instance: str) -> None:
+        """Return once an instance is not being probed."""
+        doubt = self._doubts.get(instance)
+        if doubt is not None and doubt.task is not None:
+            await asyncio.wait([doubt.task])
+
+    def close(self) -> None:
+        """End all probes."""
+        for doubt in self._doubts.values():
+            if doubt.task is not None:
+                doubt.task.cancel()
+
+    def _note(self, instance: placement.Instance, fingerprint: str) -> _Doubt:
+        now = asyncio.get_running_loop().time()
+        doubt = self._doubts.setdefault(instance.id, _Doubt(instance))
+        doubt.broke[fingerprint] = now
+        return doubt
+
+    def _forget_old(self) -> None:
+        """Forget what broke too long ago to be under an end."""
+        oldest = asyncio.get_running_loop().time() - _DOUBT_S
+        for name, doubt in list(self._doubts.items()):
+            if max(doubt.broke.values()) < oldest and doubt.task is None:
+                del self._doubts[name]
+
+    async def _probe(self, doubt: _Doubt) -> None:
+        name = doubt.instance.id
+        answered = True
+        waited_s = 0.0
+        for at_s in _PROBES_S:
+            await asyncio.sleep(at_s - waited_s)
+            waited_s = at_s
+            try:
+                await self._pool.probe(doubt.instance)
+            except errors.ConnectionRefused:
+                self.is_gone(name, REFUSES)
+                return
+            except errors.NotSent:
+                answered = False
+        doubt.task = None
+        if answered:
+            self._live(doubt)
+
+    def _live(self, doubt: _Doubt) -> None:
+        self._doubts.pop(doubt.instance.id, None)
+        logs.emit(
+            events.INSTANCE_LIVES,
+            backend=doubt.instance.id,
+            address=doubt.instance.address,
+            **_to_fields(set(doubt.broke)),
+        )
+
+    def _end(self, doubt: _Doubt, sign: str) -> None:
+        """Report an end, unless it was due."""
+        now = asyncio.get_running_loop().time()
+        under = frozenset(
+            one for one, at in doubt.broke.items() if now - at < _DOUBT_S
+        )
+        is_leaving = doubt.instance.id in self._leaving
+        logs.emit(
+            events.INSTANCE_ENDED,
+            backend=doubt.instance.id,
+            address=doubt.instance.address,
+            sign=sign,
+            leaving=is_leaving,
+            **_to_fields(under),
+        )
+        if under and not is_leaving:
+            self._on_end(doubt.instance.id, under)
+
+
+def _to_fields(
+    fingerprints: collections.abc.Set[str],
+) -> dict[str, object]:
+    """Return the fields of a log line that name requests."""
+    return {
+        'requests': len(fingerprints),
+        'fingerprints': sorted(fingerprints)[:_MOST_LOGGED],
+    }
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -234,6 +234,18 @@
     'warning',
     'A request is not offered again: the allowance for that is spent.',
 )
+INSTANCE_ENDED = define(
+    3212,
+    'instance_ended',
+    'warning',
+    'An instance ended while requests ran there; they are named.',
+)
+INSTANCE_LIVES = define(
+    3213,
+    'instance_lives',
+    'info',
+    'Requests broke on an instance that takes connections.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
