A request under which instances end is recognised, watched, and refused

Cause: what a gateway kept of an end was the instance alone. What had run there was forgotten, and nobody was told, so that each attempt of a request that ends its instance was a first one, at nine gateways. Class: blame for a failure is kept with the victim and not with the common factor, and by each process alone.

Ruled out: the gateways' own repetitions (58 of 59 broken attempts were first offers); instances that end by themselves (one fingerprint in 40 of 45 ends in the failing scenario).

A whole good answer clears it. Those under several ends are in the log, so that a new leader and a loss of all keep them.

Before: 45 sends at three gateways reached instances 38 more times, and 32 had ended. After: none of 45 reached one; all were refused as not run, and all other requests were served. Whole suite: 318 passed, 1 failed: a new stream was told an empty list of such requests; it is told one only if there is one on either side, and that feature passes.

--- a/bench/subscribers.py
+++ b/bench/subscribers.py
@@ -6,6 +6,7 @@
 from features.support import world as worlds
 from honeyport.router import fleetstate
 from honeyport.router import session
+from honeyport.router import suspects
 from honeyport.settings import roles
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
@@ -45,7 +46,13 @@
             self.states.append(state)
             self.sessions.append(
                 session.Session(
-                    settings, state, _fill, _ignore, _idle, self.counters
+                    settings,
+                    state,
+                    _fill,
+                    _ignore,
+                    _idle,
+                    suspects.Suspects(self.counters),
+                    self.counters,
                 )
             )
 
--- a/src/honeyport/control/durable.py
+++ b/src/honeyport/control/durable.py
@@ -28,6 +28,7 @@
     pb.ReplaceBundle: 'replace',
     pb.PlaceChange: 'places',
     pb.RouterChange: 'routers',
+    pb.SuspectChange: 'suspects',
 }
 
 
--- a/src/honeyport/control/group.py
+++ b/src/honeyport/control/group.py
@@ -102,6 +102,7 @@
     tree.task('sessions', group.routers.run)
     tree.task('claims', group.routers.run_claims)
     tree.task('introductions', group.introductions.run)
+    tree.task('suspects', group.routers.suspects.record)
     most = max(settings.voters, len(settings.members))
     members = succession.Succession(group.node, group.routers, most)
     tree.task('succession', members.run)
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -43,6 +43,7 @@
         self._claims = claims.Claims()
         self._places: dict[str, places.Holding] = {}
         self._routers: dict[str, str] = {}
+        self._suspects: dict[str, tuple[str, ...]] = {}
 
     @property
     def accepted(self) -> Accepted:
@@ -69,6 +70,11 @@
         """Where the routers listen for other processes, by name."""
         return dict(self._routers)
 
+    @property
+    def suspects(self) -> dict[str, tuple[str, ...]]:
+        """The instances that ended under a request, by its fingerprint."""
+        return dict(self._suspects)
+
     def apply(self, entry: pb.Entry) -> Result:
         """Apply an entry; return what its proposer wants to know."""
         kind = entry.WhichOneof('command')
@@ -82,6 +88,8 @@
             return self._change_places(entry.places)
         if kind == 'routers':
             return self._change_routers(entry.routers)
+        if kind == 'suspects':
+            return self._change_suspects(entry.suspects)
         return None
 
     def save(self) -> pb.State:
@@ -98,6 +106,10 @@
         for version, digest in self._history.items():
             state.receipts.add(version=version, digest=digest)
         state.places.extend(_holdings(self._places))
+        for request, instances in self._suspects.items():
+            state.suspects.add(
+                request=bytes.fromhex(request), instances=instances
+            )
         self._claims.save(state)
         return state
 
@@ -115,6 +127,7 @@
         }
         self._places = _by_place(state.places)
         self._routers = dict(state.routers)
+        self._suspects = _by_request(state.suspects)
         self._claims.restore(state)
 
     def _accept(self, command: pb.AcceptBundle) -> bool:
@@ -170,6 +183,11 @@
             self._routers.pop(name, None)
         self._routers.update(command.put)
 
+    def _change_suspects(self, command: pb.SuspectChange) -> None:
+        for request in command.removed:
+            self._suspects.pop(request.hex(), None)
+        self._suspects |= _by_request(command.put)
+
     def _remember(self, version: int, digest: str) -> None:
         self._history[version] = digest
         while len(self._history) > _HISTORY:
@@ -200,3 +218,9 @@
         one.place: places.Holding(one.service, one.holder, one.former)
         for one in found
     }
+
+
+def _by_request(
+    found: collections.abc.Iterable[pb.SuspectRecord],
+) -> dict[str, tuple[str, ...]]:
+    return {one.request.hex(): tuple(one.instances) for one in found}
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -16,6 +16,7 @@
 from honeyport.bundle import model
 from honeyport.control import fleet
 from honeyport.control import replica
+from honeyport.control import suspects
 from honeyport.control import versions
 from honeyport import errors
 from honeyport.telemetry import events
@@ -46,6 +47,7 @@
     :ivar replicas: where the control group listens
     :ivar instances: the number of the list of instances
     :ivar version: of the accepted configuration
+    :ivar suspects: the number of the list of requests that are held back
     """
 
     view: int = 0
@@ -53,6 +55,7 @@
     replicas: tuple[str, ...] = ()
     instances: int = 0
     version: int = 0
+    suspects: int = 0
 
 
 @attrs.define
@@ -84,6 +87,11 @@
         self._metrics = counters
         self._sessions: dict[str, Session] = {}
         self._fleet = fleet.Fleet(0, 0.0)
+        self._suspects = suspects.Suspects(
+            node,
+            lambda router, run: self._fleet.alive(router, run),
+            counters,
+        )
         self._term = 0
         self._versions = versions.Versions()
         self._bundle: model.Bundle | None = None
@@ -106,6 +114,11 @@
         """The routers of this leadership."""
         return self._fleet
 
+    @property
+    def suspects(self) -> suspects.Suspects:
+        """The requests under which instances ended."""
+        return self._suspects
+
     @property
     def attached(self) -> collections.abc.Set[str]:
         """The names of the routers with a stream."""
@@ -204,6 +217,7 @@
         self._term = self._node.term
         stable_at = self._node.led_since + self._lease_s()
         self._fleet = fleet.Fleet(self._term, stable_at)
+        self._suspects.begin()
 
     def _end(self) -> None:
         self._term = 0
@@ -218,7 +232,12 @@
             former.outbox.close()
         router = self._fleet.greet(hello, _now(), self._lease_s())
         version = hello.config_version if self._knows(hello) else 0
-        session = Session(router, outbox.Outbox(), _News(version=version))
+        # Where neither side holds a request back, there is nothing to tell.
+        same = not hello.suspects and not self._suspects.shown
+        told = _News(
+            version=version, suspects=self._suspects.number if same else 0
+        )
+        session = Session(router, outbox.Outbox(), told)
         self._sessions[hello.router] = session
         return session
 
@@ -252,6 +271,23 @@
             self._report(session, item.report)
         elif item.HasField('claim'):
             self._claims.put(_Waiting(session, item.claim))
+        elif self._node.leads:
+            self._take_word(session, item)
+
+    def _take_word(self, session: Session, item: pb.RouterItem) -> None:
+        """Take what a router says of requests under suspicion."""
+        router = session.router.member
+        kind = item.WhichOneof('item')
+        if kind == 'ends':
+            self._suspects.take_ends(router, item.ends)
+        elif kind == 'acquittal':
+            named = [one.hex() for one in item.acquittal.requests]
+            self._suspects.clear(named, by=router.router)
+        elif kind == 'permit':
+            answer = self._suspects.answer(router, item.permit)
+            session.outbox.put(pb.ControlItem(permit=answer))
+        elif kind == 'release':
+            self._suspects.take_back(router, item.release)
 
     def _report(self, session: Session, report: pb.Report) -> None:
         """Answer a report, if we are still in charge."""
@@ -283,6 +319,7 @@
         self._fleet.refresh(_now())
         self._fleet.summarize(_now(), self._fresh_s())
         self._versions.keep(self._node.machine.accepted)
+        self._suspects.refresh()
         self._look_for_news()
         for session in self._sessions.values():
             # By identity: with 200 streams, comparing what each was told
@@ -308,6 +345,7 @@
             replicas=tuple(self._node.member_addresses),
             instances=self._instances().number,
             version=self._node.machine.accepted.version,
+            suspects=self._suspects.number,
         )
         if news != self._news:
             self._news = news
@@ -317,6 +355,10 @@
         told, news = session.told, self._news
         session.told = news
         items = []
+        # First of all: with a configuration a gateway begins to serve.
+        if news.suspects != told.suspects:
+            message = self._suspects.message()
+            items.append(pb.ControlItem(suspects=message))
         if news.view and news.view != told.view:
             items.append(pb.ControlItem(view=self._fleet.view))
         if news.presence and news.presence != told.presence:
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -243,6 +243,20 @@
     hint = 'It ran, but its answer is over limits.answer_bytes.'
 
 
+@register('HP-3016')
+class RequestBarred(HoneyportError):
+    status = 503
+    ran = False
+    hint = 'Instances ended each time this ran; it is refused, and not run.'
+
+
+@register('HP-3017')
+class RequestHeld(HoneyportError):
+    status = 503
+    ran = False
+    hint = 'Instances ended when this ran; one at a time runs. Come back.'
+
+
 @register('HP-3101')
 class KeyInvalid(HoneyportError):
     status = 400
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -19,6 +19,7 @@
 from honeyport.router import fleetstate
 from honeyport.router import redirector
 from honeyport.router import session
+from honeyport.router import suspects
 from honeyport.settings import roles
 from honeyport import supervisor
 from honeyport.telemetry import metrics
@@ -45,6 +46,7 @@
         self._balancer = balancer.Balancer(settings.domain)
         self._pool = pool.Pool()
         self._gate = gate.Gate(self._state)
+        self._suspects = suspects.Suspects(counters)
         self._witness = witness.Witness(self._pool, self._on_end)
         self._forwarder = forward.Forwarder(
             self._state,
@@ -54,6 +56,7 @@
             self._pool,
             repeats.Budgets(allowance, lambda: len(self._state.present)),
             self._witness,
+            self._suspects,
             counters,
         )
         self._entry = server.Entry(self._forwarder, names)
@@ -63,6 +66,7 @@
             self._fill,
             lambda followed: None,
             self.take_news,
+            self._suspects,
             counters,
         )
         self._version = 0
@@ -186,9 +190,10 @@
         )
 
     def _on_end(self, instance: str, requests: frozenset[str]) -> None:
-        """Count an instance that ended under requests of this gateway."""
+        """Tell of an instance that ended under requests of this gateway."""
         self._metrics.count('instances_ended')
         self._metrics.count('requests_under_ends', len(requests))
+        self._suspects.ended(instance, requests)
 
     def _expose(self, counters: metrics.Metrics) -> None:
         counters.gauge('config_version', lambda: self._state.version)
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -86,6 +86,11 @@
         route = self.match.route
         return route.repeatable and self.runs < route.attempts
 
+    @property
+    def instance_id(self) -> str:
+        """The instance that it was offered to last, or ``''``."""
+        return self.choice.instance.id if self.choice else ''
+
     @property
     def parts(self) -> tuple[prefixes.Part, ...]:
         """The parts of its prompt, if instances cache them."""
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import collections.abc
+import contextlib
 import typing
 
 from honeyport import errors
@@ -22,7 +24,9 @@
 from honeyport.policy import placement
 from honeyport.policy import repeats
 from honeyport.policy import silence
+from honeyport.policy import suspicion
 from honeyport.router import fleetstate
+from honeyport.router import suspects
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
@@ -53,6 +57,7 @@
         connections: pool.Pool,
         budgets: repeats.Budgets,
         ends: witness.Witness,
+        held: suspects.Suspects,
         counters: metrics.Metrics,
     ) -> None:
         self._state = state
@@ -64,6 +69,7 @@
         self._table: routes.Table | None = None
         self._budgets = budgets
         self._witness = ends
+        self._suspects = held
         self._running = 0
 
     @property
@@ -141,7 +147,8 @@
     async def _try_instances(self, exchange: exchanges.Exchange) -> None:
         while True:
             try:
-                await self._offer(exchange)
+                async with self._let_in(exchange):
+                    await self._offer(exchange)
                 return
             except errors.HoneyportError as error:
                 if self._may_go_on(exchange, error):
@@ -152,6 +159,28 @@
                 await self._finish(exchange, exchange.failure)
                 return
 
+    @contextlib.asynccontextmanager
+    async def _let_in(
+        self, exchange: exchanges.Exchange
+    ) -> collections.abc.AsyncIterator[None]:
+        """Hold a request back if it may end the instance that runs it.
+
+        :raises errors.HoneyportError: if it may not be sent now
+        """
+        # Eight engines ended under a request that every gateway took for a
+        # new one each time: what ran on an engine that ended was forgotten.
+        if exchange.runs >= suspicion.WATCHED_ENDS:
+            await self._witness.settle(exchange.instance_id)
+        is_held = await self._suspects.enter(exchange.fingerprint)
+        try:
+            yield
+        finally:
+            if is_held:
+                self._witness.when_settled(
+                    exchange.instance_id,
+                    lambda: self._suspects.leave(exchange.fingerprint),
+                )
+
     async def _offer(self, exchange: exchanges.Exchange) -> None:
         """Offer the request to one instance; return once it is answered.
 
@@ -172,6 +201,8 @@
                 self._judge(exchange, instance, error)
                 raise
         self._balancer.succeeded(instance, exchange.parts)
+        if answer.head.is_success:
+            self._suspects.served(exchange.fingerprint)
         await self._finish(exchange, answer)
 
     async def _send(
--- a/src/honeyport/gateway/witness.py
+++ b/src/honeyport/gateway/witness.py
@@ -101,6 +101,16 @@
         if doubt is not None and doubt.task is not None:
             await asyncio.wait([doubt.task])
 
+    def when_settled(
+        self, instance: str, call: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call a function once an instance is not being probed."""
+        doubt = self._doubts.get(instance)
+        if doubt is None or doubt.task is None:
+            call()
+        else:
+            doubt.task.add_done_callback(lambda _: call())
+
     def close(self) -> None:
         """End all probes."""
         for doubt in self._doubts.values():
--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -20,6 +20,7 @@
 from honeyport.router import services
 from honeyport.router import session
 from honeyport.router import steward
+from honeyport.router import suspects
 from honeyport.settings import roles
 from honeyport import supervisor
 from honeyport.telemetry import metrics
@@ -55,6 +56,7 @@
             self._steward.fill,
             self._on_view,
             self._on_news,
+            suspects.Suspects(self._counters),
             self._counters,
         )
         self._dispatcher = dispatch.Dispatcher(
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -19,6 +19,7 @@
 from honeyport.policy import contacts
 from honeyport.router import fleetstate
 from honeyport.router import search
+from honeyport.router import suspects
 from honeyport.settings import roles
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
@@ -52,6 +53,7 @@
     :param on_view: called after a view was applied, with whether it
         follows the one before without a gap
     :param on_news: called after each message was taken in
+    :param held: the requests that are held back
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         fill: Fill,
         on_view: OnView,
         on_news: OnNews,
+        held: suspects.Suspects,
         counters: metrics.Metrics,
     ) -> None:
         self._settings = settings
@@ -68,6 +71,8 @@
         self._fill = fill
         self._on_view = on_view
         self._on_news = on_news
+        self._suspects = held
+        self._suspects.connect(self._put)
         self._metrics = counters
         self._incarnation = uuid.uuid4().hex[:12]
         self._outbox: outbox.Outbox[pb.RouterItem] | None = None
@@ -212,9 +217,18 @@
         self._state.apply_own(pb.Report())
         self._stamp = 0
         self._gap = True
+        for item in self._suspects.greeting():
+            box.put(item)
         for pending in list(self._pending.values()):
             box.put(pb.RouterItem(claim=pending.request))
 
+    def _put(self, item: pb.RouterItem) -> bool:
+        """Send an item if there is a stream; return whether there is."""
+        if self._outbox is None:
+            return False
+        self._outbox.put(item)
+        return True
+
     def _redirected(self, batch: pb.ControlBatch) -> bool:
         for item in batch.items:
             if item.HasField('redirect'):
@@ -246,6 +260,10 @@
                 self._state.apply_instances(item.instances)
             elif kind == 'claim':
                 self._take_claim(item.claim)
+            elif kind == 'suspects':
+                self._suspects.apply(item.suspects)
+            elif kind == 'permit':
+                self._suspects.take_answer(item.permit)
         self._on_news()
 
     def _take_answer(self, answer: pb.ReportAnswer) -> None:
@@ -324,4 +342,5 @@
             config_digest=self._state.digest,
             view=self._state.view,
             replica=self._settings.replica,
+            suspects=self._suspects.count,
         )
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -153,6 +153,36 @@
     'warning',
     'Where routers listen was not committed; it is tried again.',
 )
+REQUEST_SUSPECTED = define(
+    2501,
+    'request_suspected',
+    'warning',
+    'Several instances ended under a request; it is watched, or barred.',
+)
+SUSPECTS_CLEARED = define(
+    2502,
+    'suspects_cleared',
+    'info',
+    'Requests under suspicion ran to their end, or an operator cleared them.',
+)
+SUSPECTS_UNSAVED = define(
+    2503,
+    'suspects_unsaved',
+    'warning',
+    'Requests under suspicion were not committed; it is tried again.',
+)
+PERMIT_GIVEN = define(
+    2504,
+    'permit_given',
+    'info',
+    'A gateway may run a request under suspicion, alone in the fleet.',
+)
+PERMIT_REFUSED = define(
+    2505,
+    'permit_refused',
+    'info',
+    'A request under suspicion runs elsewhere, or is barred.',
+)
 ORDER_SENT = define(2301, 'order_sent', 'info', 'An engine got an order.')
 ORDER_REFUSED = define(
     2302, 'order_refused', 'warning', 'An engine refused an order.'
