--- a/src/honeyport/standin/service.py
+++ b/src/honeyport/standin/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+import os
 
 from tornado import web
 
@@ -11,11 +12,15 @@
 from honeyport import supervisor
 
 
+_ENDED = 3  # exit code of a process that a call ends
+
+
 class CallHandler(web.RequestHandler):
     """Does its work, logs it, and answers with a digest of the request.
 
     ``?close=1`` closes the connection after the work, without an answer;
-    ``?slow=MS`` takes that much longer.
+    ``?slow=MS`` takes that much longer; ``?end=1`` ends the process in the
+    middle of the work.
     """
 
     def initialize(
@@ -43,6 +48,8 @@
         self._executions.write('start', request_id=request_id, key=key)
         slow_ms = float(self.get_query_argument('slow', '0'))
         await asyncio.sleep((self._settings.work_ms + slow_ms) / 1000)
+        if self.get_query_argument('end', ''):
+            os._exit(_ENDED)
         body = json.dumps(
             {
                 'served_by': self._settings.name,
