Stewards hold back what ends their servers; operators see and clear it

Cause and class as for gateways: what ran on a backend server that ended was forgotten. A steward now asks the same record before it sends a call and tells of ends; a call under two ends waits 0.2 s before the next server gets it.

For operators: `honeyport fleet suspects` and `honeyport fleet clear`, on the platform as well, at the addresses for traffic between our processes.

--- a/features/platform/crashing.feature
+++ b/features/platform/crashing.feature
@@ -31,3 +31,75 @@
     Then it reached at most 3 instances in that time
     And it was refused as not run each time
     And all other requests were served
+
+  Scenario: instances are back under the names that they had
+    Given a platform of three instances with disks
+    And 8 instances that keep their names, and a request that ends each of them
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the request comes until 3 instances have ended
+    And 3.4 seconds pass on the platform
+    And it comes 8 times at every gateway, and other requests between them
+    Then it reached at most 3 instances in that time
+    And all other requests were served
+
+  Scenario: instances that end keep their connections open and say nothing
+    Given a platform of three instances with disks
+    And 8 instances that end without a word, and a request that ends each of them
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the request comes until 3 instances have ended
+    And 3.4 seconds pass on the platform
+    And it comes 8 times at every gateway, and other requests between them
+    Then it reached at most 3 instances in that time
+    And all other requests were served
+
+  Scenario: it comes at all gateways at the same moment
+    Given a platform of three instances with disks
+    And 8 instances of its service, and a request that ends each of them
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the request comes at every gateway at once
+    And 3.4 seconds pass on the platform
+    And it comes 8 times at every gateway, and other requests between them
+    Then it reached at most 3 instances in that time
+    And all other requests were served
+    And no more than 7 instances have ended
+
+  Scenario: a new leader refuses what the last one did
+    Given a platform of three instances with disks
+    And 8 instances of its service, and a request that ends each of them
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the request comes until 3 instances have ended
+    And the leading instance is killed and started again
+    Then every instance is ready within 10 seconds
+    When it comes 8 times at every gateway, and other requests between them
+    Then it reached at most 0 instances in that time
+    And it was refused as not run each time
+
+  Scenario: a loss of all processes and of one disk
+    Given a platform of three instances with disks
+    And 8 instances of its service, and a request that ends each of them
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the request comes until 3 instances have ended
+    And 0.5 seconds pass on the platform
+    And all processes are killed, instance 1 loses its disk, and all start
+    Then every instance is ready within 10 seconds
+    When it comes 8 times at every gateway, and other requests between them
+    Then it reached at most 0 instances in that time
+    And it was refused as not run each time
+
+  Scenario: an operator sees what is refused, and clears it
+    Given a platform of three instances with disks
+    And 8 instances of its service, and a request that ends each of them
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the request comes until 3 instances have ended
+    And 0.5 seconds pass on the platform
+    Then an operator is shown 1 request that is refused
+    When the operator clears it
+    Then an operator is shown 0 request that is refused
+    When the instances are mended, and the request comes at every gateway at once
+    Then it was served each time
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import json
+import shutil
+import signal
 
 import behave
 
+from features.steps import platform_steps
 from features.support import crashing
+from honeyport import operators
 
 _ENDS_S = 20.0
 _PAUSE_S = 0.3
@@ -19,6 +23,83 @@
     start_instances(context, count)
 
 
+@behave.given(
+    '{count:d} instances that keep their names, and a request that ends each '
+    'of them'
+)
+def step_named_instances(context, count):
+    start_instances(context, count, keep_names=True)
+
+
+@behave.given(
+    '{count:d} instances that end without a word, and a request that ends '
+    'each of them'
+)
+def step_silent_instances(context, count):
+    start_instances(context, count, silent=True)
+
+
+@behave.when('the request comes at every gateway at once')
+def step_at_once(context):
+    context.again = context.run(_send_at_once(context))
+
+
+@behave.when(
+    'the instances are mended, and the request comes at every gateway at once'
+)
+def step_mended(context):
+    context.crashing.mended = True
+    context.again = context.run(_send_at_once(context))
+
+
+@behave.when('the leading instance is killed and started again')
+def step_kill_leader(context):
+    platform = context.platform
+    node = context.run(_leader(platform))
+    platform.send_signal(node, signal.SIGKILL)
+    platform.launch(node)
+    context.run(asyncio.sleep(1.0))
+
+
+@behave.when(
+    'all processes are killed, instance 1 loses its disk, and all start'
+)
+def step_lose_all(context):
+    platform = context.platform
+    for node in platform.nodes:
+        platform.send_signal(node, signal.SIGKILL)
+    shutil.rmtree(platform.nodes[0].data)
+    platform.nodes[0].data.mkdir()
+    for node in platform.nodes:
+        platform.launch(node)
+
+
+@behave.when('the operator clears it')
+def step_clear(context):
+    [line] = context.run(_suspects(context))
+    fingerprint = line.split()[0]
+    found = context.run(_command(context, 'clear', fingerprint))
+    assert found == f'{fingerprint}: cleared', found
+
+
+@behave.then('an operator is shown {count:d} request that is refused')
+def step_shown(context, count):
+    lines = context.run(_suspects(context))
+    assert len(lines) == count, lines
+    for line in lines:
+        assert 'refused, tried again in' in line, line
+
+
+@behave.then('it was served each time')
+def step_served(context):
+    assert all(one == (200, b'done') for one in context.again), context.again
+
+
+@behave.then('no more than {most:d} instances have ended')
+def step_most_ended(context, most):
+    assert context.crashing.seen.ends <= most, context.crashing.seen.ends
+
+
 @behave.when('the request comes until {count:d} instances have ended')
 def step_until_ended(context, count):
     context.run(_send_until(context, count))
@@ -101,3 +182,31 @@
     return await context.platform.call(
         node, f'other-{number}', f'/app/{number}', f'harmless {number}'
     )
+
+
+async def _send_at_once(context):
+    sends = [send_ending(context, one) for one in context.platform.nodes]
+    return await asyncio.gather(*sends)
+
+
+async def _leader(platform):
+    """Return the node whose control replica leads."""
+    async with asyncio.timeout(_ENDS_S):
+        while True:
+            for node in platform.nodes:
+                if await platform_steps.read_gauge(node, 'control_leads'):
+                    return node
+            await asyncio.sleep(_PAUSE_S)
+
+
+async def _suspects(context):
+    """Return the lines of requests that an operator is shown."""
+    text = await _command(context, 'suspects')
+    return [line for line in text.splitlines() if ' ended ' in line]
+
+
+async def _command(context, verb, *arguments):
+    platform = context.platform
+    control = [f'{one.ip}:{platform.ports[4]}' for one in platform.nodes]
+    call = getattr(operators, verb)
+    return await asyncio.to_thread(call, control, *arguments)
--- a/features/steps/steward_steps.py
+++ b/features/steps/steward_steps.py
@@ -10,6 +10,7 @@
 from honeyport import exchange
 from honeyport.router import fleetstate
 from honeyport.router import steward
+from honeyport.router import suspects
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
@@ -27,7 +28,13 @@
         state.apply_view(view)
         loop = asyncio.get_running_loop()
         state.renew(loop.time(), 60_000)
-        made = steward.Steward('r1', state, metrics.Metrics(), lambda: None)
+        made = steward.Steward(
+            'r1',
+            state,
+            metrics.Metrics(),
+            lambda: None,
+            suspects.Suspects(metrics.Metrics()),
+        )
         made.regard_bundle()
         return made
 
--- a/features/support/crashing.py
+++ b/features/support/crashing.py
@@ -51,6 +51,7 @@
         self._numbers = itertools.count(1)
         self._keep_names = keep_names
         self._silent = silent
+        self.mended = False
         self._all = [_Instance(self) for _ in range(count)]
 
     @property
@@ -164,10 +165,11 @@
         if headers['Expected-Instance'] != name:
             writer.write(_answer(request_id, '421 Misdirected Request', b''))
             return True
-        if body == ENDING:
+        ends = body == ENDING and not self._group.mended
+        if ends:
             self._group.seen.ending.append(request_id)
         await asyncio.sleep(_RUNS_S)
-        if body == ENDING:
+        if ends:
             if writer in self._writers:  # no other run has ended it yet
                 task = asyncio.create_task(self._end_and_return())
                 self._tasks.add(task)
--- a/src/honeyport/backend/http.py
+++ b/src/honeyport/backend/http.py
@@ -209,9 +209,11 @@
                 await stream.connect((self._host, self._port))
         except (OSError, TimeoutError) as error:
             stream.close()
-            raise errors.NotSent(
-                f'{self._address} cannot be reached: {error}'
-            ) from None
+            cause = getattr(error, 'real_error', None) or error
+            kind = errors.NotSent
+            if isinstance(cause, ConnectionRefusedError):
+                kind = errors.ConnectionRefused
+            raise kind(f'{self._address} cannot be reached: {cause}') from None
         stream.set_nodelay(True)
         return stream
 
--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -108,6 +108,25 @@
 
         return operators.change(_split(control), name, '')
 
+    def suspects(self, control: str) -> str:
+        """Show the requests that are held back: instances ended under them.
+
+        :param control: addresses of control replicas, with commas
+        """
+        from honeyport import operators
+
+        return operators.suspects(_split(control))
+
+    def clear(self, control: str, fingerprint: str) -> str:
+        """Let a request run again that was held back.
+
+        :param control: addresses of control replicas, with commas
+        :param fingerprint: as ``fleet suspects`` shows it
+        """
+        from honeyport import operators
+
+        return operators.clear(_split(control), str(fingerprint))
+
 
 class Standin:
     """Stand-ins for the systems that honeyport meets."""
--- a/src/honeyport/control/group.py
+++ b/src/honeyport/control/group.py
@@ -9,6 +9,7 @@
 import attrs
 import grpc
 
+from honeyport.control import clearance
 from honeyport.control import introductions
 from honeyport.control import links
 from honeyport.control import membership
@@ -79,6 +80,8 @@
     server = channels.server()
     rpc.add_ReplicaServicer_to_server(links.ReplicaServicer(node), server)
     rpc.add_SessionServicer_to_server(routers, server)
+    desk = clearance.Clearance(node, routers.suspects)
+    rpc.add_SuspicionServicer_to_server(desk, server)
     tree.on_stop('storage', _closer(store))
     counters.gauge('control_term', lambda: node.term)
     counters.gauge('control_commit', lambda: node.commit)
--- a/src/honeyport/control/suspects.py
+++ b/src/honeyport/control/suspects.py
@@ -130,6 +130,16 @@
             )
         return message
 
+    def records(self) -> list[pb.SuspectRecord]:
+        """Return the instances that ended under each that is shown."""
+        return [
+            pb.SuspectRecord(
+                request=bytes.fromhex(one.request),
+                instances=self._register.instances(one.request),
+            )
+            for one in self._shown
+        ]
+
     async def record(self) -> None:
         """Write requests under several ends to the log while we lead."""
         while True:
--- a/src/honeyport/exchange.py
+++ b/src/honeyport/exchange.py
@@ -70,6 +70,11 @@
     backend: str
     recorded: bool = False  # the outcome of an earlier run
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the backend server did what was asked."""
+        return 200 <= self.status < 300
+
     @property
     def is_event_stream(self) -> bool:
         """Whether the body is a stream of events."""
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -12,7 +12,6 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
 from honeyport.gateway import server
-from honeyport.gateway import witness
 from honeyport.policy import addresses
 from honeyport.policy import draining
 from honeyport.policy import repeats
@@ -20,6 +19,7 @@
 from honeyport.router import redirector
 from honeyport.router import session
 from honeyport.router import suspects
+from honeyport.router import witness
 from honeyport.settings import roles
 from honeyport import supervisor
 from honeyport.telemetry import metrics
@@ -47,7 +47,7 @@
         self._pool = pool.Pool()
         self._gate = gate.Gate(self._state)
         self._suspects = suspects.Suspects(counters)
-        self._witness = witness.Witness(self._pool, self._on_end)
+        self._witness = witness.Witness(self._pool.probe, self._on_end)
         self._forwarder = forward.Forwarder(
             self._state,
             self._gate,
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -19,7 +19,6 @@
 from honeyport.gateway import pool
 from honeyport.gateway import routes
 from honeyport.gateway import watch
-from honeyport.gateway import witness
 from honeyport.policy import fingerprints
 from honeyport.policy import placement
 from honeyport.policy import repeats
@@ -27,6 +26,7 @@
 from honeyport.policy import suspicion
 from honeyport.router import fleetstate
 from honeyport.router import suspects
+from honeyport.router import witness
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
--- a/src/honeyport/operators.py
+++ b/src/honeyport/operators.py
@@ -11,6 +11,7 @@
 from honeyport.bundle import files
 from honeyport.bundle import signing
 from honeyport import errors
+from honeyport.policy import fingerprints
 from honeyport.wire import channels
 from honeyport.wire import honeyport_pb2 as pb
 from honeyport.wire import honeyport_pb2_grpc as rpc
@@ -20,8 +21,9 @@
 _PAUSE_S = 0.2
 
 Ask = collections.abc.Callable[
-    [rpc.OperatorStub], collections.abc.Awaitable[typing.Any]
+    [typing.Any], collections.abc.Awaitable[typing.Any]
 ]
+Stub = collections.abc.Callable[[grpc.aio.Channel], typing.Any]
 
 
 def sign(path: str, key: str, out: str) -> str:
@@ -124,6 +126,55 @@
     return f'{name}: {"added as a learner" if address else "removed"}'
 
 
+def suspects(control: list[str]) -> str:
+    """Return a table of the requests that are held back."""
+    answer = asyncio.run(
+        _ask(
+            control,
+            lambda stub: stub.List(pb.SuspectsRequest(), timeout=_TIMEOUT_S),
+            rpc.SuspicionStub,
+        )
+    )
+    if not answer.suspects.suspects:
+        return 'no request is held back'
+    instances = {one.request: one.instances for one in answer.records}
+    return '\n'.join(
+        f'{one.request.hex()} {_state(one):<40} '
+        f'ended {" ".join(instances[one.request])}'
+        for one in answer.suspects.suspects
+    )
+
+
+def clear(control: list[str], fingerprint: str) -> str:
+    """Let a request run again that was held back."""
+    try:
+        named = bytes.fromhex(fingerprint)
+    except ValueError:
+        named = b''
+    if len(named) != fingerprints.LENGTH:
+        raise errors.UsageInvalid(
+            f'{fingerprint!r} is no fingerprint: {2 * fingerprints.LENGTH} '
+            'hexadecimal digits, as `fleet suspects` shows them'
+        )
+    request = pb.ClearRequest(request=named)
+    answer = asyncio.run(
+        _ask(
+            control,
+            lambda stub: stub.Clear(request, timeout=_TIMEOUT_S),
+            rpc.SuspicionStub,
+        )
+    )
+    return f'{fingerprint}: {"cleared" if answer.known else "not held back"}'
+
+
+def _state(suspect: pb.Suspect) -> str:
+    if not suspect.barred:
+        return 'one at a time'
+    if not suspect.back_ms:
+        return 'refused until it is cleared'
+    return f'refused, tried again in {suspect.back_ms / 1000:.0f} s'
+
+
 def _read(path: str) -> signing.Signed:
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
@@ -150,7 +201,9 @@
     return answer
 
 
-async def _ask(control: list[str], ask: Ask) -> typing.Any:
+async def _ask(
+    control: list[str], ask: Ask, stub: Stub = rpc.OperatorStub
+) -> typing.Any:
     """Ask the leader, wherever it is; the same is asked again safely.
 
     :raises errors.HoneyportError: what the leader answered
@@ -162,7 +215,7 @@
     while loop.time() < until:
         address = addresses.pop(0)
         addresses.append(address)
-        answer = await _ask_one(address, ask)
+        answer = await _ask_one(address, ask, stub)
         if answer is None:
             await asyncio.sleep(_PAUSE_S / 2)
             continue
@@ -180,10 +233,10 @@
     )
 
 
-async def _ask_one(address: str, ask: Ask) -> typing.Any | None:
+async def _ask_one(address: str, ask: Ask, stub: Stub) -> typing.Any | None:
     channel = channels.connect(address)
     try:
-        return await ask(rpc.OperatorStub(channel))
+        return await ask(stub(channel))
     except grpc.aio.AioRpcError:
         return None
     finally:
--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -47,8 +47,13 @@
         self._links = relay.Links()
         self._gate = edge.Gate()
         self._tracer = traces.create(settings.traces, settings.name)
+        self._suspects = suspects.Suspects(self._counters)
         self._steward = steward.Steward(
-            settings.name, self._state, self._counters, self._hurry
+            settings.name,
+            self._state,
+            self._counters,
+            self._hurry,
+            self._suspects,
         )
         self._session = session.Session(
             settings,
@@ -56,7 +61,7 @@
             self._steward.fill,
             self._on_view,
             self._on_news,
-            suspects.Suspects(self._counters),
+            self._suspects,
             self._counters,
         )
         self._dispatcher = dispatch.Dispatcher(
@@ -89,6 +94,7 @@
         tree.on_stop('links', self._links.close)
         tree.on_stop('peers', lambda: peers.stop(_STOP_GRACE_S))
         tree.task('session', self._session.run)
+        tree.on_stop('steward', self._close_steward)
         tree.task('settle', self._steward.settle)
         tree.task('probes', self._steward.watch)
         server = self._listen()
@@ -146,6 +152,9 @@
                 async for frame in answer:
                     yield frame
 
+    async def _close_steward(self) -> None:
+        self._steward.close()
+
     def _on_news(self) -> None:
         """Bring slots in line with what control said."""
         if self._layout != self._state.layout:
--- a/src/honeyport/router/dispatch.py
+++ b/src/honeyport/router/dispatch.py
@@ -14,6 +14,7 @@
 from honeyport import exchange
 from honeyport.policy import hashing
 from honeyport.policy import retries
+from honeyport.policy import suspicion
 from honeyport.router import fleetstate
 from honeyport.router import relay
 from honeyport.router import resume
@@ -27,8 +28,14 @@
 _HANDOVER_PAUSE_S = 0.05
 _HANDOVER_LEASES = 3  # longest wait for a new steward
 _RESUMES = 5
+# A call under which several servers ended waits so long before the next one
+# gets it, in seconds: by then the fleet knows of their ends (0.05 until they
+# are probed, 0.05 until the leader tells, and a round trip).
+_VERDICT_S = 0.2
 
 _ELSEWHERE = (errors.BackendFull, errors.NotSent, errors.NotReady)
+# Refusals of a call that may end the server that runs it.
+_HELD = (errors.RequestBarred, errors.RequestHeld)
 _CUT = (errors.AnswerCut, errors.BackendLost, errors.PeerLost)
 
 
@@ -96,8 +103,11 @@
             warm_s = self._state.bundle.limits.warm_wait_ms / 1000
             plan[0] = (hint, warm_s)
         problem: errors.HoneyportError | None = None
+        lost: list[errors.HoneyportError] = []
         for name, patience_s in plan:
             started = False
+            if len(lost) >= suspicion.WATCHED_ENDS:
+                await asyncio.sleep(_VERDICT_S)
             try:
                 attempt = attrs.evolve(call, patience_s=patience_s)
                 async for frame in self._whole(attempt, name):
@@ -110,6 +120,11 @@
                 if started or not self._may_repeat(call):
                     raise
                 problem = error
+                lost.append(error)
+            except _HELD:
+                if lost:  # "not run" is true of the last try alone
+                    raise lost[-1] from None
+                raise
         assert problem is not None
         raise problem
 
@@ -153,6 +168,10 @@
                 self._note_cut(call, backend, error)
                 attempt += 1
                 until = self._handover_until(call)
+            except _HELD as error:
+                if not headed:
+                    raise
+                raise errors.AnswerCut(error.detail) from None
             except _ELSEWHERE as error:
                 if not headed:
                     raise
--- a/src/honeyport/router/slots.py
+++ b/src/honeyport/router/slots.py
@@ -41,6 +41,16 @@
         """Count one request less."""
         self.running -= 1
 
+    @property
+    def id(self) -> str:
+        """Its name, as the witness of ends asks for it."""
+        return self.name
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return self.backend.address
+
     @property
     def down(self) -> bool:
         """Whether it does not answer."""
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -15,10 +15,13 @@
 from honeyport.bundle import model
 from honeyport import errors
 from honeyport import exchange
+from honeyport.policy import fingerprints
 from honeyport.policy import hashing
 from honeyport.router import fleetstate
 from honeyport.router import slots
+from honeyport.router import suspects
 from honeyport.router import transfer
+from honeyport.router import witness
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
@@ -36,6 +39,7 @@
     """The slots of this router.
 
     :param hurry: called when the fleet should hear of our load soon
+    :param held: the calls that are held back
     """
 
     def __init__(
@@ -44,11 +48,14 @@
         state: fleetstate.FleetState,
         counters: metrics.Metrics,
         hurry: Wake,
+        held: suspects.Suspects,
     ) -> None:
         self._name = name
         self._state = state
         self._metrics = counters
         self._hurry = hurry
+        self._suspects = held
+        self._witness = witness.Witness(self._knock, held.ended)
         self._slots: dict[str, slots.Slot] = {}
         self._reported: collections.deque[dict[str, int]] = collections.deque(
             maxlen=_REMEMBERED
@@ -127,7 +134,32 @@
 
         :raises errors.HoneyportError: see ``ran`` of the error
         """
+        request = fingerprints.of(
+            call.account, call.service, call.path, call.body
+        )
+        # A call that ends its backend server ran 79 times when it was sent
+        # 30 times: what ran on a server that ended was forgotten.
+        is_held = await self._suspects.enter(request)
+        try:
+            frames = self._run(call, backend, request)
+            async with contextlib.aclosing(frames):
+                async for frame in frames:
+                    yield frame
+        finally:
+            if is_held:
+                self._witness.when_settled(
+                    backend, lambda: self._suspects.leave(request)
+                )
+
+    async def _run(
+        self, call: exchange.Call, backend: str, request: str
+    ) -> exchange.Answer:
+        """Yield the frames of a call's answer.
+
+        :param request: its fingerprint
+        """
         slot = await self._admit(call, backend)
+        succeeded = False
         loop = asyncio.get_running_loop()
         started = loop.time()
         abandoned = True
@@ -138,12 +170,15 @@
                     if isinstance(frame, exchange.Head):
                         self._answered(slot)
                         slot.hot.note(call.chat)
+                        succeeded = frame.is_success
                     elif isinstance(frame, exchange.End):
                         abandoned = False
+                        if succeeded:
+                            self._suspects.served(request)
                     yield frame
         except errors.HoneyportError as error:
             abandoned = False
-            self._failed(slot, error)
+            self._failed(slot, error, request)
             raise
         finally:
             if abandoned and call.repeatable:
@@ -178,8 +213,16 @@
 
     def notice(self) -> None:
         """Look again at what may be admitted: something changed."""
+        # A bundle names its servers until an operator removes them, so none
+        # ends by leaving it.
+        leaving = filter(self._state.is_leaving, self._slots)
+        self._witness.regard(set(), set(leaving))
         self._news.set()
 
+    def close(self) -> None:
+        """End the tasks that watch backend servers."""
+        self._witness.close()
+
     async def settle(self) -> None:
         """Make slots ready once the view they came with is settled."""
         while True:
@@ -339,12 +382,30 @@
         slot.failures = 0
         slot.limit = min(slot.backend.slots, slot.limit + 1 / slot.limit)
 
-    def _failed(self, slot: slots.Slot, error: errors.HoneyportError) -> None:
+    def _failed(
+        self, slot: slots.Slot, error: errors.HoneyportError, request: str
+    ) -> None:
+        if isinstance(error, errors.BackendLost | errors.AnswerCut):
+            self._witness.broke(slot, request)
+        elif isinstance(error, errors.ConnectionRefused):
+            self._witness.is_gone(slot.name, witness.REFUSES)
         if isinstance(error, errors.BackendFull):
             slot.limit = max(1.0, slot.limit * _BACKOFF)
         elif isinstance(error, errors.NotSent | errors.BackendLost):
             self._unreachable(slot)
 
+    async def _knock(self, slot: slots.Slot) -> None:
+        """Connect to a backend server for the witness.
+
+        :raises errors.NotSent: if it does not answer
+        """
+        try:
+            await slot.client.probe()
+        except errors.BackendLost as error:
+            raise errors.NotSent(error.detail) from None
+        except (ValueError, KeyError):
+            return  # it answers, if not well
+
     def _unreachable(self, slot: slots.Slot) -> None:
         slot.failures += 1
         if slot.failures == slots.DOWN_AFTER:
--- a/src/honeyport/gateway/witness.py
+++ b/src/honeyport/router/witness.py
@@ -8,12 +8,11 @@
 
 import asyncio
 import collections.abc
+import typing
 
 import attrs
 
 from honeyport import errors
-from honeyport.gateway import pool
-from honeyport.policy import placement
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 
@@ -35,37 +34,53 @@
 OnEnd = collections.abc.Callable[[str, frozenset[str]], None]
 
 
+class Instance(typing.Protocol):
+    """What runs requests: an instance, or a backend server of a bundle."""
+
+    @property
+    def id(self) -> str:
+        """Its name."""
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+
+
+Probe = collections.abc.Callable[[typing.Any], collections.abc.Awaitable[None]]
+
+
 @attrs.define
 class _Doubt:
     """Requests that broke on an instance, by fingerprint, and when."""
 
-    instance: placement.Instance
+    instance: Instance
     broke: dict[str, float] = attrs.field(factory=dict)
     task: asyncio.Task[None] | None = None
 
 
 class Witness:
-    """Watches instances on which requests of this gateway broke.
+    """Watches instances on which requests of this process broke.
 
+    :param probe: connects to an instance; raises
+        :class:`errors.ConnectionRefused` if nothing listens there, and
+        :class:`errors.NotSent` if that fails otherwise
     :param on_end: called with an instance and the requests under its end
     """
 
-    def __init__(self, connections: pool.Pool, on_end: OnEnd) -> None:
-        self._pool = connections
+    def __init__(self, probe: Probe, on_end: OnEnd) -> None:
+        self._connect = probe
         self._on_end = on_end
         self._doubts: dict[str, _Doubt] = {}
         self._listed: set[str] = set()
         self._leaving: set[str] = set()
 
-    def broke(self, instance: placement.Instance, fingerprint: str) -> None:
+    def broke(self, instance: Instance, fingerprint: str) -> None:
         """Note that a request's connection broke; find out why."""
         doubt = self._note(instance, fingerprint)
         if doubt.task is None:
             doubt.task = asyncio.create_task(self._probe(doubt))
 
-    def fell_silent(
-        self, instance: placement.Instance, fingerprint: str
-    ) -> None:
+    def fell_silent(self, instance: Instance, fingerprint: str) -> None:
         """Note that a request got no answer in time.
 
         Instances that are slow do that often; none is probed for it.
@@ -117,7 +132,7 @@
             if doubt.task is not None:
                 doubt.task.cancel()
 
-    def _note(self, instance: placement.Instance, fingerprint: str) -> _Doubt:
+    def _note(self, instance: Instance, fingerprint: str) -> _Doubt:
         now = asyncio.get_running_loop().time()
         doubt = self._doubts.setdefault(instance.id, _Doubt(instance))
         doubt.broke[fingerprint] = now
@@ -138,7 +153,7 @@
             await asyncio.sleep(at_s - waited_s)
             waited_s = at_s
             try:
-                await self._pool.probe(doubt.instance)
+                await self._connect(doubt.instance)
             except errors.ConnectionRefused:
                 self.is_gone(name, REFUSES)
                 return
