Known red: a gateway that was suspended believes in its lease

All times are the event loop's, and that reads the steady clock, which does not count a suspension. Shown with processes whose steady clock stands still while they are stopped: after 6 s a request that waited on the gateway's socket ran with a key that had been taken away.

--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import time
 import typing
 
 import attrs
@@ -17,9 +18,11 @@
 from tornado import simple_httpclient
 from tornado import web
 
+from features.support import suspendable
 from honeyport import local
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
+_SUSPENDABLE = pathlib.Path(__file__).with_name('suspendable.py')
 _SETTINGS = """\
 node_name={name}
 zone={zone}
@@ -78,6 +81,12 @@
     settings: pathlib.Path
     log: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
+    suspended_s: float = 0.0
+
+    @property
+    def suspended(self) -> pathlib.Path:
+        """The file that says for how long its machine was suspended."""
+        return self.settings.with_suffix('.suspended')
 
 
 class _Listing(web.RequestHandler):
@@ -117,6 +126,7 @@
         self.listed: list[dict[str, typing.Any]] = []
         self.list_answers = True
         self.losses = 1
+        self.suspendable = False
         self.sent: dict[int, typing.Any] = {}
         self.ports = _free_ports(5)
         self.nodes = [self.make_node(number) for number in (1, 2, 3)]
@@ -171,13 +181,36 @@
     def launch(self, node: Node, *, first: bool = False) -> None:
         """Start a node's process."""
         self._write_settings(node, first=first)
+        program = [str(_ROOT / 'launch.py')]
+        variables = {'HONEYPORT_BOOT': str(node.settings)}
+        if self.suspendable:
+            program.insert(0, str(_SUSPENDABLE))
+            variables[suspendable.VARIABLE] = str(node.suspended)
+            self._note_suspended(node)
         node.process = subprocess.Popen(
-            [sys.executable, str(_ROOT / 'launch.py')],
-            env={**os.environ, 'HONEYPORT_BOOT': str(node.settings)},
+            [sys.executable, *program],
+            env={**os.environ, **variables},
             stdout=node.log.open('ab'),
             stderr=subprocess.STDOUT,
         )
 
+    def suspend(self, node: Node) -> None:
+        """Suspend a node's machine."""
+        self.send_signal(node, signal.SIGSTOP)
+        node.suspended_s -= time.monotonic()
+
+    def resume(self, node: Node) -> None:
+        """Wake a node's machine."""
+        node.suspended_s += time.monotonic()
+        self._note_suspended(node)
+        self.send_signal(node, signal.SIGCONT)
+
+    def _note_suspended(self, node: Node) -> None:
+        # In place: the process has the file mapped.
+        mode = 'r+b' if node.suspended.exists() else 'wb'
+        with node.suspended.open(mode) as file:
+            file.write(suspendable.SECONDS.pack(node.suspended_s))
+
     def send_signal(self, node: Node, number: signal.Signals) -> None:
         """Send a signal to a node's process."""
         assert node.process is not None
