One clock for all that ends with time, and it counts suspensions

Cause: leases, election timeouts, deadlines, kept connections and the age of keys are measured by the event loop's time, the steady clock, which stands still while a machine is suspended. The one place is the loop: every process runs on one whose time is CLOCK_BOOTTIME; the callers' library keeps addresses by it, too. grpc's own timers stay on the steady clock: a call's deadline ends later by the suspension, and what it then answers counts from its sending.

What is due meanwhile is due at the wake; sockets are read first, and what came on them sees the lease as it is. As after a freeze, a request whose limits on silence ran out meanwhile is given up.

Before: a request with a key taken away ran after 6 s; a read at a leader that slept for 1.2 s, while another was elected, got the version before. A voter that slept for 3 s unseats nobody, before and after.

--- a/features/platform/suspended.feature
+++ b/features/platform/suspended.feature
@@ -18,6 +18,17 @@
     Then that request was not run
     And every instance is ready within 10 seconds
 
+  Scenario: the leader is suspended, and another one is elected
+    Given a platform of three instances whose machines may be suspended
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the leader is suspended
+    And an operator sends version 8 elsewhere
+    And 1 seconds pass on the platform
+    And a read of the configuration waits on its socket, and it wakes
+    Then that read did not get version 7
+    And every instance reads back what was sent as version 8
+
   Scenario: a voter is suspended and wakes
     Given a platform of three instances whose machines may be suspended
     When an operator sends version 7 to any instance
--- a/src/honeyport/client.py
+++ b/src/honeyport/client.py
@@ -18,6 +18,7 @@
 import attrs
 
 from honeyport.backend import http
+from honeyport import clock
 from honeyport.control import claims
 from honeyport import errors
 from honeyport.policy import retries
@@ -236,7 +237,7 @@
 
     async def _ask(self, service: str, chat: str, *, fresh: bool) -> list[str]:
         """Return the addresses to use, asking when they are too old."""
-        now = time.monotonic()
+        now = clock.now()
         known = self._known.get((service, chat))
         if known is not None and known.until > now and not fresh:
             return known.addresses
@@ -343,11 +344,16 @@
 def _may_retry_chat(error: errors.HoneyportError) -> bool:
     """Whether the same chat request may be sent again."""
     final = (errors.BadRequest, errors.UnknownService, errors.UnknownAccount)
-    return not isinstance(error, (*final, errors.DeadlinePassed))
+    spent = (errors.DeadlinePassed, errors.RequestBarred)
+    return not isinstance(error, (*final, *spent))
 
 
 def _may_retry(error: errors.HoneyportError) -> bool:
     """Whether a repetition is safe and may do better."""
     later = (errors.NotReady, errors.Draining, errors.Overloaded)
-    running = (errors.StillRunning, errors.ControlUnavailable)
+    running = (
+        errors.StillRunning,
+        errors.ControlUnavailable,
+        errors.RequestHeld,
+    )
     return isinstance(error, (*later, *running, errors.NotSent))
--- a/src/honeyport/local.py
+++ b/src/honeyport/local.py
@@ -14,6 +14,7 @@
 from honeyport.bundle import model
 from honeyport.bundle import signing
 from honeyport import client
+from honeyport import clock
 from honeyport.control import daemon as control_daemon
 from honeyport.router import daemon as router_daemon
 from honeyport.settings import roles
@@ -48,7 +49,8 @@
     logs.configure('warning', instance='local')
     with tempfile.TemporaryDirectory(prefix='honeyport-') as folder:
         with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(_run(pathlib.Path(folder), keep))
+            with asyncio.Runner(loop_factory=clock.new_loop) as runner:
+                runner.run(_run(pathlib.Path(folder), keep))
 
 
 async def _run(folder: pathlib.Path, keep: bool) -> None:
--- a/src/honeyport/process.py
+++ b/src/honeyport/process.py
@@ -5,6 +5,7 @@
 import signal
 import typing
 
+from honeyport import clock
 from honeyport.settings import roles
 from honeyport import supervisor
 from honeyport.telemetry import events
@@ -27,7 +28,8 @@
     """
     _spare_imports()
     logs.configure(settings.log_level, instance=settings.name)
-    asyncio.run(_run(settings, start, reload or _keep_settings))
+    with asyncio.Runner(loop_factory=clock.new_loop) as runner:
+        runner.run(_run(settings, start, reload or _keep_settings))
 
 
 def _spare_imports() -> None:
--- a/src/honeyport/router/edge.py
+++ b/src/honeyport/router/edge.py
@@ -14,6 +14,7 @@
 from tornado import iostream
 from tornado import web
 
+from honeyport import clock
 from honeyport import errors
 from honeyport import exchange
 from honeyport.router import claims
@@ -160,7 +161,7 @@
         """
         self._task = asyncio.current_task()
         services = self._services
-        started = time.monotonic()
+        started = clock.now()
         try:
             with services.gate.enter():
                 call = self._checked(make())
@@ -177,9 +178,7 @@
         except Exception as error:
             logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
             await self._write_error(errors.HoneyportError())
-        services.counters.observe(
-            'request_seconds', time.monotonic() - started
-        )
+        services.counters.observe('request_seconds', clock.now() - started)
 
     def call(
         self, service: str, path: str, chat: str, headers: exchange.Headers
@@ -259,7 +258,7 @@
 
     def _observe_first(self, started: float) -> None:
         self._services.counters.observe(
-            'first_token_seconds', time.monotonic() - started
+            'first_token_seconds', clock.now() - started
         )
 
     def _write_head(self, head: exchange.Head) -> None:
