A witness of ends: bounded memory, and instances behind something else

Two holes, found on reading it again. What got no answer in time was kept until the list changed, which may be never: a slow instance could fill the memory; 1000 requests an instance are kept now, shown by a scenario. And where something in front of an instance takes connections for it, a probe said that it lives, and the list, which drops it 5 s after its end, was not believed any more; within 6 s it is.

--- a/features/gateway/ends.feature
+++ b/features/gateway/ends.feature
@@ -49,6 +49,19 @@
     And 0.8 seconds pass at the gateway
     Then 0 ends of instances are seen, with 0 requests
 
+  Scenario: something in front of an instance takes connections for it
+    Given a gateway for non_idempotent requests whose instances reset
+    When a caller sends a request
+    And 0.8 seconds pass at the gateway
+    Then 0 ends of instances are seen, with 0 requests
+    When the instances that got requests are no longer listed
+    Then 1 ends of instances are seen, with 1 requests
+
+  Scenario: a thousand requests get no answer from one instance in time
+    Given a witness of ends
+    When 3000 requests get no answer from an instance
+    Then 1000 of them are under its end
+
   Scenario: a caller leaves and the instance ends afterwards
     Given a gateway for non_idempotent requests whose instances silent
     When a caller leaves while its request runs
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -5,7 +5,10 @@
 import behave
 
 from features.support import caller
+from honeyport import errors
 from honeyport.policy import fingerprints
+from honeyport.policy import placement
+from honeyport.router import witness
 from honeyport.settings import roles
 
 _HOST = 'yard.example'
@@ -58,6 +61,37 @@
     assert found == (ends, requests), found
 
 
+@behave.given('a witness of ends')
+def step_witness(context):
+    async def refuse(instance):
+        raise errors.ConnectionRefused
+
+    context.under = []
+    context.witness = witness.Witness(
+        refuse, lambda instance, requests: context.under.append(requests)
+    )
+
+
+@behave.when('{count:d} requests get no answer from an instance')
+def step_no_answer(context, count):
+    instance = placement.Instance(
+        'i-1', 'app', '127.0.0.1:9', 'thu-duc', False, 8, ''
+    )
+
+    async def fall_silent():
+        for number in range(count):
+            context.witness.fell_silent(instance, f'{number:032x}')
+        context.witness.is_gone('i-1', witness.REFUSES)
+
+    context.run(fall_silent())
+
+
+@behave.then('{count:d} of them are under its end')
+def step_under(context, count):
+    [requests] = context.under
+    assert len(requests) == count, len(requests)
+
+
 @behave.given(
     'a request of the account "{account}" for "{target}" with the body '
     '"{body}"'
--- a/src/honeyport/router/witness.py
+++ b/src/honeyport/router/witness.py
@@ -23,6 +23,11 @@
 # For how long a request that broke without such a sign may still be under an
 # end, in seconds. The platform's list drops an instance 5 s after its end.
 _DOUBT_S = 15.0
+# The same where connections are taken: something in front of an instance may
+# take them for it. Only the list tells then, and no later than this.
+_LISTED_S = 6.0
+# Requests that are kept for an instance: what 20 slow ones of 50 slots break.
+_MOST_KEPT = 1000
 # Fingerprints in one log line.
 _MOST_LOGGED = 20
 
@@ -51,10 +56,14 @@
 
 @attrs.define
 class _Doubt:
-    """Requests that broke on an instance, by fingerprint, and when."""
+    """Requests that broke on an instance, by fingerprint, and when.
+
+    :ivar lived: those after which the instance took connections
+    """
 
     instance: Instance
     broke: dict[str, float] = attrs.field(factory=dict)
+    lived: dict[str, float] = attrs.field(factory=dict)
     task: asyncio.Task[None] | None = None
 
 
@@ -135,14 +144,19 @@
     def _note(self, instance: Instance, fingerprint: str) -> _Doubt:
         now = asyncio.get_running_loop().time()
         doubt = self._doubts.setdefault(instance.id, _Doubt(instance))
+        doubt.broke.pop(fingerprint, None)  # the oldest stay first
         doubt.broke[fingerprint] = now
+        if len(doubt.broke) > _MOST_KEPT:
+            del doubt.broke[next(iter(doubt.broke))]
         return doubt
 
     def _forget_old(self) -> None:
         """Forget what broke too long ago to be under an end."""
-        oldest = asyncio.get_running_loop().time() - _DOUBT_S
         for name, doubt in list(self._doubts.items()):
-            if max(doubt.broke.values()) < oldest and doubt.task is None:
+            kept = _since(doubt.broke, _DOUBT_S) | _since(
+                doubt.lived, _DOUBT_S
+            )
+            if not kept and doubt.task is None:
                 del self._doubts[name]
 
     async def _probe(self, doubt: _Doubt) -> None:
@@ -164,20 +178,22 @@
             self._live(doubt)
 
     def _live(self, doubt: _Doubt) -> None:
-        self._doubts.pop(doubt.instance.id, None)
+        doubt.lived = doubt.broke
+        doubt.broke = {}
         logs.emit(
             events.INSTANCE_LIVES,
             backend=doubt.instance.id,
             address=doubt.instance.address,
-            **_to_fields(set(doubt.broke)),
+            **_to_fields(set(doubt.lived)),
         )
 
     def _end(self, doubt: _Doubt, sign: str) -> None:
         """Report an end, unless it was due."""
-        now = asyncio.get_running_loop().time()
-        under = frozenset(
-            one for one, at in doubt.broke.items() if now - at < _DOUBT_S
-        )
+        under = _since(doubt.broke, _DOUBT_S)
+        if sign == _UNLISTED:
+            under |= _since(doubt.lived, _LISTED_S)
+        if not under:
+            return
         is_leaving = doubt.instance.id in self._leaving
         logs.emit(
             events.INSTANCE_ENDED,
@@ -187,8 +203,14 @@
             leaving=is_leaving,
             **_to_fields(under),
         )
-        if under and not is_leaving:
-            self._on_end(doubt.instance.id, under)
+        if not is_leaving:
+            self._on_end(doubt.instance.id, frozenset(under))
+
+
+def _since(broke: dict[str, float], seconds: float) -> set[str]:
+    """Return the requests that broke within the last seconds."""
+    oldest = asyncio.get_running_loop().time() - seconds
+    return {one for one, at in broke.items() if at > oldest}
 
 
 def _to_fields(
