The soak sends a request that ends instances, from seed 2000 on

Behind the soak's relays a connection is always taken, so that the list alone tells of an end. The promise: six seconds after the third end no more than three runs. Seeds below 2000 keep their plans.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -10,6 +10,7 @@
 from soak import records as soak_records
 
 EVENTS = 8
+ENDING = b'what no instance survives'
 _EVENT_PAUSE_S = 0.03
 _WORK_S = 0.03
 _SLOW = 10.0  # how much longer a slow instance takes
@@ -44,6 +45,7 @@
         self.service = service
         self.state = 'ready'
         self.mood = ''
+        self.ended = False
         self._found = found
         self._random = chance
         self._own_address = local.free_address()
@@ -100,7 +102,8 @@
         head = (await reader.readuntil(b'\r\n\r\n')).decode()
         line, *rest = head.strip().split('\r\n')
         headers = dict(one.split(': ', 1) for one in rest)
-        await reader.readexactly(int(headers.get('Content-Length', 0)))
+        length = int(headers.get('Content-Length', 0))
+        body = await reader.readexactly(length)
         request_id = headers['Attempt-Id']
         if headers.get('Expected-Instance', self.name) != self.name:
             writer.write(self._plain(request_id, '421 Misdirected', False))
@@ -115,8 +118,20 @@
                 asyncio.get_running_loop().time(),
             )
         )
+        if body == ENDING:
+            self._end()
+            return False
         return await self._run(line, headers, reader, writer)
 
+    def _end(self) -> None:
+        """End as a process does; what stands before it goes on."""
+        self._found.ends.append(asyncio.get_running_loop().time())
+        self.ended = True
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _run(
         self,
         line: str,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,9 @@
 # After its deadline a caller is owed a final answer by then; the nodes of a
 # busy machine are slower than those of the platforms.
 _LATE_S = 2.0
+# How often what ended three instances may reach others afterwards.
+_ENDS_BARRED = 3
+_MOST_AFTER = 3
 _NOT_RUN = (408, 421, 429, 503)
 _SERVED_SHARE = 0.9  # at least, once everything is calm again
 
@@ -159,6 +162,25 @@
                 yield f'{run.request_id} ran on {run.instance}, which was gone'
 
 
+@promise
+def what_ends_instances_is_refused(
+    found: soak_records.Records,
+) -> collections.abc.Iterator[str]:
+    if len(found.ends) < _ENDS_BARRED:
+        return
+    known = sorted(found.ends)[_ENDS_BARRED - 1] + _LAG_S
+    later = [
+        run.at
+        for request_id, runs in found.runs.items()
+        for run in runs
+        if request_id.startswith('ending')
+        and run.at > known
+        and not found.is_disturbed(run.at - _LAG_S, run.at)
+    ]
+    if len(later) > _MOST_AFTER:
+        yield f'{len(later)} runs after three ends; {len(found.ends)} ends'
+
+
 @promise
 def service_comes_back(
     found: soak_records.Records,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,32 +26,36 @@
     collections.abc.Awaitable[None],
 ]
 FAULTS: dict[str, Fault] = {}
-# The first seed that draws from all faults. Lower ones were played before
-# some were added, and keep the plans that they had.
-_ALL_SINCE = 1000
-_LATER: set[str] = set()
+# The first seed that draws a fault. Lower ones were played before it was
+# added, and keep the plans that they had.
+_SINCE: dict[str, int] = {}
 _SEEDS = 3  # instances that the platform names to each
+# How often the request that ends instances comes, in seconds, and how long.
+_COMES_S = (0.1, 0.5)
+_COMES_FOR_S = (4.0, 9.0)
+# From the end of an instance until another is there in its place.
+_REPLACED_S = 1.0
 
 
 def fault(function: Fault) -> Fault:
-    """Enter a fault."""
-    FAULTS[function.__name__] = function
-    return function
+    """Enter a fault that every seed may draw."""
+    return fault_since(0)(function)
 
 
-def later_fault(function: Fault) -> Fault:
-    """Enter a fault that only seeds from 1000 on draw."""
-    _LATER.add(function.__name__)
-    return fault(function)
+def fault_since(seed: int) -> collections.abc.Callable[[Fault], Fault]:
+    """Enter a fault that a seed and those above it may draw."""
+
+    def decorate(function: Fault) -> Fault:
+        FAULTS[function.__name__] = function
+        _SINCE[function.__name__] = seed
+        return function
+
+    return decorate
 
 
 def drawn_by(seed: int) -> list[str]:
     """Return the names of the faults that a seed draws from."""
-    return [
-        name
-        for name in sorted(FAULTS)
-        if seed >= _ALL_SINCE or name not in _LATER
-    ]
+    return [name for name in sorted(FAULTS) if seed >= _SINCE[name]]
 
 
 @contextlib.contextmanager
@@ -183,7 +187,7 @@
             site.send_signal(node, signal.SIGHUP)
 
 
-@later_fault
+@fault_since(1000)
 async def kill_all(
     site: soak_site.Site,
     operator: soak_operator.Operator,
@@ -193,7 +197,7 @@
     await _kill_together(site, site.nodes, chance)
 
 
-@later_fault
+@fault_since(1000)
 async def other_seeds(
     site: soak_site.Site,
     operator: soak_operator.Operator,
@@ -348,3 +352,31 @@
 ) -> None:
     """A configuration that cannot be right is sent."""
     await operator.send_invalid()
+
+
+@fault_since(2000)
+async def ending_request(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
+    """One request ends each instance that runs it, and comes again."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + chance.uniform(*_COMES_FOR_S)
+    async with asyncio.TaskGroup() as group:
+        while loop.time() < until:
+            node = chance.choice(site.nodes)
+            group.create_task(site.send_ending(node))
+            await _pause(chance, *_COMES_S)
+            for instance in site.take_ended():
+                group.create_task(_replace_ended(site, instance))
+    for instance in site.take_ended():
+        await _replace_ended(site, instance)
+
+
+async def _replace_ended(
+    site: soak_site.Site, instance: backend.Instance
+) -> None:
+    await asyncio.sleep(_REPLACED_S)
+    await site.remove_instance(instance)
+    await site.add_instance(instance.service)
--- a/soak/records.py
+++ b/soak/records.py
@@ -66,6 +66,7 @@
         self.reads: list[tuple[float, str, bytes]] = []
         self.final_read: bytes | None = None
         self.gone: list[tuple[str, float]] = []
+        self.ends: list[float] = []  # of instances, under one request
         self.disturbed: list[Span] = []
         self.notes: list[str] = []
         self.calm_since = 0.0
--- a/soak/site.py
+++ b/soak/site.py
@@ -88,6 +88,26 @@
         self.tell()
         await instance.stop()
 
+    def take_ended(self) -> list[backend.Instance]:
+        """Return the instances that a request has ended since."""
+        found = [one for one in self.instances if one.ended]
+        for one in found:
+            one.ended = False
+        return found
+
+    async def send_ending(self, node: platform.Node) -> None:
+        """Send the request that ends instances, under a new id."""
+        self._count += 1
+        request_id = f'ending-{self._count}-1500'
+        self.found.asked.add(request_id)
+        headers = {
+            'Host': HOST,
+            'Authorization': f'Bearer {MAIN_KEY}',
+            'Attempt-Id': request_id,
+            'Deadline-Ms': '1500',
+        }
+        await self.ask(node, 0, '/app/ending', backend.ENDING, headers)
+
     def tell(self) -> None:
         """Bring the platform's list up to date."""
         self.listed = [one.to_entry() for one in self.instances]
