What gateways are told is worked out when it changes, not each tick

Found by measuring the cost: with 512 requests that are refused, the leader's look at all of them at every tick took 3.2 ms, 6 % of a core for as long as they stood, and each of its streams had a message of its own made (2.3 ms). Processor time, means of 20 on one core.

--- a/features/platform/crashing.feature
+++ b/features/platform/crashing.feature
@@ -101,5 +101,6 @@
     Then an operator is shown 1 request that is refused
     When the operator clears it
     Then an operator is shown 0 request that is refused
-    When the instances are mended, and the request comes at every gateway at once
+    When 0.3 seconds pass on the platform
+    And the instances are mended, and the request comes at every gateway at once
     Then it was served each time
--- a/src/honeyport/control/suspects.py
+++ b/src/honeyport/control/suspects.py
@@ -21,6 +21,9 @@
 # Between two looks at whether the log has what is known, in seconds: far
 # below the seconds in which an instance that ended is back.
 _RECORD_S = 0.1
+# For how long a message to the gateways is used again, in seconds: a tick. The
+# times in it are as much too early.
+_MESSAGE_S = 0.05
 
 Alive = collections.abc.Callable[[str, str], bool]
 
@@ -45,6 +48,10 @@
         self._shown: list[suspicion.Suspect] = []
         self._barred: frozenset[str] = frozenset()
         self._is_unsaved = False
+        self._is_stale = False
+        self._due = float('inf')  # when the next one may be tried again
+        self._message = pb.Suspects()
+        self._message_until = float('-inf')
         counters.gauge('suspects', lambda: len(self._register))
         counters.gauge('requests_barred', lambda: len(self._barred))
 
@@ -71,7 +78,6 @@
             at = _now() - end.age_ms / 1000
             for request in end.requests:
                 self._count(request.hex(), end.backend, at, router.router)
-        self.refresh()
 
     def clear(self, requests: collections.abc.Iterable[str], by: str) -> bool:
         """Forget requests; return whether one of them was known.
@@ -83,7 +89,7 @@
             logs.emit(events.SUSPECTS_CLEARED, fingerprints=found, by=by)
             self._metrics.count('suspects_cleared', len(found))
             self._is_unsaved = True
-            self.refresh()
+            self._show()
         return bool(found)
 
     def answer(
@@ -112,13 +118,29 @@
         self._register.give_back(release.request.hex(), _holder(router))
 
     def refresh(self) -> None:
-        """Note what gateways have to be told, time included."""
-        if len(self._register) or self._shown:
+        """Note what gateways have to be told; called once a tick.
+
+        With 512 requests that are refused, a look at all of them at each tick
+        took 6 % of a core, for as long as they were.
+        """
+        if self._is_stale or _now() >= self._due:
             self._show()
 
     def message(self) -> pb.Suspects:
-        """Return what gateways are told, all of it."""
+        """Return what gateways are told, all of it.
+
+        Made once for all streams of a tick: for 512 requests it takes 2.3 ms
+        (processor time, mean of 20).
+        """
         now = _now()
+        same = self._message.number == self._number
+        if same and now < self._message_until:
+            return self._message
+        self._message = self._to_message(now)
+        self._message_until = now + _MESSAGE_S
+        return self._message
+
+    def _to_message(self, now: float) -> pb.Suspects:
         message = pb.Suspects(number=self._number)
         for one in self._shown:
             message.suspects.add(
@@ -155,6 +177,7 @@
         if ends < suspicion.WATCHED_ENDS:
             return  # one end takes all with it that ran there
         self._is_unsaved = True
+        self._is_stale = True
         logs.emit(
             events.REQUEST_SUSPECTED,
             fingerprint=request,
@@ -167,7 +190,10 @@
     def _show(self) -> None:
         """Give what gateways are told a new number if it changed."""
         now = _now()
+        self._is_stale = False
         shown = self._register.watched()
+        waiting = (one.until for one in shown if one.is_barred(now))
+        self._due = min(waiting, default=float('inf'))
         barred = frozenset(one.request for one in shown if one.is_barred(now))
         if self._number and shown == self._shown and barred == self._barred:
             return
@@ -177,6 +203,7 @@
 
     async def _save(self) -> None:
         """Commit what changed; what fails comes again."""
+        self.refresh()
         held = self._node.machine.suspects
         wanted = {
             one.request: self._register.instances(one.request)
