--- a/features/gateway/allowed.feature
+++ b/features/gateway/allowed.feature
@@ -27,6 +27,13 @@
     Then it gets 503, and 0 requests arrived
     And it has that within 900 ms
 
+  Scenario: callers are not sent to a gateway that knows no instances yet
+    Given a gateway that has just started
+    When it has a configuration and a lease, and no list of instances
+    Then it says that it is not ready: no list of instances yet
+    When the list comes
+    Then it says that it is ready
+
   Scenario: a key that nobody holds
     Given a gateway for idempotent requests whose instances answer
     When a caller sends a request with the key "stolen"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -178,6 +178,35 @@
     context.run(send())
 
 
+@behave.when('it has a configuration and a lease, and no list of instances')
+def step_no_list(context):
+    async def allow():
+        context.setting.configure('idempotent')
+        context.setting.renew(_LEASE_MS)
+        context.setting.gateway.take_news()
+
+    context.run(allow())
+
+
+@behave.when('the list comes')
+def step_list(context):
+    async def tell():
+        context.setting.list()
+
+    context.run(tell())
+
+
+@behave.then('it says that it is not ready: {reason}')
+def step_not_ready(context, reason):
+    found = context.run(_not_ready(context.setting))
+    assert found == reason, found
+
+
+@behave.then('it says that it is ready')
+def step_is_ready(context):
+    assert context.run(_not_ready(context.setting)) == ''
+
+
 @behave.when('a caller sends a request')
 def step_send(context):
     context.got = context.run(_ask(context.setting))
@@ -356,3 +385,7 @@
         while not setting.script.arrivals:
             await asyncio.sleep(0.01)
     writer.close()
+
+
+async def _not_ready(setting: Setting) -> str:
+    return setting.gateway.not_ready
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -92,6 +92,9 @@
             self._state.check_lease()
         except errors.NotReady as error:
             return error.detail
+        if not self._state.instances.number:
+            # Ready before it, one refused what came in the 50 ms between.
+            return 'no list of instances yet'
         return ''
 
     @property
