--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -55,7 +55,7 @@
 @behave.when('the leading instance is killed and started again')
 def step_kill_leader(context):
     platform = context.platform
-    node = context.run(_leader(platform))
+    node = context.run(platform_steps.find_leader(platform))
     platform.send_signal(node, signal.SIGKILL)
     platform.launch(node)
     context.run(asyncio.sleep(1.0))
@@ -189,16 +189,6 @@
     return await asyncio.gather(*sends)
 
 
-async def _leader(platform):
-    """Return the node whose control replica leads."""
-    async with asyncio.timeout(_ENDS_S):
-        while True:
-            for node in platform.nodes:
-                if await platform_steps.read_gauge(node, 'control_leads'):
-                    return node
-            await asyncio.sleep(_PAUSE_S)
-
-
 async def _suspects(context):
     """Return the lines of requests that an operator is shown."""
     text = await _command(context, 'suspects')
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,6 +13,7 @@
 _METRICS_PORT = 9464
 _READ_S = 15.0
 _ENDS_S = 12.0
+_LOOK_S = 0.1
 
 
 @behave.given('a platform of three instances with disks')
@@ -298,8 +299,18 @@
     return 0.0
 
 
+async def find_leader(platform):
+    """Return the node whose control replica leads, as soon as one does."""
+    async with asyncio.timeout(_READ_S):
+        while True:
+            for node in platform.nodes:
+                if await read_gauge(node, 'control_leads'):
+                    return node
+            await asyncio.sleep(_LOOK_S)
+
+
 async def until(check, seconds):
     """Wait until a check holds, or fail."""
     async with asyncio.timeout(seconds):
         while not await check():
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(_LOOK_S)
--- a/features/steps/suspended_steps.py
+++ b/features/steps/suspended_steps.py
@@ -8,8 +8,6 @@
 from features.steps import platform_steps
 from features.support import platform as platforms
 
-_FOUND_S = 10.0
-_LOOK_S = 0.1
 # For a request to stand on the socket of a process that is stopped.
 _ARRIVES_S = 0.2
 _READ = '/api/configuration/read'
@@ -26,7 +24,7 @@
 
 @behave.when('a gateway that does not lead is suspended')
 def step_suspend_follower(context):
-    leader = context.run(_leader(context.platform))
+    leader = context.run(platform_steps.find_leader(context.platform))
     context.leader = leader
     context.asleep = next(
         node for node in context.platform.nodes if node is not leader
@@ -36,7 +34,7 @@
 
 @behave.when('the leader is suspended')
 def step_suspend_leader(context):
-    context.asleep = context.run(_leader(context.platform))
+    context.asleep = context.run(platform_steps.find_leader(context.platform))
     context.platform.suspend(context.asleep)
 
 
@@ -88,7 +86,10 @@
 
 @behave.then('the same instance leads as before')
 def step_same_leader(context):
-    assert context.run(_leader(context.platform)) is context.leader
+    assert (
+        context.run(platform_steps.find_leader(context.platform))
+        is context.leader
+    )
 
 
 def _send_elsewhere(context, change):
@@ -105,13 +106,3 @@
     await asyncio.sleep(_ARRIVES_S)
     context.platform.resume(context.asleep)
     return await waiting
-
-
-async def _leader(platform):
-    """Return the node whose control replica leads."""
-    async with asyncio.timeout(_FOUND_S):
-        while True:
-            for node in platform.nodes:
-                if await platform_steps.read_gauge(node, 'control_leads'):
-                    return node
-            await asyncio.sleep(_LOOK_S)
