Read again: hold and release, refused connections and records stand once

Behaviour is the same. The forwarder and the steward each entered a request under suspicion and gave it back by hand: Suspects.let_in does both. Why a connection failed was told apart in two pools and read in a third place: backend/refusals. Records of ended instances were packed three times: machine.suspect_records. Sessions took apart what a router says of such requests: Suspects.take does. A time was looked at twice in one pass.

--- a/src/honeyport/backend/http.py
+++ b/src/honeyport/backend/http.py
@@ -17,6 +17,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from honeyport.backend import refusals
 from honeyport import errors
 from honeyport.settings import roles
 
@@ -209,11 +210,10 @@
                 await stream.connect((self._host, self._port))
         except (OSError, TimeoutError) as error:
             stream.close()
-            cause = getattr(error, 'real_error', None) or error
-            kind = errors.NotSent
-            if isinstance(cause, ConnectionRefusedError):
-                kind = errors.ConnectionRefused
-            raise kind(f'{self._address} cannot be reached: {cause}') from None
+            cause = refusals.cause(error)
+            raise refusals.kind(cause)(
+                f'{self._address} cannot be reached: {cause}'
+            ) from None
         stream.set_nodelay(True)
         return stream
 
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -106,10 +106,7 @@
         for version, digest in self._history.items():
             state.receipts.add(version=version, digest=digest)
         state.places.extend(_holdings(self._places))
-        for request, instances in self._suspects.items():
-            state.suspects.add(
-                request=bytes.fromhex(request), instances=instances
-            )
+        state.suspects.extend(suspect_records(self._suspects))
         self._claims.save(state)
         return state
 
@@ -220,6 +217,16 @@
     }
 
 
+def suspect_records(
+    found: collections.abc.Mapping[str, tuple[str, ...]],
+) -> list[pb.SuspectRecord]:
+    """Return the messages for instances that ended under requests."""
+    return [
+        pb.SuspectRecord(request=bytes.fromhex(request), instances=instances)
+        for request, instances in found.items()
+    ]
+
+
 def _by_request(
     found: collections.abc.Iterable[pb.SuspectRecord],
 ) -> dict[str, tuple[str, ...]]:
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -272,22 +272,9 @@
         elif item.HasField('claim'):
             self._claims.put(_Waiting(session, item.claim))
         elif self._node.leads:
-            self._take_word(session, item)
-
-    def _take_word(self, session: Session, item: pb.RouterItem) -> None:
-        """Take what a router says of requests under suspicion."""
-        router = session.router.member
-        kind = item.WhichOneof('item')
-        if kind == 'ends':
-            self._suspects.take_ends(router, item.ends)
-        elif kind == 'acquittal':
-            named = [one.hex() for one in item.acquittal.requests]
-            self._suspects.clear(named, by=router.router)
-        elif kind == 'permit':
-            answer = self._suspects.answer(router, item.permit)
-            session.outbox.put(pb.ControlItem(permit=answer))
-        elif kind == 'release':
-            self._suspects.take_back(router, item.release)
+            answer = self._suspects.take(session.router.member, item)
+            if answer is not None:
+                session.outbox.put(answer)
 
     def _report(self, session: Session, report: pb.Report) -> None:
         """Answer a report, if we are still in charge."""
--- a/src/honeyport/control/suspects.py
+++ b/src/honeyport/control/suspects.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections.abc
 
+from honeyport.control import machine
 from honeyport.control import replica
 from honeyport import errors
 from honeyport.policy import suspicion
@@ -72,7 +73,24 @@
         self._is_unsaved = False
         self._show()
 
-    def take_ends(self, router: pb.Member, ends: pb.Ends) -> None:
+    def take(
+        self, router: pb.Member, item: pb.RouterItem
+    ) -> pb.ControlItem | None:
+        """Take what a router says of requests; return an answer, if due."""
+        kind = item.WhichOneof('item')
+        if kind == 'ends':
+            self._take_ends(router, item.ends)
+        elif kind == 'acquittal':
+            named = [one.hex() for one in item.acquittal.requests]
+            self.clear(named, by=router.router)
+        elif kind == 'permit':
+            return pb.ControlItem(permit=self._answer(router, item.permit))
+        elif kind == 'release':
+            named = item.release.request.hex()
+            self._register.give_back(named, _holder(router))
+        return None
+
+    def _take_ends(self, router: pb.Member, ends: pb.Ends) -> None:
         """Take the ends that a gateway saw."""
         for end in ends.ends:
             at = _now() - end.age_ms / 1000
@@ -92,7 +110,7 @@
             self._show()
         return bool(found)
 
-    def answer(
+    def _answer(
         self, router: pb.Member, ask: pb.PermitRequest
     ) -> pb.PermitAnswer:
         """Say whether a gateway may run a request now."""
@@ -113,10 +131,6 @@
             barred=verdict.barred,
         )
 
-    def take_back(self, router: pb.Member, release: pb.PermitRelease) -> None:
-        """Take a permit back from a gateway."""
-        self._register.give_back(release.request.hex(), _holder(router))
-
     def refresh(self) -> None:
         """Note what gateways have to be told; called once a tick.
 
@@ -154,13 +168,7 @@
 
     def records(self) -> list[pb.SuspectRecord]:
         """Return the instances that ended under each that is shown."""
-        return [
-            pb.SuspectRecord(
-                request=bytes.fromhex(one.request),
-                instances=self._register.instances(one.request),
-            )
-            for one in self._shown
-        ]
+        return machine.suspect_records(self._ended())
 
     async def record(self) -> None:
         """Write requests under several ends to the log while we lead."""
@@ -192,31 +200,32 @@
         now = _now()
         self._is_stale = False
         shown = self._register.watched()
-        waiting = (one.until for one in shown if one.is_barred(now))
-        self._due = min(waiting, default=float('inf'))
-        barred = frozenset(one.request for one in shown if one.is_barred(now))
+        until = {one.request: one.until for one in shown if one.is_barred(now)}
+        self._due = min(until.values(), default=float('inf'))
+        barred = frozenset(until)
         if self._number and shown == self._shown and barred == self._barred:
             return
         self._shown = shown
         self._barred = barred
         self._number += 1
 
+    def _ended(self) -> dict[str, tuple[str, ...]]:
+        """Return the instances that ended under each that is shown."""
+        return {
+            one.request: self._register.instances(one.request)
+            for one in self._shown
+        }
+
     async def _save(self) -> None:
         """Commit what changed; what fails comes again."""
         self.refresh()
         held = self._node.machine.suspects
-        wanted = {
-            one.request: self._register.instances(one.request)
-            for one in self._shown
-        }
+        wanted = self._ended()
+        changed = dict(wanted.items() - held.items())
         change = pb.SuspectChange(
-            removed=[bytes.fromhex(one) for one in held.keys() - wanted]
+            put=machine.suspect_records(changed),
+            removed=[bytes.fromhex(one) for one in held.keys() - wanted],
         )
-        for request, instances in wanted.items():
-            if held.get(request) != instances:
-                change.put.add(
-                    request=bytes.fromhex(request), instances=instances
-                )
         if not change.put and not change.removed:
             return
         try:
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from honeyport.backend import refusals
 from honeyport import errors
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
@@ -187,7 +188,7 @@
 
 def _cause(error: BaseException) -> str:
     """Return in one line how a connection broke."""
-    cause = getattr(error, 'real_error', None) or error
+    cause = refusals.cause(error)
     for kind, text in _CAUSES.items():
         if isinstance(cause, kind):
             return f'{text}: {cause!r}'
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -140,8 +140,9 @@
                 await self._try_instances(exchange)
         except TimeoutError:
             if exchange.may_have_run:
-                self._testify(exchange, errors.DeadlinePassed())
-                raise errors.DeadlinePassed() from None
+                error = errors.DeadlinePassed()
+                self._testify(exchange, error)
+                raise error from None
             raise errors.Overloaded(retry_after=_COME_BACK_S) from None
 
     async def _try_instances(self, exchange: exchanges.Exchange) -> None:
@@ -171,15 +172,13 @@
         # new one each time: what ran on an engine that ended was forgotten.
         if exchange.runs >= suspicion.WATCHED_ENDS:
             await self._witness.settle(exchange.instance_id)
-        is_held = await self._suspects.enter(exchange.fingerprint)
-        try:
+        async with self._suspects.let_in(
+            exchange.fingerprint,
+            lambda call: self._witness.when_settled(
+                exchange.instance_id, call
+            ),
+        ):
             yield
-        finally:
-            if is_held:
-                self._witness.when_settled(
-                    exchange.instance_id,
-                    lambda: self._suspects.leave(exchange.fingerprint),
-                )
 
     async def _offer(self, exchange: exchanges.Exchange) -> None:
         """Offer the request to one instance; return once it is answered.
--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -9,7 +9,7 @@
 from tornado import iostream
 from tornado import tcpclient
 
-from honeyport import errors
+from honeyport.backend import refusals
 from honeyport.policy import placement
 
 # Longer than a round trip between failure domains and a SYN in a busy
@@ -112,24 +112,15 @@
                 timeout=_CONNECT_S,
             )
         except (OSError, TimeoutError) as error:
-            raise _not_connected(instance, error) from None
+            cause = refusals.cause(error)
+            raise refusals.kind(cause)(
+                f'{instance.address}: {cause!r}', retry_after=_COME_BACK_S
+            ) from None
         stream.set_nodelay(True)
         _watch(stream.socket)
         return Connection(instance, stream)
 
 
-def _not_connected(
-    instance: placement.Instance, error: Exception
-) -> errors.NotSent:
-    """Return why there is no connection to an instance."""
-    # Tornado says that its stream is closed; why is kept beside it.
-    cause = getattr(error, 'real_error', None) or error
-    kind = errors.NotSent
-    if isinstance(cause, ConnectionRefusedError):
-        kind = errors.ConnectionRefused
-    return kind(f'{instance.address}: {cause!r}', retry_after=_COME_BACK_S)
-
-
 def _watch(connected: socket.socket) -> None:
     """Have the kernel notice a peer that is gone without a word."""
     options = (
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -139,17 +139,13 @@
         )
         # A call that ends its backend server ran 79 times when it was sent
         # 30 times: what ran on a server that ended was forgotten.
-        is_held = await self._suspects.enter(request)
-        try:
+        async with self._suspects.let_in(
+            request, lambda call: self._witness.when_settled(backend, call)
+        ):
             frames = self._run(call, backend, request)
             async with contextlib.aclosing(frames):
                 async for frame in frames:
                     yield frame
-        finally:
-            if is_held:
-                self._witness.when_settled(
-                    backend, lambda: self._suspects.leave(request)
-                )
 
     async def _run(
         self, call: exchange.Call, backend: str, request: str
--- a/src/honeyport/router/suspects.py
+++ b/src/honeyport/router/suspects.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import itertools
 
 import attrs
@@ -35,6 +36,7 @@
 # Messages that wait for a stream to a leader.
 _MOST_UNSENT = 64
 
+WhenOver = collections.abc.Callable[[collections.abc.Callable[[], None]], None]
 Send = collections.abc.Callable[[pb.RouterItem], bool]
 
 
@@ -81,14 +83,26 @@
 
     # -- what whoever serves requests asks -------------------------------
 
-    async def enter(self, request: str) -> bool:
-        """Return once a request may be sent.
+    @contextlib.asynccontextmanager
+    async def let_in(
+        self, request: str, when_over: WhenOver
+    ) -> collections.abc.AsyncIterator[None]:
+        """Let a request run, alone in the fleet if it is under suspicion.
 
         :param request: its fingerprint
-        :returns: whether :meth:`leave` has to be called for it
+        :param when_over: calls a function once it is known how it ended
         :raises errors.RequestBarred: if too many instances ended under it
         :raises errors.RequestHeld: if it may not run now
         """
+        is_held = await self._enter(request)
+        try:
+            yield
+        finally:
+            if is_held:
+                when_over(lambda: self._leave(request))
+
+    async def _enter(self, request: str) -> bool:
+        """Return once a request may be sent, and if the leader let it in."""
         known = self._known.get(request)
         own = self._own.get(request, 0)
         if known is None and own < suspicion.WATCHED_ENDS:
@@ -102,7 +116,7 @@
             raise
         return True
 
-    def leave(self, request: str) -> None:
+    def _leave(self, request: str) -> None:
         """Note that a request that the leader let in does not run here."""
         self._tell(
             pb.RouterItem(
@@ -189,7 +203,7 @@
         finally:
             del self._asked[number]
             if not granted:
-                self.leave(request)  # it may have been let in meanwhile
+                self._leave(request)  # it may have been let in meanwhile
 
     def _acquit(self, requests: list[str]) -> None:
         """Tell the leader that requests are harmless."""
