A cold instance gets few requests, and requests stay in their regions

Each of 83 gateways sends less than three requests a second in all and knows the others' counts a quarter of a second late. Ruled out: a bound on counts (late), a rate for each gateway (83 of 0.23 a second leave room for 83 at once).

Change: only those gateways that rendezvous hashing names for a cold instance send there, each at a rate of its own, half of what is tolerated in all; gateways that were listed within 5 s count as members. The list's field becomes a point in time at the leader; the end of an evacuation makes a domain's instances cold. Copies are not taken from cold instances. Routes and client accounts may name regions (both bind), checked, obeyed by choice, repeats and copies.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -62,6 +62,30 @@
     When instances a1 to a20 come one after the other
     Then 6 places are kept at the most
 
+  Scenario: an instance is cold, and less so with every reading
+    Given a catalog that has read the instances a, b, c
+    When the list names a, b, c, and says that c is cold for 3000 ms more
+    Then c is known to be cold for 3000 ms more
+    When 1 seconds pass
+    And the list names a, b, c, and says that c is cold for 2100 ms more
+    And 1 seconds pass
+    And the list names a, b, c, and says that c is cold for 700 ms more
+    Then the list was told once for that
+
+  Scenario: an instance turns cold again
+    Given a catalog that has read the instances a, b, c
+    When the list names a, b, c, and says that c is cold for 3000 ms more
+    And 4 seconds pass
+    And the list names a, b, c, and says that c is cold for 3000 ms more
+    Then c is known to be cold for 3000 ms more
+
+  Scenario: a list is told for another reason while an instance is cold
+    Given a catalog that has read the instances a, b, c
+    When the list names a, b, c, and says that c is cold for 3000 ms more
+    And 2 seconds pass
+    And the list names a, c, and says that c is cold for 800 ms more
+    Then c is known to be cold for 500 ms more
+
   Scenario: the list cannot be read for a while
     Given a catalog that has read the instances a, b, c
     When it cannot read the list
--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -26,6 +26,22 @@
       | routes                             | {}             | a list               |
       | tenants.0.name                     | 7              | text                 |
       | limits.idle_timeout_ms             | "long"         | a number             |
+      | services.0.cold_start_s            | -1             | at least 0           |
+      | services.0.cold_per_s              | "few"          | a number             |
+      | routes.0.allowed_regions           | "hcm"          | a list of texts      |
+      | tenants.0.allowed_regions          | [7]            | a list of texts      |
+
+  Scenario: what cold instances take, and where requests may run
+    Given the platform's example of a configuration
+    And its services.0.cold_start_s is 3.0
+    And its services.0.cold_per_s is 9.6
+    And its routes.0.allowed_regions is ["hcm", "danang"]
+    And its tenants.0.allowed_regions is ["danang", "hue"]
+    When it is decoded
+    Then instances of "huvo11a" are cold for 3 seconds and made for 9.6 a second
+    And "POST ficu95.example/pufi791/x" with key "n2ct" may run in danang alone
+    And "POST ficu95.example/pufi791/x" with key "zzzz" may run in danang, hcm alone
+    And "POST ficu95.example/lohu930/x" with key "zzzz" may run anywhere
 
   Scenario: a body that breaks off
     Given the platform's example of a configuration
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -39,6 +39,7 @@
     def __init__(self) -> None:
         self.loop = simulation.VirtualLoop()
         self.listed: list[pb.Instance] | None = []
+        self.first_number = 0
         self.missing = ''
         self.refusals: list[readings.Refusal] = []
         self.counters = metrics.Metrics()
@@ -66,6 +67,17 @@
         ]
         self.look()
 
+    def read_cold(self, names: str, name: str, cold_ms: int) -> None:
+        """Read a list that calls one of its instances cold."""
+        self.listed = [
+            pb.Instance(
+                id=one, service='llm', cold_ms=cold_ms if one == name else 0
+            )
+            for one in names.split(', ')
+        ]
+        self.first_number = self.first_number or self.catalog.latest.number
+        self.look()
+
     def look(self) -> None:
         """Read the list as it is, and let places be recorded."""
         self.loop.run_until_complete(self._look())
@@ -201,3 +213,26 @@
 def step_still(context, names):
     found = [one.id for one in context.catalog.catalog.latest.instances]
     assert ', '.join(found) == names, found
+
+
+@behave.when(
+    'the list names {names}, and says that {name} is cold for {cold_ms:d} ms '
+    'more'
+)
+def step_read_cold(context, names, name, cold_ms):
+    context.catalog.read_cold(names, name, cold_ms)
+
+
+@behave.then('{name} is known to be cold for {cold_ms:d} ms more')
+def step_is_cold(context, name, cold_ms):
+    listed = context.catalog.catalog.latest.instances
+    found = {one.id: one.cold_ms for one in listed}
+    # Rounded down, after a sum of times.
+    assert abs(found.pop(name) - cold_ms) <= 1, found
+    assert not any(found.values()), found
+
+
+@behave.then('the list was told once for that')
+def step_told_once(context):
+    first = context.catalog.catalog.latest.number - 1
+    assert context.catalog.first_number == first
--- a/features/steps/choice_steps.py
+++ b/features/steps/choice_steps.py
@@ -34,7 +34,7 @@
 @behave.then('no instance is over its bound though one subject is hot')
 def step_bound(context):
     async def place():
-        choice = balancer.Balancer('thu-duc')
+        choice = balancer.Balancer('g-1', 'thu-duc', {})
         listed = pb.Instances(number=1)
         for place in context.places:
             listed.instances.add(id=place, service='llm', place=place)
--- /dev/null
+++ b/features/steps/cold_steps.py
@@ -0,0 +1,174 @@
+"""Steps about cold instances: many gateways that do not ask each other."""
+
+import asyncio
+import collections
+import random
+
+import behave
+
+from features.support import simulation
+from honeyport import errors
+from honeyport.gateway import balancer
+from honeyport.policy import cold
+from honeyport.policy import prefixes
+from honeyport.wire import honeyport_pb2 as pb
+
+_SERVICE = 'llm'
+_TOLERANCE = cold.tolerance(3.0, 9.6, overage=1.5, extra=5.0)
+_COLD_MS = 3000
+_STAY_S = 0.3
+_SEEDS = (1, 2, 3)
+
+
+class Fleet:
+    """Gateways as they are, instances that take some time, a virtual clock.
+
+    :param cold_count: how many instances are cold from the start
+    """
+
+    def __init__(self, gateways, instances, cold_count):
+        self.names = [f'g-{number}' for number in range(gateways)]
+        self.instances = [f'i-{number:02}' for number in range(instances)]
+        self.cold = set(self.instances[:cold_count])
+        self.seen = {name: list(self.names) for name in self.names}
+        self.seen_lately = {}
+        self.offered = 0
+        self.sent = 0
+        self.arrivals = collections.defaultdict(list)
+
+    def play(self, per_s, hot_per_s, seconds, seed):
+        """Play one load on a virtual clock."""
+        loop = simulation.VirtualLoop()
+        drawn = random.Random(seed)
+        random.seed(seed)
+        loop.run_until_complete(self._play(drawn, per_s, hot_per_s, seconds))
+
+    async def _play(self, drawn, per_s, hot_per_s, seconds):
+        choices = [self._gateway(name) for name in self.names]
+        prompt = self._hot_prompt()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            await asyncio.sleep(drawn.expovariate(per_s))
+            parts = prompt
+            if drawn.random() >= hot_per_s / per_s:
+                parts = _prompt(f'subject-{drawn.randrange(500)}')
+            self._send(drawn.choice(choices), parts)
+
+    def _gateway(self, name):
+        made = balancer.Balancer(name, 'thu-duc', {})
+        made.tolerate({_SERVICE: _TOLERANCE})
+        for members in (self.seen_lately.get(name), self.seen[name]):
+            if members is not None:
+                made.meet(members)
+        listed = pb.Instances(number=1)
+        for one in self.instances:
+            listed.instances.add(
+                id=one,
+                service=_SERVICE,
+                address=one,
+                domain='thu-duc',
+                slots=64,
+                place=one,
+                cold_ms=_COLD_MS if one in self.cold else 0,
+            )
+        made.regard(listed, {}, asyncio.get_running_loop().time())
+        return made
+
+    def _hot_prompt(self):
+        """Return a prompt whose first choice is a cold instance."""
+        number = 0
+        while True:
+            parts = _prompt(f'hot-{number}')
+            if prefixes.order(parts, self.instances)[0] in self.cold:
+                return parts
+            number += 1
+
+    def _send(self, choice, parts):
+        self.offered += 1
+        try:
+            chosen = choice.choose(_SERVICE, parts, ()).instance
+        except errors.NoInstance:
+            return
+        self.sent += 1
+        loop = asyncio.get_running_loop()
+        held = choice.hold(chosen)
+        held.__enter__()
+        loop.call_later(_STAY_S, held.__exit__, None, None, None)
+        if chosen.id in self.cold:
+            self.arrivals[chosen.id].append(loop.time())
+
+    def most_in_a_second(self):
+        """Return the most that any cold instance got within one second."""
+        most = 0
+        for times in self.arrivals.values():
+            for index, at in enumerate(times):
+                within = [one for one in times[index:] if one < at + 1.0]
+                most = max(most, len(within))
+        return most
+
+
+def _prompt(subject):
+    return (
+        prefixes.Part('lead', 2500),
+        prefixes.Part(subject, 6000),
+        prefixes.Part('own', 500),
+    )
+
+
+@behave.given(
+    '{gateways:d} gateways before {instances:d} instances, of which '
+    '{count:d} is cold'
+)
+@behave.given(
+    '{gateways:d} gateways before {instances:d} instances, of which '
+    '{count:d} are cold'
+)
+def step_fleet(context, gateways, instances, count):
+    context.fleets = [Fleet(gateways, instances, count) for _ in _SEEDS]
+
+
+@behave.given('half of the gateways see only each other')
+def step_split(context):
+    for fleet in context.fleets:
+        half = len(fleet.names) // 2
+        for name in fleet.names[:half]:
+            fleet.seen[name] = fleet.names[:half]
+
+
+@behave.given(
+    'each gateway has just come to see {count:d} others in place of all'
+)
+def step_few(context, count):
+    for fleet in context.fleets:
+        fleet.seen_lately = dict(fleet.seen)
+        for index, name in enumerate(fleet.names):
+            others = fleet.names[index + 1 :] + fleet.names[:index]
+            fleet.seen[name] = [name, *others[:count]]
+
+
+@behave.when(
+    '{per_s:d} requests a second come for {seconds:d} seconds, '
+    '{hot:d} of them for its prefix'
+)
+def step_play(context, per_s, seconds, hot):
+    for fleet, seed in zip(context.fleets, _SEEDS, strict=True):
+        fleet.play(per_s, hot, seconds, seed)
+
+
+@behave.then('no cold instance got more than {most:d} within one second')
+def step_most(context, most):
+    found = [fleet.most_in_a_second() for fleet in context.fleets]
+    assert max(found) <= most, found
+
+
+@behave.then('every request was sent somewhere')
+def step_all_sent(context):
+    for fleet in context.fleets:
+        assert fleet.sent == fleet.offered, (fleet.sent, fleet.offered)
+
+
+@behave.then('at least {share:g} of the requests were sent somewhere')
+def step_share_sent(context, share):
+    for fleet in context.fleets:
+        assert fleet.sent >= share * fleet.offered, fleet.sent / fleet.offered
--- /dev/null
+++ b/features/steps/domain_steps.py
@@ -0,0 +1,188 @@
+"""Steps about failure domains and regions, on a virtual clock."""
+
+import asyncio
+import contextlib
+
+import behave
+
+from features.support import simulation
+from honeyport import errors
+from honeyport.gateway import balancer
+from honeyport.policy import cold
+from honeyport.policy import prefixes
+from honeyport.wire import honeyport_pb2 as pb
+
+_SERVICE = 'llm'
+_REGION = frozenset({'hcm'})
+
+
+class Setting:
+    """A gateway's choice among instances in several failure domains."""
+
+    def __init__(self, domains, count):
+        self.loop = simulation.VirtualLoop()
+        self.domains = domains
+        self.regions = {}
+        self.held = contextlib.ExitStack()
+        self.balancer = balancer.Balancer('g-1', domains[0], self.regions)
+        self.balancer.tolerate(
+            {_SERVICE: cold.tolerance(2.5, 2.0, overage=1.5, extra=2.0)}
+        )
+        self.listed = pb.Instances(number=1)
+        for domain in domains:
+            for number in range(count):
+                name = f'{domain}-{number}'
+                self.listed.instances.add(
+                    id=name,
+                    service=_SERVICE,
+                    address=name,
+                    domain=domain,
+                    slots=8,
+                    place=name,
+                )
+        self.run(self._tell())
+
+    def run(self, coroutine):
+        """Run something on the virtual clock."""
+        return self.loop.run_until_complete(coroutine)
+
+    async def _tell(self):
+        self.balancer.meet(['g-1', 'g-2'])
+        self.balancer.regard(self.listed, {}, 0.0)
+
+    async def evacuate(self, domains):
+        """Tell the balancer which domains are evacuated."""
+        self.balancer.evacuate(frozenset(domains))
+
+    async def send(self, count, regions=None, kinds=(True, False)):
+        """Choose for many requests, each of which ends at once."""
+        choices = []
+        for number in range(count):
+            has_prompt = kinds[number % len(kinds)]
+            parts = _prompt(f's-{number}') if has_prompt else ()
+            choice = self.balancer.choose(_SERVICE, parts, (), regions)
+            with self.balancer.hold(choice.instance):
+                choices.append(choice)
+        return choices
+
+    async def fill(self, count, subjects):
+        """Choose for requests that stay; return the load each met."""
+        met = []
+        for number in range(count):
+            parts = _prompt(f's-{number % subjects}')
+            choice = self.balancer.choose(_SERVICE, parts, ())
+            running = self.balancer.running
+            mean = running.total() / len(self.listed.instances)
+            met.append((running[choice.instance.id], mean))
+            self.held.enter_context(self.balancer.hold(choice.instance))
+        return met
+
+
+def _prompt(subject):
+    return (
+        prefixes.Part('lead', 2500),
+        prefixes.Part(subject, 6000),
+        prefixes.Part('own', 500),
+    )
+
+
+@behave.given('a choice among {count:d} instances in each of {domains}')
+def step_choice(context, count, domains):
+    context.setting = Setting(domains.split(', '), count)
+
+
+@behave.given('thu-duc is in hcm, and the others in danang')
+def step_regions(context):
+    for domain in context.setting.domains:
+        region = 'hcm' if domain == 'thu-duc' else 'danang'
+        context.setting.regions[domain] = region
+
+
+@behave.when('{domains} is evacuated')
+def step_evacuated(context, domains):
+    context.setting.run(context.setting.evacuate(domains.split(', ')))
+
+
+@behave.when('thu-duc is taken back')
+def step_taken_back(context):
+    context.setting.run(context.setting.evacuate(()))
+
+
+@behave.when('{seconds:d} seconds pass on the clock')
+def step_pass(context, seconds):
+    context.setting.run(asyncio.sleep(seconds))
+
+
+@behave.when('{count:d} requests of {subjects:d} prefixes come and stay')
+def step_fill(context, count, subjects):
+    setting = context.setting
+    context.met = setting.run(setting.fill(count, subjects))
+
+
+@behave.then('none met more than twice the mean of all instances, and 3')
+def step_bound(context):
+    over = [one for one in context.met if one[0] > 2 * one[1] + 3]
+    assert not over, over
+
+
+@behave.then('{count:d} requests of all kinds go to {domains}')
+def step_go(context, count, domains):
+    context.choices = context.setting.run(context.setting.send(count))
+    assert _domains(context.choices) == set(domains.split(', '))
+
+
+@behave.then('{count:d} requests for hcm go to {domains}')
+def step_go_home(context, count, domains):
+    setting = context.setting
+    context.choices = setting.run(setting.send(count, _REGION))
+    assert _domains(context.choices) == set(domains.split(', '))
+
+
+@behave.then('some prefixes are copied from thu-duc')
+def step_copied(context):
+    assert 'thu-duc' in _source_domains(context.choices)
+
+
+@behave.then('none of them copies a prefix from elsewhere')
+def step_not_copied(context):
+    assert _source_domains(context.choices) == {'thu-duc'}
+
+
+@behave.then(
+    'of {count:d} requests with prompts at most {most:d} go to thu-duc at once'
+)
+def step_few(context, count, most):
+    setting = context.setting
+    choices = setting.run(setting.send(count, kinds=(True,)))
+    found = sum(one.instance.domain == 'thu-duc' for one in choices)
+    assert found <= most, found
+
+
+@behave.then('a request is refused as not run, with a time to come back')
+def step_refused(context):
+    _check_refused(context.setting, None)
+
+
+@behave.then(
+    'a request for hcm is refused as not run, with a time to come back'
+)
+def step_refused_home(context):
+    _check_refused(context.setting, _REGION)
+
+
+def _check_refused(setting, regions):
+    try:
+        setting.run(setting.send(1, regions))
+    except errors.NoInstance as error:
+        assert error.ran is False
+        assert error.retry_after
+        return
+    raise AssertionError('it was sent')
+
+
+def _domains(choices):
+    return {one.instance.domain for one in choices}
+
+
+def _source_domains(choices):
+    return {one.source.domain for one in choices if one.source is not None}
--- a/features/steps/platform_format_steps.py
+++ b/features/steps/platform_format_steps.py
@@ -8,6 +8,7 @@
 from honeyport.gateway import routes
 from honeyport.platform import boot
 from honeyport.platform import configuration
+from honeyport.policy import cold
 
 _SETTINGS = """\
 node_name=edge-thu-duc-1
@@ -113,6 +114,29 @@
     assert context.found.revocation_s == seconds
 
 
+@behave.then('"{domain}" is known as a failure domain')
+def step_domain(context, domain):
+    assert domain in context.found.regions
+
+
+@behave.then('"{domain}" is in the region "{region}"')
+def step_region(context, domain, region):
+    assert context.found.regions[domain] == region, context.found.regions
+
+
+@behave.then(
+    'a cold instance that is made for {per_s:g} a second tolerates {most:g}'
+)
+def step_cold(context, per_s, most):
+    found = cold.tolerance(
+        3.0,
+        per_s,
+        overage=context.found.cold_overage,
+        extra=context.found.cold_tolerance,
+    )
+    assert abs(found.most - most) < 1e-9, found
+
+
 @behave.then('they are refused with "{message}"')
 @behave.then('it is refused with "{message}"')
 def step_refused(context, message):
@@ -154,13 +178,31 @@
 
 @behave.then('"{call}" with key "{key}" goes to "{service}" for "{account}"')
 def step_goes(context, call, key, service, account):
-    place = call.split(' ')[1]
-    host, _, path = place.partition('/')
-    match = routes.Table(context.found).find(host, f'/{path}', key)
+    match = _match(context, call, key)
     assert list(match.route.weights) == [service], match
     assert match.account == account
 
 
+@behave.then(
+    'instances of "{service}" are cold for {cold_s:g} seconds and made for '
+    '{per_s:g} a second'
+)
+def step_cold_service(context, service, cold_s, per_s):
+    found = context.found.services[service]
+    assert (found.cold_s, found.cold_per_s) == (cold_s, per_s), found
+
+
+@behave.then('"{call}" with key "{key}" may run in {regions} alone')
+def step_regions(context, call, key, regions):
+    found = _match(context, call, key)
+    assert found.regions == set(regions.split(', ')), found.regions
+
+
+@behave.then('"{call}" with key "{key}" may run anywhere')
+def step_anywhere(context, call, key):
+    assert _match(context, call, key).regions is None
+
+
 @behave.then('its streams may be resumed on "{place}" alone')
 def step_resumable(context, place):
     found = [
@@ -174,6 +216,12 @@
     assert not context.found.routes[place].repeatable
 
 
+def _match(context, call, key):
+    """Return where a call with a key goes."""
+    host, _, path = call.split(' ')[1].partition('/')
+    return routes.Table(context.found).find(host, f'/{path}', key)
+
+
 def _keep(context, make):
     """Keep what a function returns, or the error that it raises."""
     context.found = context.error = None
--- a/features/steps/prefix_steps.py
+++ b/features/steps/prefix_steps.py
@@ -16,7 +16,7 @@
     """A balancer and the instances that it knows of."""
 
     def __init__(self, names):
-        self.balancer = balancer.Balancer('thu-duc')
+        self.balancer = balancer.Balancer('g-1', 'thu-duc', {})
         self.listed = {name: pb.Instance(place=name) for name in names}
         self.number = 0
         self.first = None
@@ -121,7 +121,7 @@
 @behave.when('the gateway starts anew')
 def step_start_anew(context):
     async def start():
-        context.setting.balancer = balancer.Balancer('thu-duc')
+        context.setting.balancer = balancer.Balancer('g-1', 'thu-duc', {})
         context.setting.tell()
 
     context.run(start())
--- a/src/honeyport/bundle/model.py
+++ b/src/honeyport/bundle/model.py
@@ -118,6 +118,16 @@
         256,
         check=fields.at_least(1),
     )
+    cold_s: float = fields.field(
+        'how long an instance is cold after its start, in seconds; 0: never',
+        0.0,
+        check=fields.at_least(0),
+    )
+    cold_per_s: float = fields.field(
+        'requests a second that an instance is made for while it is cold',
+        0.0,
+        check=fields.at_least(0),
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -153,6 +163,10 @@
     priority: int | None = fields.field(
         'rank of its requests, 0 first; goes before the route', None
     )
+    regions: tuple[str, ...] = fields.field(
+        'the only regions in which its requests may run; none: any',
+        factory=tuple,
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -191,6 +205,10 @@
     resumable: bool = fields.field(
         'whether a stream may go on at another instance', False
     )
+    regions: tuple[str, ...] = fields.field(
+        'the only regions in which its requests may run; none: any',
+        factory=tuple,
+    )
 
     @property
     def repeatable(self) -> bool:
--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -16,6 +16,7 @@
 from honeyport.control import machine
 from honeyport.control import replica
 from honeyport import errors
+from honeyport.policy import cold
 from honeyport.policy import places
 from honeyport.policy import readings
 from honeyport.telemetry import events
@@ -30,6 +31,9 @@
 # Between two looks at whether places have changed, in seconds: far below the
 # time between two changes of the list, and each look is a comparison.
 _RECORD_S = 0.2
+# Two readings of when an instance ceases to be cold that differ by less are
+# the same one, in seconds: what the platform says may be so old.
+_SAME_SPELL_S = 1.0
 
 # Reasons for entries that are left out, in one log line.
 _MOST_REASONS = 5
@@ -55,6 +59,8 @@
         self._assigner: places.Assigner | None = None
         self._is_unsaved = False
         self._latest = pb.Instances()
+        self._known: list[pb.Instance] = []
+        self._spells = cold.Spells()
         self._counter = 0
         self._readable = True
 
@@ -71,6 +77,8 @@
                 await asyncio.sleep(PERIOD_S)
             else:
                 self._latest = pb.Instances()
+                self._known = []
+                self._spells = cold.Spells()
                 self._assigner = None
                 await asyncio.sleep(0.1)
 
@@ -109,14 +117,23 @@
             return
         self._note_readable(reading.missing)
         self._note_refusals(tuple(reading.refusals))
-        found = readings.merge(self._latest.instances, reading)
+        found = readings.merge(self._known, reading)
         self._place(found)
-        if self._latest.number and list(self._latest.instances) == found:
+        has_turned_cold = self._note_cold(found)
+        if (
+            self._latest.number
+            and self._known == found
+            and not has_turned_cold
+        ):
             return
+        self._known = found
         self._is_unsaved = True
         self._counter += 1
         number = (self._node.term << _TERM_SHIFT) + self._counter
         self._latest = pb.Instances(number=number, instances=found)
+        now = asyncio.get_running_loop().time()
+        for one in self._latest.instances:
+            one.cold_ms = int(self._spells.left_s(one.id, now) * 1000)
         logs.emit(
             events.LIST_CHANGED,
             list_number=number,
@@ -124,6 +141,24 @@
             leaving=[one.id for one in found if one.leaving],
         )
 
+    def _note_cold(self, found: list[pb.Instance]) -> bool:
+        """Take off when instances cease to be cold; return whether any is new.
+
+        The list says how much longer that takes, which falls with every
+        reading; compared as it is, each list would differ from the last.
+        """
+        now = asyncio.get_running_loop().time()
+        has_turned_cold = False
+        for one in found:
+            left_s = one.cold_ms / 1000
+            one.ClearField('cold_ms')
+            if left_s and self._spells.note(
+                one.id, now + left_s, _SAME_SPELL_S
+            ):
+                has_turned_cold = True
+        self._spells.forget_over(now - _SAME_SPELL_S)
+        return has_turned_cold
+
     def _note_readable(self, missing: str) -> None:
         """Log when the list, or a part of it, is lost and regained."""
         if missing and self._readable:
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -13,6 +13,7 @@
 import attrs
 
 from honeyport import errors
+from honeyport.policy import cold
 from honeyport.policy import health
 from honeyport.policy import placement
 from honeyport.policy import prefixes
@@ -24,19 +25,34 @@
 # When an instance may be there again that was not, in seconds: the first
 # pause after a failure.
 _COME_BACK_S = 0.5
+# When a gateway may send to a cold instance again, in seconds: another one
+# may at once, so that this is about the way to there.
+_ELSEWHERE_S = 0.1
 
+Tolerances = collections.abc.Mapping[str, cold.Tolerance]
 Domains = collections.abc.Set[str]
 
 
 class Balancer:
     """Counts what runs where, and chooses.
 
+    :param name: of our gateway
     :param domain: our failure domain
+    :param regions: the region of each failure domain
     """
 
-    def __init__(self, domain: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        regions: collections.abc.Mapping[str, str],
+    ) -> None:
         self._domain = domain
+        self._regions = regions
         self._evacuated: Domains = frozenset()
+        self._tolerances: Tolerances = {}
+        self._spells = cold.Spells()
+        self._cold_shares = cold.Shares(name)
         self._number = 0
         self._services: dict[str, list[placement.Instance]] = {}
         self._running: collections.Counter[str] = collections.Counter()
@@ -52,9 +68,25 @@
         """Requests of this gateway in flight, by instance."""
         return self._running
 
+    def tolerate(self, tolerances: Tolerances) -> None:
+        """Take what cold instances tolerate, by service."""
+        self._tolerances = tolerances
+
     def evacuate(self, domains: Domains) -> None:
-        """Take the failure domains whose instances get nothing new."""
+        """Take the failure domains whose instances get nothing new.
+
+        The instances of one that is taken back may have turned cold.
+        """
+        ended = self._evacuated - domains
         self._evacuated = domains
+        for found in self._services.values():
+            for one in found:
+                if one.domain in ended:
+                    self._take_for_cold(one, _now())
+
+    def meet(self, gateways: collections.abc.Collection[str]) -> None:
+        """Take the names of the gateways that callers are sent to."""
+        self._cold_shares.regard(gateways, _now())
 
     def regard(
         self,
@@ -85,6 +117,10 @@
                 listed.place,
             )
             self._services.setdefault(listed.service, []).append(instance)
+            if listed.cold_ms:
+                until = _now() + listed.cold_ms / 1000
+                self._spells.note(listed.id, until)
+        self._spells.forget_over(_now())
         usable = {
             instance.id
             for found in self._services.values()
@@ -93,7 +129,9 @@
         }
         self._note_leaving(_now() if had_list else float('-inf'))
         self._health.forget_others(usable)
-        self._holders.forget_others({one.id for one in instances.instances})
+        present = {one.id for one in instances.instances}
+        self._holders.forget_others(present)
+        self._cold_shares.forget_others(present)
         logs.emit(
             events.INSTANCES_APPLIED,
             list_number=self._number,
@@ -106,26 +144,38 @@
         service: str,
         parts: prefixes.Parts,
         tried: collections.abc.Container[str],
+        regions: Domains | None = None,
     ) -> placement.Choice:
         """Return the instance that takes a request.
 
         :param parts: the parts of its prompt, if instances cache them
         :param tried: instances that failed it already
+        :param regions: the only ones in which it may run; ``None`` for any
         :raises errors.NoInstance: if there is none left
         """
-        found = [
+        peers = [
             instance
             for instance in self._services.get(service, ())
             if not instance.leaving
-            and instance.id not in tried
+        ]
+        found = [
+            instance
+            for instance in peers
+            if instance.id not in tried
             and instance.domain not in self._evacuated
+            and self._is_allowed(instance, regions)
         ]
         if not found:
             raise errors.NoInstance(
                 f'no instance of {service} is left to try',
                 retry_after=_COME_BACK_S,
             )
-        usable = self._sound(found) or found
+        usable = self._usable(found)
+        if not usable:
+            raise errors.NoInstance(
+                f'all instances of {service} that are left are cold',
+                retry_after=_ELSEWHERE_S,
+            )
         counts = stale.Counts(
             own=lambda name: self._running[name],
             others=lambda name: self._others.get(name, 0),
@@ -134,8 +184,10 @@
         )
         if not parts:
             return placement.by_load(usable, counts, self._domain)
-        choice = placement.by_prefix(parts, usable, counts, self._domain)
-        return self._with_source(service, parts, choice)
+        choice = placement.by_prefix(
+            parts, usable, peers, counts, self._domain
+        )
+        return self._with_source(service, parts, choice, regions)
 
     @contextlib.contextmanager
     def hold(
@@ -144,6 +196,8 @@
         """Count a request while it runs on an instance."""
         self._running[instance.id] += 1
         began = _now()
+        if self._spells.is_cold(instance.id, began):
+            self._cold_shares.note_sent(instance.id, began)
         try:
             yield
             # Not where it failed: that took more time, or none at all.
@@ -192,8 +246,47 @@
             if one.leaving
         }
 
+    def _is_allowed(
+        self, instance: placement.Instance, regions: Domains | None
+    ) -> bool:
+        """Whether a request may run on an instance, by where that is."""
+        if regions is None:
+            return True
+        return self._regions.get(instance.domain) in regions
+
+    def _take_for_cold(
+        self, instance: placement.Instance, since: float
+    ) -> None:
+        """Take it that an instance has turned cold, or may have."""
+        tolerance = self._tolerances.get(instance.service, cold.Tolerance())
+        self._spells.note(instance.id, since + tolerance.cold_s)
+
+    def _usable(
+        self, found: list[placement.Instance]
+    ) -> list[placement.Instance]:
+        """Return those that may get a request of this gateway now.
+
+        Those that have not failed lately go first, cold or not.
+        """
+        now = _now()
+        is_last = all(self._spells.is_cold(one.id, now) for one in found)
+        ready = [
+            one
+            for one in found
+            if not self._spells.is_cold(one.id, now)
+            or self._cold_shares.may_take(
+                one.id, self._most(one), now, is_last=is_last
+            )
+        ]
+        return self._sound(ready) or ready
+
+    def _most(self, instance: placement.Instance) -> float:
+        return self._tolerances.get(instance.service, cold.Tolerance()).most
+
     def _may_be_copied(self, instance: placement.Instance) -> bool:
         now = _now()
+        if self._spells.is_cold(instance.id, now):
+            return False  # it holds next to nothing yet
         return placement.may_be_copied(
             now - self._leaving_since.get(instance.id, now),
             is_sound=self._health.is_sound(instance.id),
@@ -209,13 +302,19 @@
         ]
 
     def _with_source(
-        self, service: str, parts: prefixes.Parts, choice: placement.Choice
+        self,
+        service: str,
+        parts: prefixes.Parts,
+        choice: placement.Choice,
+        regions: Domains | None,
     ) -> placement.Choice:
         """Add to a choice where its instance may copy the prefix from."""
         others = [
             one
             for one in self._services[service]
-            if one.id != choice.instance.id and self._may_be_copied(one)
+            if one.id != choice.instance.id
+            and self._may_be_copied(one)
+            and self._is_allowed(one, regions)
         ]
         source = placement.source(
             parts, choice.instance, others, self._holders
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -5,6 +5,7 @@
 
 import grpc
 
+from honeyport.bundle import model
 from honeyport import errors
 from honeyport.gateway import balancer
 from honeyport.gateway import forward
@@ -13,6 +14,7 @@
 from honeyport.gateway import pool
 from honeyport.gateway import server
 from honeyport.policy import addresses
+from honeyport.policy import cold
 from honeyport.policy import draining
 from honeyport.policy import repeats
 from honeyport.router import fleetstate
@@ -43,7 +45,9 @@
         self._leaving = leaving
         self._metrics = counters
         self._state = fleetstate.FleetState()
-        self._balancer = balancer.Balancer(settings.domain)
+        self._balancer = balancer.Balancer(
+            settings.name, settings.domain, settings.regions
+        )
         self._pool = pool.Pool()
         self._gate = gate.Gate(self._state)
         self._suspects = suspects.Suspects(counters)
@@ -172,7 +176,12 @@
         self._gate.take_news()
         now = asyncio.get_running_loop().time()
         self._lifetime.note(self._state.departing, now)
+        # Before the list: it is read with the services' tolerances.
+        if self._state.version != self._version:
+            self._version = self._state.version
+            self._take_configuration(self._state.bundle)
         self._balancer.evacuate(self._state.evacuated)
+        self._balancer.meet([one.router for one in self._state.present])
         usable = self._balancer.regard(
             self._state.instances,
             self._state.residuals,
@@ -181,9 +190,21 @@
         if usable is not None:
             self._pool.retain(usable)
             self._regard_list()
-        if self._state.version != self._version:
-            self._version = self._state.version
-            self._entry.limit(self._state.bundle.requests)
+
+    def _take_configuration(self, bundle: model.Bundle) -> None:
+        """Take the limits of a new configuration."""
+        self._entry.limit(bundle.requests)
+        self._balancer.tolerate(
+            {
+                name: cold.tolerance(
+                    service.cold_s,
+                    service.cold_per_s,
+                    overage=self._settings.cold_overage,
+                    extra=self._settings.cold_tolerance,
+                )
+                for name, service in bundle.services.items()
+            }
+        )
 
     def _regard_list(self) -> None:
         """Show the witness a new list of instances."""
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -190,7 +190,10 @@
         table = self.table()
         table.find(request.host, request.path, request.api_key)
         exchange.choice = self._balancer.choose(
-            exchange.service, exchange.parts, exchange.tried
+            exchange.service,
+            exchange.parts,
+            exchange.tried,
+            exchange.match.regions,
         )
         instance = exchange.choice.instance
         with self._balancer.hold(instance):
--- a/src/honeyport/gateway/routes.py
+++ b/src/honeyport/gateway/routes.py
@@ -1,5 +1,6 @@
 """The routes and accounts of one version of the configuration."""
 
+import collections.abc
 import random
 
 import attrs
@@ -14,12 +15,14 @@
 
     :ivar account: its client account, or ``''`` on a public route
     :ivar priority: its rank, 0 first
+    :ivar regions: the only ones in which it may run; ``None`` for any
     """
 
     name: str
     route: model.Route
     account: str
     priority: int
+    regions: frozenset[str] | None = None
 
 
 class Table:
@@ -61,13 +64,31 @@
 
     def _match(self, name: str, route: model.Route, api_key: str) -> Match:
         if route.public or not self._accounts:
-            return Match(name, route, '', route.priority)
+            regions = _common(route.regions, ())
+            return Match(name, route, '', route.priority, regions)
         holder = self._holders.get(api_key)
         if holder is None:
             raise errors.UnknownKey('no client account holds this API key')
-        rank = self._accounts[holder].priority
+        account = self._accounts[holder]
+        rank = account.priority
         priority = route.priority if rank is None else rank
-        return Match(name, route, holder, priority)
+        regions = _common(route.regions, account.regions)
+        return Match(name, route, holder, priority, regions)
+
+
+def _common(
+    one: collections.abc.Collection[str],
+    other: collections.abc.Collection[str],
+) -> frozenset[str] | None:
+    """Return the regions that two lists allow; an empty one allows any.
+
+    Where both name some, both bind, also if they have none in common.
+    """
+    if not one and not other:
+        return None
+    if not one or not other:
+        return frozenset(one or other)
+    return frozenset(one) & frozenset(other)
 
 
 def pick_service(route: model.Route) -> str:
--- a/src/honeyport/platform/configuration.py
+++ b/src/honeyport/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import math
 import typing
 
 from honeyport.bundle import model
@@ -84,6 +85,15 @@
             self.fail(name, f'at least {least}')
         return int(value)
 
+    def number(self, name: str, default: float = 0.0) -> float:
+        """Return a number that is not negative."""
+        value = self._fields.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            self.fail(name, 'a number')
+        if not 0 <= value < math.inf:
+            self.fail(name, 'at least 0, and finite')
+        return float(value)
+
     def flag(self, name: str) -> bool:
         value = self._fields.get(name, False)
         if not isinstance(value, bool):
@@ -116,6 +126,8 @@
         kind=model.ENGINE if one.has('engine') else model.SERVICE,
         health_path=one.text('health_path'),
         max_connections=one.whole('max_connections', least=1),
+        cold_s=one.number('cold_start_s'),
+        cold_per_s=one.number('cold_per_s'),
     )
 
 
@@ -158,6 +170,7 @@
         # Requests say which parts of their prompts they share.
         prefix_cached=one.flag('sticky'),
         resumable=one.flag('resumable'),
+        regions=one.texts('allowed_regions'),
     )
 
 
@@ -186,7 +199,11 @@
                     f'{one.path}: {holders[key]!r} holds one of its keys'
                 )
         priority = one.whole('priority') if one.has('priority') else None
-        accounts[name] = model.Account(keys=keys, priority=priority)
+        accounts[name] = model.Account(
+            keys=keys,
+            priority=priority,
+            regions=one.texts('allowed_regions'),
+        )
     return accounts
 
 
--- a/src/honeyport/platform/entries.py
+++ b/src/honeyport/platform/entries.py
@@ -21,6 +21,7 @@
 _STATES = ('ready', _LEAVING)
 _MOST_SLOTS = 2**31 - 1  # what the message to the gateways holds
 _MOST_PORT = 2**16 - 1
+_MOST_COLD_MS = 2**31 - 1
 # The page after a page that is no JSON as a whole; nothing follows it.
 _NEXT = re.compile(r'"next"\s*:\s*(null|"[^"\\]*")\s*}\s*$')
 
@@ -81,8 +82,7 @@
         domain=entry['zone'],
         leaving=entry['state'] == _LEAVING,
         slots=entry['slots'],
-        # ``cold_remaining_ms`` is left out: it falls with every call, and
-        # each list would differ from the one before.
+        cold_ms=min(math.ceil(entry['cold_remaining_ms']), _MOST_COLD_MS),
     )
 
 
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -72,6 +72,7 @@
 def by_prefix(
     parts: prefixes.Parts,
     found: Instances,
+    peers: Instances,
     counts: stale.Counts,
     domain: str,
 ) -> Choice:
@@ -79,10 +80,12 @@
 
     :param parts: the parts of the prompt, not empty
     :param found: the instances to choose from, not empty
+    :param peers: all instances of the service, whose mean load counts: some
+        may get nothing now, since they are cold, evacuated or failed it
     :param domain: our failure domain
     """
-    total = sum(counts.known(instance.id) for instance in found)
-    bound = _BOUND * (total + 1) / len(found) + _BOUND_EXTRA
+    total = sum(counts.known(instance.id) for instance in peers)
+    bound = _BOUND * (total + 1) / len(peers) + _BOUND_EXTRA
     by_place = {one.place: one for one in found if one.place}
     for rank, place in enumerate(prefixes.order(parts, by_place)):
         instance = by_place[place]
