Cold instances are spared while others have room

Kept: nothing while a sound instance is under the bound on loads, which leaves the most room to the tolerance, and the small rate once none is: so the load finds out. The replays of cold.feature hold as before.

--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -170,8 +170,8 @@
                 f'no instance of {service} is left to try',
                 retry_after=_COME_BACK_S,
             )
-        usable = self._usable(found)
-        if not usable:
+        among = self._among(found, peers)
+        if not among.first:
             raise errors.NoInstance(
                 f'all instances of {service} that are left are cold',
                 retry_after=_ELSEWHERE_S,
@@ -183,10 +183,8 @@
             stay_s=self._stays.of(service),
         )
         if not parts:
-            return placement.by_load(usable, counts, self._domain)
-        choice = placement.by_prefix(
-            parts, usable, peers, counts, self._domain
-        )
+            return placement.by_load(among.first, counts, self._domain)
+        choice = placement.by_prefix(parts, among, counts, self._domain)
         return self._with_source(service, parts, choice, regions)
 
     @contextlib.contextmanager
@@ -261,24 +259,31 @@
         tolerance = self._tolerances.get(instance.service, cold.Tolerance())
         self._spells.note(instance.id, since + tolerance.cold_s)
 
-    def _usable(
-        self, found: list[placement.Instance]
-    ) -> list[placement.Instance]:
+    def _among(
+        self,
+        found: list[placement.Instance],
+        peers: list[placement.Instance],
+    ) -> placement.Candidates:
         """Return those that may get a request of this gateway now.
 
-        Those that have not failed lately go first, cold or not.
+        Cold ones are left alone while others are there that have not failed
+        lately, and have room.
         """
         now = _now()
-        is_last = all(self._spells.is_cold(one.id, now) for one in found)
-        ready = [
+        warm = [one for one in found if not self._spells.is_cold(one.id, now)]
+        sound = self._sound(warm)
+        cold_ones = [
             one
             for one in found
-            if not self._spells.is_cold(one.id, now)
-            or self._cold_shares.may_take(
-                one.id, self._most(one), now, is_last=is_last
+            if self._spells.is_cold(one.id, now)
+            and self._cold_shares.may_take(
+                one.id, self._most(one), now, is_last=not sound
             )
         ]
-        return self._sound(ready) or ready
+        ready = self._sound(cold_ones)
+        if sound:
+            return placement.Candidates(sound, ready, peers)
+        return placement.Candidates(ready or warm or cold_ones, (), peers)
 
     def _most(self, instance: placement.Instance) -> float:
         return self._tolerances.get(instance.service, cold.Tolerance()).most
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -69,30 +69,55 @@
 Instances = collections.abc.Collection[Instance]
 
 
+@attrs.frozen
+class Candidates:
+    """The instances of a service, by what they may get now.
+
+    :ivar first: those to choose from, not empty
+    :ivar reserve: those that are spared while one of the first has room
+    :ivar peers: all of them, whose mean load counts: some may get nothing
+        now, since they are cold or evacuated, or failed the request
+    """
+
+    first: Instances
+    reserve: Instances
+    peers: Instances
+
+
 def by_prefix(
     parts: prefixes.Parts,
-    found: Instances,
-    peers: Instances,
+    among: Candidates,
     counts: stale.Counts,
     domain: str,
 ) -> Choice:
     """Return the first instance for a prompt that is under the bound.
 
     :param parts: the parts of the prompt, not empty
-    :param found: the instances to choose from, not empty
-    :param peers: all instances of the service, whose mean load counts: some
-        may get nothing now, since they are cold, evacuated or failed it
     :param domain: our failure domain
     """
-    total = sum(counts.known(instance.id) for instance in peers)
-    bound = _BOUND * (total + 1) / len(peers) + _BOUND_EXTRA
+    total = sum(counts.known(instance.id) for instance in among.peers)
+    bound = _BOUND * (total + 1) / len(among.peers) + _BOUND_EXTRA
+    for found in (among.first, among.reserve):
+        choice = _under_bound(parts, found, counts, bound)
+        if choice is not None:
+            return choice
+    return by_load(among.first, counts, domain)
+
+
+def _under_bound(
+    parts: prefixes.Parts,
+    found: Instances,
+    counts: stale.Counts,
+    bound: float,
+) -> Choice | None:
+    """Return the first one that runs less than a bound, if any does."""
     by_place = {one.place: one for one in found if one.place}
     for rank, place in enumerate(prefixes.order(parts, by_place)):
         instance = by_place[place]
         running = counts.known(instance.id)
         if running < bound:
             return Choice(instance, rank, running, bound, len(found))
-    return by_load(found, counts, domain)
+    return None
 
 
 def by_load(found: Instances, counts: stale.Counts, domain: str) -> Choice:
