Callers are sent to gateways of their region before all others

Cause: a caller whose failure domain has fewer than two gateways was told of all of them, in whatever region; what a route keeps to its regions then left them. Now its region's gateways go first, all others only where none is there.

--- a/features/steps/address_steps.py
+++ b/features/steps/address_steps.py
@@ -4,6 +4,7 @@
 
 from features.support import callers
 from honeyport.policy import addresses
+from honeyport.wire import honeyport_pb2 as pb
 
 _LENGTH_S = 30.0
 
@@ -84,3 +85,30 @@
     if at >= context.left:
         policy.note(['gateway'], context.left)
     assert policy.seconds(float(at)) == seconds
+
+
+@behave.given('gateways in thu-duc twice, tan-binh once, son-tra once')
+def step_gateways(context):
+    counts = {'thu-duc': 2, 'tan-binh': 1, 'son-tra': 1}
+    context.members = [
+        pb.Member(
+            router=f'{domain}-{one}', domain=domain, address=f'{domain}-{one}'
+        )
+        for domain, count in counts.items()
+        for one in range(1, count + 1)
+    ]
+
+
+@behave.given('thu-duc and tan-binh are in hcm, son-tra in danang')
+def step_in_regions(context):
+    context.regions = {
+        'thu-duc': 'hcm',
+        'tan-binh': 'hcm',
+        'son-tra': 'danang',
+    }
+
+
+@behave.then('a caller from {domain} is sent to {gateways}')
+def step_sent(context, domain, gateways):
+    found = addresses.choose(context.members, domain, context.regions)
+    assert found == gateways.split(', '), found
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -68,7 +68,7 @@
             settings,
             self._state,
             self._fill,
-            lambda followed: None,
+            None,
             self.take_news,
             self._suspects,
             counters,
@@ -115,7 +115,7 @@
                 for member in found
                 if member.address != self._settings.listen
             ]
-        return addresses.choose(found, domain)
+        return addresses.choose(found, domain, self._settings.regions)
 
     def seek(self, control: tuple[str, ...]) -> None:
         """Look for control at other addresses from now on."""
--- a/src/honeyport/policy/addresses.py
+++ b/src/honeyport/policy/addresses.py
@@ -39,14 +39,29 @@
     return silence_s > _OUT_OF_TOUCH_S
 
 
-def choose(members: list[pb.Member], domain: str) -> list[str]:
+def choose(
+    members: list[pb.Member],
+    domain: str,
+    regions: collections.abc.Mapping[str, str],
+) -> list[str]:
     """Return the addresses for a caller, those of its domain if enough.
 
+    Otherwise all of its region, if any is there: what a caller sends may not
+    be allowed to leave that.
+
     :param members: the gateways that take callers
     :param domain: the caller's failure domain, or ``''``
+    :param regions: the region of each failure domain
     """
-    near = [member for member in members if member.domain == domain]
-    found = near if len(near) >= _FEWEST_NEAR else members
+    found = [member for member in members if member.domain == domain]
+    if len(found) < _FEWEST_NEAR:
+        region = regions.get(domain, '')
+        found = [
+            member
+            for member in members
+            if region and regions.get(member.domain) == region
+        ]
+    found = found or members
     addresses = [member.address for member in found]
     if len(addresses) > MOST:
         addresses = random.sample(addresses, MOST)
