The best places of a prompt are found without sorting all of them

Cause: before 3,000 instances each choice sorted all places. Profile of one choice: 7.5 ms of a core, 1.4 of them this sort. Now the first eight are ranked alone; all others only if these are over the bound. 3,000 places: 1.42 to 0.56 ms, a whole choice 7.5 to 6.3 (means of 200 on one core); before 45 instances 0.11 ms as before. Open: the rest of the 6.3 ms is passes over all instances.

--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -80,7 +80,7 @@
         number = 0
         while True:
             parts = _prompt(f'hot-{number}')
-            if prefixes.order(parts, self.instances)[0] in self.cold:
+            if next(prefixes.order(parts, self.instances)) in self.cold:
                 return parts
             number += 1
 
--- a/features/steps/prefix_steps.py
+++ b/features/steps/prefix_steps.py
@@ -39,7 +39,7 @@
 
     def ranked(self, rank):
         """Return the instance of a rank for a prompt of the subject."""
-        places = prefixes.order(prompt('subject'), list(self.listed))
+        places = list(prefixes.order(prompt('subject'), self.listed))
         return placement.Instance(
             id=places[rank],
             service=_SERVICE,
--- a/src/honeyport/policy/hashing.py
+++ b/src/honeyport/policy/hashing.py
@@ -11,6 +11,9 @@
 
 import xxhash
 
+# Candidates that are ranked before all others are.
+_FIRST = 8
+
 
 def seed_of(candidate: str) -> int:
     """Return the hash seed of a candidate; the same everywhere."""
@@ -25,16 +28,26 @@
     key: str, candidates: collections.abc.Iterable[str], most: int
 ) -> list[str]:
     """Return the best candidates for a key, the best one first."""
-    hashed = xxhash.xxh3_64_intdigest
-    encoded = key.encode()
-    seeds = _SEEDS
-    scored = [
-        (hashed(encoded, seeds.get(name) or seed_of(name)), name)
-        for name in candidates
-    ]
+    scored = _score(key, candidates)
     return [name for _, name in heapq.nlargest(most, scored)]
 
 
+def descend(
+    key: str, candidates: collections.abc.Iterable[str]
+) -> collections.abc.Iterator[str]:
+    """Yield all candidates for a key, the best one first.
+
+    As a rule one of the first is taken: of 3,000 candidates the best one takes
+    0.6 ms, and 1.4 if all are sorted (means of 200 on one core).
+    """
+    scored = _score(key, candidates)
+    first = heapq.nlargest(_FIRST, scored)
+    yield from (name for _, name in first)
+    if len(scored) > _FIRST:
+        rest = heapq.nlargest(len(scored), scored)[_FIRST:]
+        yield from (name for _, name in rest)
+
+
 def wins(
     name: str, key: str, candidates: collections.abc.Iterable[str]
 ) -> bool:
@@ -53,6 +66,18 @@
     )
 
 
+def _score(
+    key: str, candidates: collections.abc.Iterable[str]
+) -> list[tuple[int, str]]:
+    hashed = xxhash.xxh3_64_intdigest
+    encoded = key.encode()
+    seeds = _SEEDS
+    return [
+        (hashed(encoded, seeds.get(name) or seed_of(name)), name)
+        for name in candidates
+    ]
+
+
 def bound(multiple: float, total: int, count: int) -> int:
     """Return the most load that one of ``count`` engines may carry.
 
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -182,5 +182,5 @@
     for one in others:
         if one.place and (one.leaving or one.place not in by_place):
             by_place[one.place] = one
-    best = prefixes.order(parts, by_place)[:1]
-    return by_place[best[0]] if best else None
+    best = next(prefixes.order(parts, by_place), None)
+    return by_place[best] if best is not None else None
--- a/src/honeyport/policy/prefixes.py
+++ b/src/honeyport/policy/prefixes.py
@@ -32,14 +32,15 @@
 Parts = collections.abc.Sequence[Part]
 
 
-def order(parts: Parts, places: collections.abc.Iterable[str]) -> list[str]:
-    """Return places, the one that suits a prompt best first.
+def order(
+    parts: Parts, places: collections.abc.Iterable[str]
+) -> collections.abc.Iterator[str]:
+    """Yield places, the one that suits a prompt best first.
 
     :param parts: not empty
     """
-    found = list(places)
     deciding = parts[-2] if len(parts) > 1 else parts[-1]
-    return hashing.rank(deciding.id, found, len(found))
+    return hashing.descend(deciding.id, places)
 
 
 def shared(parts: Parts) -> Parts:
