What goes out between two ticks is of one list and one configuration

Change: a list is published at the next tick, and the configuration is the one of the latest look. Two scenarios failed first: 'list index out of range' and 'version 3 from 1 does not fit version 2'; both pass.

--- a/features/control/sizes.feature
+++ b/features/control/sizes.feature
@@ -16,6 +16,21 @@
     Then each stream is sent at most 300 bytes
     And each gateway knows the list of the leader
 
+  # Loads named instances by the indexes of a newer list than the one that the
+  # gateways had: their streams ended with an error, 12 in a second.
+  Scenario: the list changes while the streams take what there is
+    Given a leader with a list of 3000 instances
+    And 30 gateways that were told everything
+    When they report other loads, and instances leave the list between two ticks
+    Then each gateway knows the list of the leader
+    And each gateway knows what runs on every instance
+
+  Scenario: configurations are committed while the streams take what there is
+    Given a leader with a list of 3000 instances
+    And 30 gateways that were told everything
+    When 5 configurations are committed, each between two ticks
+    Then each gateway has the latest configuration, and none started over
+
   Scenario: one gateway dies
     Given a leader with a list of 3000 instances
     And 300 gateways that were told everything
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -75,7 +75,7 @@
             )
             for one in names.split(', ')
         ]
-        self.first_number = self.first_number or self.catalog.lists.number
+        self.first_number = self.first_number or self.catalog.number
         self.look()
 
     def look(self) -> None:
@@ -234,5 +234,5 @@
 
 @behave.then('the list was told once for that')
 def step_told_once(context):
-    first = context.catalog.catalog.lists.number - 1
+    first = context.catalog.catalog.number - 1
     assert context.catalog.first_number == first
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -7,6 +7,9 @@
 
 from features.support import leading
 from features.support import simulation
+from honeyport.bundle import entries as bundle_entries
+from honeyport.bundle import model
+from honeyport.bundle import packed
 from honeyport.control import listings
 from honeyport.control import sessions
 from honeyport.router import fleetstate
@@ -61,6 +64,8 @@
             elif item.HasField('presence'):
                 self.presences += 1
                 self.state.apply_presence(item.presence)
+            elif item.HasField('config'):
+                self.state.apply_config(item.config)
             elif item.HasField('loads'):
                 self.state.apply_loads(item.loads)
 
@@ -78,6 +83,8 @@
         self.run(self._begin())
         self.gateways = []
         self.ticks = 0
+        self.commits = []  # versions, likewise
+        self.changes = []  # lists that come between a tick and what follows
 
     def run(self, coroutine):
         """Run something on the virtual clock."""
@@ -86,6 +93,20 @@
     async def _begin(self):
         self.streams._watch_leadership()
 
+    def commit(self, version):
+        """Commit a configuration that names one service."""
+        bundle = model.Bundle(
+            version=version,
+            signers=model.Signers(keys={}),
+            services={f's-{version}': model.Service(kind=model.SERVICE)},
+            backends={},
+        )
+        entries = bundle_entries.split(bundle)
+        command = pb.ReplaceBundle(
+            version=version, entries=packed.pack_snapshot(entries)
+        )
+        self.node.machine.apply(pb.Entry(replace=command))
+
     async def attach(self, gateways):
         """Open the streams of gateways."""
         for one in gateways:
@@ -112,7 +133,12 @@
                 ):
                     self.streams._report(one.session, one.report())
             self.streams._tick()
+            while self.changes:
+                self.list(self.changes.pop())
             for one in self.gateways:
+                # Some take what there is before a commit, and some after it.
+                if self.commits and one.number == len(self.gateways) // 2:
+                    self.commit(self.commits.pop())
                 if one.takes:
                     one.take(self.streams._take_items(one.session))
 
@@ -238,6 +264,49 @@
     context.leader.run(context.leader.tick(2 * _TICKS_A_REPORT))
 
 
+@behave.when(
+    'they report other loads, and instances leave the list between two ticks'
+)
+def step_between(context):
+    drawn = random.Random(1)
+
+    async def change():
+        for _ in range(20):
+            context.listed = context.listed[1:]
+            names = [one.id for one in context.listed]
+            context.running = dict.fromkeys(names, 0)
+            for one in context.gateways:
+                one.running = drawn.sample(names, 10)
+                for name in one.running:
+                    context.running[name] += 1
+            context.leader.changes.append(context.listed)
+            await context.leader.tick()
+        await context.leader.tick(2 * _TICKS_A_REPORT)
+
+    context.leader.run(change())
+
+
+@behave.when('{count:d} configurations are committed, each between two ticks')
+def step_commit(context, count):
+    context.version = count
+
+    async def commit():
+        for version in range(1, count + 1):
+            context.leader.commits.append(version)
+            await context.leader.tick()
+        await context.leader.tick(2)
+
+    context.leader.run(commit())
+
+
+@behave.then(
+    'each gateway has the latest configuration, and none started over'
+)
+def step_has_configuration(context):
+    for one in context.gateways:
+        assert one.state.version == context.version, one.state.version
+
+
 @behave.then('each stream is sent at most {most:d} kB')
 def step_kilobytes(context, most):
     _check_sent(context, most * 1000)
--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -61,6 +61,8 @@
         self._is_unsaved = False
         self._lists = listings.Listings()
         self._known: list[pb.Instance] = []
+        self._latest: list[pb.Instance] = []
+        self._number = 0
         self._spells = cold.Spells()
         self._counter = 0
         self._readable = True
@@ -73,7 +75,12 @@
     @property
     def latest(self) -> list[pb.Instance]:
         """The latest list; empty before the first one."""
-        return self._lists.latest
+        return self._latest
+
+    @property
+    def number(self) -> int:
+        """The number of the latest list; 0 before the first one."""
+        return self._number
 
     async def run(self) -> None:
         """Read the list while this replica leads, until cancelled."""
@@ -84,6 +91,8 @@
             else:
                 self._lists.clear()
                 self._known = []
+                self._latest = []
+                self._number = 0
                 self._spells = cold.Spells()
                 self._assigner = None
                 await asyncio.sleep(0.1)
@@ -126,16 +135,18 @@
         found = readings.merge(self._known, reading)
         self._place(found)
         has_turned_cold = self._note_cold(found)
-        if self._lists.number and self._known == found and not has_turned_cold:
+        is_same = self._known == found and not has_turned_cold
+        if self._number and is_same:
             return
         self._known = found
         self._is_unsaved = True
         self._counter += 1
-        number = (self._node.term << _TERM_SHIFT) + self._counter
-        self._lists.take(number, [self._with_spell(one) for one in found])
+        self._number = (self._node.term << _TERM_SHIFT) + self._counter
+        self._latest = [self._with_spell(one) for one in found]
+        self._lists.take(self._number, self._latest)
         logs.emit(
             events.LIST_CHANGED,
-            list_number=number,
+            list_number=self._number,
             instances=len(found),
             leaving=[one.id for one in found if one.leaving],
         )
--- a/src/honeyport/control/listings.py
+++ b/src/honeyport/control/listings.py
@@ -10,7 +10,11 @@
 
 
 class Listings:
-    """The latest lists; soft state of the leader."""
+    """The latest lists; soft state of the leader.
+
+    A list that was read is published at the next tick: what goes out between
+    two ticks names instances by their indexes in one and the same list.
+    """
 
     def __init__(self) -> None:
         self.clear()
@@ -19,9 +23,11 @@
         """Forget all lists: this replica leads no longer."""
         self._history: deltas.History[pb.Instance] = deltas.History(_KEPT)
         self._latest: list[pb.Instance] = []
+        self._taken: tuple[int, list[pb.Instance]] | None = None
         self._digest = ''
         self._packed: dict[int, bytes] = {}
         self._indexes: dict[str, int] = {}
+        self._domains: dict[str, str] = {}
 
     @property
     def number(self) -> int:
@@ -38,12 +44,25 @@
         """The index of each instance in the latest list."""
         return self._indexes
 
+    @property
+    def domains(self) -> dict[str, str]:
+        """The failure domain of each instance in the latest list."""
+        return self._domains
+
     def take(self, number: int, latest: list[pb.Instance]) -> None:
-        """Take a new list, by identifier; its number is above all others.
+        """Take a new list, by identifier; its number is above all others."""
+        self._taken = (number, latest)
+
+    def publish(self) -> None:
+        """Make the list that was taken last the latest one.
 
         What did not change is shared with the lists before: 3,000 messages
         are a megabyte.
         """
+        if self._taken is None:
+            return
+        number, latest = self._taken
+        self._taken = None
         before = self._history.latest
         self._latest = [
             known if (known := before.get(one.id)) == one else one
@@ -53,6 +72,7 @@
         self._history.take(number, by_id)
         self._digest = ''
         self._packed.clear()
+        self._domains = {one.id: one.domain for one in self._latest}
         self._indexes = {
             one.id: index for index, one in enumerate(self._latest)
         }
--- a/src/honeyport/control/news.py
+++ b/src/honeyport/control/news.py
@@ -78,6 +78,7 @@
         self._lists = lists
         self._suspects = held
         self._versions = versions.Versions()
+        self._accepted = node.machine.accepted
         self._presence = _Presence({}, ())
         self._presences: deltas.History[pb.Member] = deltas.History(
             _KEPT_PRESENCES
@@ -93,7 +94,10 @@
     def look(self) -> None:
         """Find out what there is to tell, once for all streams of a tick."""
         now = asyncio.get_running_loop().time()
-        self._versions.keep(self._node.machine.accepted)
+        # As of now, like all else: one that is committed between two looks
+        # would be sent under the number of the one before.
+        self._accepted = self._node.machine.accepted
+        self._versions.keep(self._accepted)
         self._look_for_routers(now)
         # Before, it would name too few of the routers.
         is_named = now >= self._node.led_since + _REATTACH_S
@@ -102,7 +106,7 @@
             presence=self._presences.number if is_named else 0,
             replicas=tuple(self._node.member_addresses),
             instances=self._lists.number,
-            version=self._node.machine.accepted.version,
+            version=self._accepted.version,
             suspects=self._suspects.number,
             evacuated=self._node.machine.evacuated,
         )
@@ -150,8 +154,7 @@
             )
             items.append(pb.ControlItem(instances=message))
         if news.version != told.version:
-            accepted = self._node.machine.accepted
-            config = self._versions.message(told.version, accepted)
+            config = self._versions.message(told.version, self._accepted)
             items.append(pb.ControlItem(config=config))
         return items
 
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -289,6 +289,7 @@
         return items + waiting
 
     def _tick(self) -> None:
+        self._lists.publish()
         self._fleet.refresh(_now())
         self._fleet.summarize(_now(), self._fresh_s())
         self._suspects.refresh()
