A lost domain is recognised by a leader that never heard its gateways

Cause: the leader was lost with the domain (own layout, at 10 s); the next one had never met the domain's gateways, so that they were not missed, and offers failed as before until the domain was back: 35, 39, 18, 33 and 33 in the seconds 11 to 15.

Change: five instances and 3 in 100 of a domain of which no gateway is heard stand for all of it. A scenario failed first.

--- a/features/policy/reach.feature
+++ b/features/policy/reach.feature
@@ -21,6 +21,11 @@
     And gateways of thu-duc, tan-binh cannot reach binh-chanh-1, binh-chanh-2
     Then all leave all of binh-chanh alone
 
+  Scenario: a domain whose gateways were never heard
+    Given gateways in thu-duc, tan-binh, and instances in thu-duc, go-vap
+    When gateways of thu-duc, tan-binh cannot reach go-vap-1, go-vap-2
+    Then all leave go-vap-1, go-vap-2 alone
+
   Scenario: gateways of a domain are gone, and its instances are there
     Given gateways in thu-duc, tan-binh, binh-chanh, and instances in each
     When the gateways of binh-chanh fall silent
@@ -44,3 +49,9 @@
     Given 30 gateways before 300 instances in 3 failure domains
     When one failure domain is lost, and 20 requests a second come to each
     Then 1.5 seconds later at most 2 in 100 offers go to instances that are lost
+
+  Scenario: the leader was lost with it, and the next one knows nobody there
+    Given 30 gateways before 300 instances in 3 failure domains
+    And a leader that never heard the gateways of the one that gets lost
+    When one failure domain is lost, and 20 requests a second come to each
+    Then 1.5 seconds later at most 2 in 100 offers go to instances that are lost
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -113,6 +113,7 @@
             if names[number % domains] != self.lost
         ]
         self.reach = reach.Reach()
+        self.silent = {self.lost}
         self.offers = []
 
     async def start(self):
@@ -160,7 +161,7 @@
             reach.Word(domain, frozenset(one.unreachable))
             for domain, one in zip(self.words, self.heard, strict=True)
         ]
-        found = self.reach.judge(words, self.domains, {self.lost}, now)
+        found = self.reach.judge(words, self.domains, self.silent, now)
         self.offers.append((now, found))
         for at, former in self.offers:
             if at <= now - _LAG_S:
@@ -177,6 +178,13 @@
     context.fleet.loop.run_until_complete(context.fleet.start())
 
 
+@behave.given(
+    'a leader that never heard the gateways of the one that gets lost'
+)
+def step_unheard(context):
+    context.fleet.silent = set()
+
+
 @behave.when(
     'one failure domain is lost, and {per_s:d} requests a second come to each'
 )
--- a/src/honeyport/policy/reach.py
+++ b/src/honeyport/policy/reach.py
@@ -8,7 +8,7 @@
 A gateway may be the one that is cut off. So an instance is left alone by all
 only if gateways of two failure domains could not connect to it, or of all that
 have any. And where all gateways of a domain fell silent as well, two of its
-instances stand for all.
+instances stand for all; some more where a new leader has never heard any.
 
 While all leave an instance alone, nobody finds out that it is back; so it is
 tried again after a pause that doubles.
@@ -33,6 +33,10 @@
 # Instances of a silent domain that have to be out of reach: two crashes beside
 # a kill of all its gateways are less likely than its loss.
 _SAMPLE = 2
+# The same of a domain of which no gateway was ever heard, and the least share
+# of all its instances: it may have none.
+_SAMPLE_UNHEARD = 5
+_SHARE_UNHEARD = 0.03
 
 Names = collections.abc.Set[str]
 
@@ -105,12 +109,14 @@
         :param silent: the failure domains that had gateways, and now have
             none that is heard
         """
+        words = list(words)
+        heard = {word.domain for word in words}
         for instance in _agreed(words):
             self._instances.hold(instance, now)
         held = self._instances.held(now)
-        for domain in _lost(held, domains, silent):
+        for domain in _lost(held, domains, silent, heard):
             self._domains.hold(domain, now)
-        lost = self._domains.held(now) & silent
+        lost = self._domains.held(now) - heard
         if not lost:
             return frozenset(held)
         return frozenset(
@@ -138,7 +144,23 @@
     held: set[str],
     domains: collections.abc.Mapping[str, str],
     silent: Names,
+    heard: Names,
 ) -> set[str]:
     """Return the failure domains that are lost as a whole."""
-    counts = collections.Counter(domains.get(one) for one in held)
-    return {one for one in silent if counts[one] >= _SAMPLE}
+    counts = collections.Counter(domains[one] for one in held & domains.keys())
+    if not counts:
+        return set()
+    sizes = collections.Counter(domains.values())
+    return {
+        domain
+        for domain, count in counts.items()
+        if domain not in heard
+        and count >= _needed(sizes[domain], is_unheard=domain not in silent)
+    }
+
+
+def _needed(size: int, *, is_unheard: bool) -> float:
+    """Return how many instances of a domain stand for all of them."""
+    if not is_unheard:
+        return _SAMPLE
+    return max(_SAMPLE_UNHEARD, _SHARE_UNHEARD * size)
