--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -10,6 +10,7 @@
 from honeyport import signals
 
 _USAGE_EXIT = 2
+_HELP = ('--help', '-h', 'help')
 
 
 class Key:
@@ -240,7 +241,7 @@
     """Run the command line; user errors end with code 2, no traceback."""
     fire_core.Display = _display
     try:
-        fire.Fire(Commands, name='honeyport')
+        fire.Fire(Commands, command=_words(), name='honeyport')
     except errors.HoneyportError as error:
         print(f'honeyport: {error.code}: {error.detail}', file=sys.stderr)
         print(f'honeyport: {error.hint}', file=sys.stderr)
@@ -257,11 +258,30 @@
     process.run(document.load(path, getattr(roles, role)), start)
 
 
+def _words() -> list[str]:
+    """Return the words of the command line.
+
+    Asked for help on its own, fire shows no verb; without any word it does.
+    """
+    words = sys.argv[1:]
+    return [] if words and words[0] in _HELP else words
+
+
 def _split(addresses: typing.Any) -> list[str]:
-    """Return addresses; fire hands several over as a tuple."""
+    """Return addresses; fire hands several over as a tuple.
+
+    :raises errors.UsageInvalid: if one of them is no address
+    """
     if isinstance(addresses, str):
-        return addresses.split(',')
-    return [str(address) for address in addresses]
+        addresses = addresses.split(',')
+    found = [str(address) for address in addresses]
+    for address in found:
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdigit():
+            raise errors.UsageInvalid(
+                f'{address!r} is no address: IP:PORT, several with commas'
+            )
+    return found
 
 
 def _display(lines: list[str], out: typing.TextIO) -> None:
