A gateway takes off the report of its own that the sums it gets contain

Cause: since a stream takes loads when it is ready, they may be of a later tick than the answer beside them, which named the report that the sums of its own moment contained; a gateway then took an older report off newer sums. Found by reading. A scenario fails first: the answer to report 3 does not name it, though the sums beside it contain it.

--- a/features/control/sizes.feature
+++ b/features/control/sizes.feature
@@ -31,6 +31,12 @@
     When 5 configurations are committed, each between two ticks
     Then each gateway has the latest configuration, and none started over
 
+  Scenario: a gateway takes off the report of its own that the sums contain
+    Given a leader with a list of 3000 instances
+    And 3 gateways that were told everything
+    When one of them reports, and a tick passes before it takes the answer
+    Then the answer names that report as counted
+
   Scenario: one gateway dies
     Given a leader with a list of 3000 instances
     And 300 gateways that were told everything
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -286,6 +286,33 @@
     context.leader.run(change())
 
 
+@behave.when(
+    'one of them reports, and a tick passes before it takes the answer'
+)
+def step_report_late(context):
+    gateway = context.gateways[0]
+    gateway.running = (context.listed[0].id,)
+
+    async def report():
+        streams = context.leader.streams
+        streams._report(gateway.session, gateway.report())
+        streams._tick()
+        context.items = streams._take_items(gateway.session)
+
+    context.leader.run(report())
+
+
+@behave.then('the answer names that report as counted')
+def step_counted(context):
+    gateway = context.gateways[0]
+    [answer] = [
+        item.answer for item in context.items if item.HasField('answer')
+    ]
+    assert answer.counted == gateway.reports, answer
+    kinds = [item.WhichOneof('item') for item in context.items]
+    assert 'loads' in kinds, kinds
+
+
 @behave.when('{count:d} configurations are committed, each between two ticks')
 def step_commit(context, count):
     context.version = count
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -276,7 +276,6 @@
             number=report.number,
             lease_ms=int(self._lease_s() * 1000),
             stamp=self._fleet.stamp(_now()),
-            counted=session.router.counted,
         )
         session.wants_loads = True
         session.outbox.put(pb.ControlItem(answer=answer))
@@ -305,6 +304,11 @@
             session.sent_loads = loads.number
             items.append(pb.ControlItem(loads=message))
         session.wants_loads = False
+        for item in waiting:
+            if item.HasField('answer'):
+                # The router takes this report of its own off the loads, which
+                # are those of now, and not of when it was answered.
+                item.answer.counted = session.router.counted
         return items + waiting
 
     def _tick(self) -> None:
