What all routers are told is found out and made once, in one place

Read again: messages made once a state stood three times, each with its own cache (loads, lists of instances, and the changes beneath both), and the list of routers, the twin beside them, was made anew for every stream. A list that waited for its turn on the link was copied into an item for each stream at every tick, only to be measured; and the sums made an object for each instance at every tick to add a bit to a number.

Now deltas.History makes and keeps the messages for all three; what is large is measured before it is copied (without the few bytes around it); the bit is added by a function. Same states, same messages, same assertions.

--- a/src/honeyport/control/deltas.py
+++ b/src/honeyport/control/deltas.py
@@ -1,15 +1,18 @@
-"""Numbered states of a mapping, and what leads from one to the latest.
+"""Numbered states of a mapping, and the messages that lead to the latest.
 
 The leader tells hundreds of routers the same; most have the state before the
-latest one. What changed is found out once for all that have the same state.
+latest one. What changed is found out, and the message about it made, once for
+all that have the same state.
 """
 
 import collections
+import collections.abc
 import typing
 
 import attrs
 
 V = typing.TypeVar('V')
+M = typing.TypeVar('M')
 
 
 @attrs.frozen
@@ -24,19 +27,23 @@
     removed: tuple[str, ...] = ()
 
 
-class History(typing.Generic[V]):
+class History(typing.Generic[V, M]):
     """The latest states of a mapping.
 
     :param kept: how many states a change can start from
+    :param make: makes the message about a change
     """
 
-    def __init__(self, kept: int) -> None:
+    def __init__(
+        self, kept: int, make: collections.abc.Callable[[Change[V]], M]
+    ) -> None:
         self._most = kept
+        self._make = make
         self._number = 0
         self._kept: collections.OrderedDict[int, dict[str, V]] = (
             collections.OrderedDict()
         )
-        self._changes: dict[int, Change[V]] = {}
+        self._messages: dict[int, M] = {}
 
     @property
     def number(self) -> int:
@@ -61,19 +68,24 @@
         self._kept[number] = found
         if len(self._kept) > self._most:
             self._kept.popitem(last=False)
-        self._changes.clear()
+        self._messages.clear()
 
-    def change(self, base: int) -> Change[V]:
+    def forget(self) -> None:
+        """Forget all states: no change can start from them any more."""
+        self._kept.clear()
+        self._messages.clear()
+
+    def message(self, base: int) -> M:
         """Return what leads to the latest state.
 
         :param base: the number of the state before; the whole state is
-            returned if it is not known any more
+            told if it is not known any more
         """
         if base not in self._kept:
             base = 0
-        if base not in self._changes:
-            self._changes[base] = self._compare(base)
-        return self._changes[base]
+        if base not in self._messages:
+            self._messages[base] = self._make(self._compare(base))
+        return self._messages[base]
 
     def _compare(self, base: int) -> Change[V]:
         latest = self.latest
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -308,11 +308,11 @@
     running: collections.Counter[str], unreachable: frozenset[str]
 ) -> dict[str, int]:
     codes = {
-        name: instance_load.Load(count, name in unreachable).code
-        for name, count in running.items()
+        name: instance_load.encode(count) for name, count in running.items()
     }
-    at_rest = instance_load.Load(0, unreachable=True).code
-    return dict.fromkeys(unreachable - codes.keys(), at_rest) | codes
+    for name in unreachable:
+        codes[name] = instance_load.encode(running[name], unreachable=True)
+    return codes
 
 
 def _identities(
--- a/src/honeyport/control/listings.py
+++ b/src/honeyport/control/listings.py
@@ -21,11 +21,14 @@
 
     def clear(self) -> None:
         """Forget all lists: this replica leads no longer."""
-        self._history: deltas.History[pb.Instance] = deltas.History(_KEPT)
+        self._history: deltas.History[pb.Instance, pb.InstanceList] = (
+            deltas.History(_KEPT, self._make)
+        )
         self._latest: list[pb.Instance] = []
         self._taken: tuple[int, list[pb.Instance]] | None = None
         self._digests = b''
-        self._packed: dict[int | bytes, bytes] = {}
+        # To what another leader sent: by its number and its digests.
+        self._from_others: dict[tuple[int, bytes], pb.InstanceList] = {}
         self._indexes: dict[str, int] = {}
         self._domains: dict[str, str] = {}
 
@@ -71,7 +74,7 @@
         by_id = {one.id: one for one in self._latest}
         self._history.take(number, by_id)
         self._digests = b''
-        self._packed.clear()
+        self._from_others.clear()
         self._domains = {one.id: one.domain for one in self._latest}
         self._indexes = {
             one.id: index for index, one in enumerate(self._latest)
@@ -83,35 +86,32 @@
         :param number: of the list that the router has; 0 if it has none
         :param digests: of that list, where another leader may have sent it
         """
-        if self._history.knows(number):
-            base, change = number, self._change(number)
-        elif number and digests:
-            base, change = number, self._parts_that_differ(digests)
-        else:
-            base, change = 0, self._change(0)
+        if self._history.knows(number) or not (number and digests):
+            return self._history.message(number)
+        key = (number, digests)
+        if key not in self._from_others:
+            change = self._parts_that_differ(digests)
+            self._from_others[key] = self._list_from(number, change)
+        return self._from_others[key]
+
+    def _make(self, change: deltas.Change[pb.Instance]) -> pb.InstanceList:
+        packed = listing.pack(change.put.values(), change.removed)
+        return self._list_from(change.base, packed)
+
+    def _list_from(self, base: int, change: bytes) -> pb.InstanceList:
         return pb.InstanceList(number=self.number, base=base, change=change)
 
-    def _change(self, base: int) -> bytes:
-        if base not in self._packed:
-            found = self._history.change(base)
-            self._packed[base] = listing.pack(
-                found.put.values(), found.removed
-            )
-        return self._packed[base]
-
     def _parts_that_differ(self, digests: bytes) -> bytes:
         """Return the parts that a router has not, and what is cold.
 
         As a rule all routers had the same list from the former leader.
         """
-        if digests not in self._packed:
-            if not self._digests:
-                self._digests = listing.digests(self._latest)
-            parts = set(listing.differing(self._digests, digests))
-            put = [
-                one
-                for one in self._latest
-                if one.cold_ms or listing.part(one.id) in parts
-            ]
-            self._packed[digests] = listing.pack(put, parts=sorted(parts))
-        return self._packed[digests]
+        if not self._digests:
+            self._digests = listing.digests(self._latest)
+        parts = set(listing.differing(self._digests, digests))
+        put = [
+            one
+            for one in self._latest
+            if one.cold_ms or listing.part(one.id) in parts
+        ]
+        return listing.pack(put, parts=sorted(parts))
--- a/src/honeyport/control/loads.py
+++ b/src/honeyport/control/loads.py
@@ -48,8 +48,9 @@
         self._lists = lists
         self._list_number = 0
         self._latest: Sum | None = None
-        self._history: deltas.History[int] = deltas.History(_KEPT)
-        self._messages: dict[int, pb.Loads] = {}
+        self._history: deltas.History[int, pb.Loads] = deltas.History(
+            _KEPT, self._make
+        )
 
     @property
     def number(self) -> int:
@@ -64,33 +65,25 @@
         """
         if self._lists.number != self._list_number:
             self._list_number = self._lists.number
-            number = self._history.number
-            self._history = deltas.History(_KEPT)
-            self._history.take(number + 1, found.codes)
-        elif found != self._latest:
-            self._history.take(self._history.number + 1, found.codes)
-        else:
+            self._history.forget()
+        elif found == self._latest:
             return
         self._latest = found
-        self._messages.clear()
+        self._history.take(self._history.number + 1, found.codes)
 
     def message(self, base: int) -> pb.Loads:
         """Return what brings a router to the latest sum.
 
         :param base: the number of the sum that it has; 0 for none
         """
-        if not self._history.knows(base):
-            base = 0
-        if base not in self._messages:
-            self._messages[base] = self._make(base)
-        return self._messages[base]
+        return self._history.message(base)
 
-    def _make(self, base: int) -> pb.Loads:
+    def _make(self, change: deltas.Change[int]) -> pb.Loads:
         assert self._latest is not None
         latest = self._latest
         message = pb.Loads(
             number=self.number,
-            base=base,
+            base=change.base,
             settled=latest.settled,
             settled_version=latest.settled_version,
             down=latest.down,
@@ -99,7 +92,6 @@
         )
         for service, running in sorted(latest.totals.items()):
             message.totals.add(service=service, running=running)
-        change = self._history.change(base)
         self._name(message, {**dict.fromkeys(change.removed, 0), **change.put})
         return message
 
--- a/src/honeyport/control/news.py
+++ b/src/honeyport/control/news.py
@@ -86,8 +86,8 @@
         self._versions = versions.Versions()
         self._accepted = node.machine.accepted
         self._presence = _Presence({}, ())
-        self._presences: deltas.History[pb.Member] = deltas.History(
-            _KEPT_PRESENCES
+        self._presences: deltas.History[pb.Member, pb.Presence] = (
+            deltas.History(_KEPT_PRESENCES, self._make_presence)
         )
         self._presence_due = float('-inf')
         self._latest = Told()
@@ -142,11 +142,17 @@
         :returns: the items, and what the router knows with them
         """
         items = self._small_items(told, hello)
-        large = self._large_items(told, hello)
-        size = sum(item.ByteSize() for item in large)
+        # Measured before it is copied into items: a stream that waits for its
+        # turn asks again at every tick.
+        large = self._large(told, hello)
+        size = sum(message.ByteSize() for message in large.values())
         now = asyncio.get_running_loop().time()
         if size <= _SMALL_BYTES or self._pace.may_send(size, now):
-            return items + large, self._latest
+            items += [
+                pb.ControlItem(**{kind: message})
+                for kind, message in large.items()
+            ]
+            return items, self._latest
         rest = attrs.evolve(
             self._latest, instances=told.instances, version=told.version
         )
@@ -167,27 +173,28 @@
         if news.view and news.view != told.view and not hello.no_view:
             items.append(pb.ControlItem(view=self._fleet.view))
         if news.presence and news.presence != told.presence:
-            message = self._presence_from(told.presence)
+            message = self._presences.message(told.presence)
             items.append(pb.ControlItem(presence=message))
         if news.replicas != told.replicas:
             replicas = pb.Replicas(addresses=news.replicas)
             items.append(pb.ControlItem(replicas=replicas))
         return items
 
-    def _large_items(
+    def _large(
         self, told: Told, hello: pb.Hello
-    ) -> list[pb.ControlItem]:
+    ) -> dict[str, pb.InstanceList | pb.Config]:
+        """Return the messages that may be large, by the kind of item."""
         news = self._latest
-        items = []
+        found: dict[str, pb.InstanceList | pb.Config] = {}
         if news.instances and news.instances != told.instances:
-            message = self._lists.message(
+            found['instances'] = self._lists.message(
                 told.instances, hello.instances_digests
             )
-            items.append(pb.ControlItem(instances=message))
         if news.version != told.version:
-            config = self._versions.message(told.version, self._accepted)
-            items.append(pb.ControlItem(config=config))
-        return items
+            found['config'] = self._versions.message(
+                told.version, self._accepted
+            )
+        return found
 
     def _knows(self, hello: pb.Hello) -> bool:
         """Whether the router holds a version that deltas can start from."""
@@ -206,8 +213,7 @@
         self._presence = found
         self._presences.take(self._presences.number + 1, found.members)
 
-    def _presence_from(self, base: int) -> pb.Presence:
-        change = self._presences.change(base)
+    def _make_presence(self, change: deltas.Change[pb.Member]) -> pb.Presence:
         return pb.Presence(
             members=change.put.values(),
             leaving=self._presence.leaving,
--- a/src/honeyport/policy/reach.py
+++ b/src/honeyport/policy/reach.py
@@ -148,7 +148,7 @@
 ) -> set[str]:
     """Return the failure domains that are lost as a whole."""
     counts = collections.Counter(domains[one] for one in held & domains.keys())
-    if not counts:
+    if not counts.keys() - heard:
         return set()
     sizes = collections.Counter(domains.values())
     return {
--- a/src/honeyport/wire/instance_load.py
+++ b/src/honeyport/wire/instance_load.py
@@ -14,10 +14,10 @@
     running: int
     unreachable: bool = False
 
-    @property
-    def code(self) -> int:
-        """The number that stands for it; 0 for an instance at rest."""
-        return 2 * self.running + self.unreachable
+
+def encode(running: int, *, unreachable: bool = False) -> int:
+    """Return the number for an instance; 0 for one at rest."""
+    return 2 * running + unreachable
 
 
 def decode(code: int) -> Load:
