A gateway looks at all instances only where something changed

Read again: every message of control made a gateway look through all instances for the end of an evacuation that had not ended; each choice asked twice of each instance whether it is cold; and in fleets smaller than what a cold instance's senders may be, its senders were hashed anew at each choice, for the kept ranking never seemed long enough. What an instance tolerates was looked up in two places.

--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -80,10 +80,13 @@
         """
         ended = self._evacuated - domains
         self._evacuated = domains
+        if not ended:
+            return
         for found in self._services.values():
             for one in found:
                 if one.domain in ended:
-                    self._take_for_cold(one, _now())
+                    until = _now() + self._tolerance(one).cold_s
+                    self._spells.note(one.id, until)
 
     def meet(self, gateways: collections.abc.Collection[str]) -> None:
         """Take the names of the gateways that callers are sent to."""
@@ -270,13 +273,6 @@
             return True
         return self._regions.get(instance.domain) in regions
 
-    def _take_for_cold(
-        self, instance: placement.Instance, since: float
-    ) -> None:
-        """Take it that an instance has turned cold, or may have."""
-        tolerance = self._tolerances.get(instance.service, cold.Tolerance())
-        self._spells.note(instance.id, since + tolerance.cold_s)
-
     def _among(
         self,
         found: list[placement.Instance],
@@ -288,23 +284,27 @@
         lately, and have room.
         """
         now = _now()
-        warm = [one for one in found if not self._spells.is_cold(one.id, now)]
+        warm: list[placement.Instance] = []
+        cold_ones: list[placement.Instance] = []
+        for one in found:
+            is_cold = self._spells.is_cold(one.id, now)
+            (cold_ones if is_cold else warm).append(one)
         sound = self._sound(warm)
-        cold_ones = [
+        spared = [
             one
-            for one in found
-            if self._spells.is_cold(one.id, now)
-            and self._cold_shares.may_take(
-                one.id, self._most(one), now, is_last=not sound
+            for one in cold_ones
+            if self._cold_shares.may_take(
+                one.id, self._tolerance(one).most, now, is_last=not sound
             )
         ]
-        ready = self._sound(cold_ones)
+        ready = self._sound(spared)
         if sound:
             return placement.Candidates(sound, ready, peers)
-        return placement.Candidates(ready or warm or cold_ones, (), peers)
+        return placement.Candidates(ready or warm or spared, (), peers)
 
-    def _most(self, instance: placement.Instance) -> float:
-        return self._tolerances.get(instance.service, cold.Tolerance()).most
+    def _tolerance(self, instance: placement.Instance) -> cold.Tolerance:
+        """Return what an instance takes while it is cold."""
+        return self._tolerances.get(instance.service, cold.Tolerance())
 
     def _may_be_copied(self, instance: placement.Instance) -> bool:
         now = _now()
--- a/src/honeyport/policy/cold.py
+++ b/src/honeyport/policy/cold.py
@@ -115,6 +115,7 @@
         self._name = name
         self._members: Names = ()
         self._gone: dict[str, float] = {}  # since when they are not listed
+        self._known: Names = ()  # both
         self._ranked: dict[str, list[str]] = {}
         self._sent: dict[str, collections.deque[float]] = {}
 
@@ -127,6 +128,7 @@
         for name in members:
             self._gone.pop(name, None)
         self._members = members
+        self._known = {*members, *self._gone}
         self._ranked.clear()
 
     def may_take(
@@ -172,9 +174,8 @@
     def _rank(self, instance: str, most: int) -> list[str]:
         """Return the gateways that may send to an instance, in order."""
         ranked = self._ranked.get(instance)
-        if ranked is None or len(ranked) < most:
-            known = {*self._members, *self._gone}
-            ranked = hashing.rank(instance, known, most)
+        if ranked is None or len(ranked) < min(most, len(self._known)):
+            ranked = hashing.rank(instance, self._known, most)
             self._ranked[instance] = ranked
         return ranked[:most]
 
