Who does not lead sends an operator on in one place

Read again: three calls each caught that another replica leads, and each asked whether there is a replica here at all. Both are one error now, caught where calls are answered. The order to evacuate and the order to take back were two functions that two callers chose between by the same flag; it is one, with the flag. The property that named the leader is used by nobody any more and is gone.

--- a/src/honeyport/control/evacuations.py
+++ b/src/honeyport/control/evacuations.py
@@ -24,32 +24,24 @@
         """The domains that are evacuated, as far as this replica knows."""
         return self._node.machine.evacuated
 
-    async def begin(self, domain: str) -> None:
+    async def order(self, domain: str, *, ends: bool) -> None:
         """Return once it is committed that a domain gets nothing new.
 
-        The same order may come again, whatever became of the one before.
+        The same order may come again, whatever became of the one before. It
+        is committed also where it changes nothing: another one may be on its
+        way to the log, and their order there alone decides.
 
+        :param ends: whether the domain is taken back
         :raises errors.NotLeader: if another replica has to be asked
         :raises errors.CommitUnknown: if nobody knows whether it is in force
         """
-        await self._commit(pb.EvacuationChange(begun=[domain]))
-        logs.emit(events.EVACUATION_BEGUN, domain=domain)
-
-    async def end(self, domain: str) -> None:
-        """Return once it is committed that a domain is taken back.
-
-        :raises errors.NotLeader: if another replica has to be asked
-        :raises errors.CommitUnknown: if nobody knows whether it is in force
-        """
-        await self._commit(pb.EvacuationChange(ended=[domain]))
-        logs.emit(events.EVACUATION_ENDED, domain=domain)
-
-    async def _commit(self, change: pb.EvacuationChange) -> None:
-        """Commit a change, also one that changes nothing.
-
-        An order that was sent before this one may be on its way to the log;
-        what is in force is decided by their order there alone.
-        """
         if not self._node.leads:
             raise errors.NotLeader(self._node.leader_address)
+        if ends:
+            change = pb.EvacuationChange(ended=[domain])
+            event = events.EVACUATION_ENDED
+        else:
+            change = pb.EvacuationChange(begun=[domain])
+            event = events.EVACUATION_BEGUN
         await self._node.propose(change)
+        logs.emit(event, domain=domain)
--- a/src/honeyport/control/operators.py
+++ b/src/honeyport/control/operators.py
@@ -136,8 +136,7 @@
             raise errors.UnknownDomain(
                 f'no failure domain {domain!r}; there are {sorted(known)}'
             )
-        desk = self._evacuations
-        await (desk.end(domain) if ends else desk.begin(domain))
+        await self._evacuations.order(domain, ends=ends)
 
     def _receipt(self, signed: signing.Signed) -> pb.SubmitAnswer | None:
         """Return the receipt of a version that is accepted already.
--- a/src/honeyport/control/replacement.py
+++ b/src/honeyport/control/replacement.py
@@ -23,11 +23,6 @@
     def __init__(self, node: replica.Replica) -> None:
         self._node = node
 
-    @property
-    def leader(self) -> str:
-        """The address of the leading replica, or ``''``."""
-        return self._node.leader_address
-
     async def replace(self, bundle: model.Bundle, document: bytes) -> None:
         """Return once a configuration is committed, or was overtaken.
 
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -102,23 +102,13 @@
     except errors.BundleInvalid as error:
         logs.emit(events.REPLACEMENT_REFUSED, detail=error.detail)
         raise
-    if parts.desks is None:
-        return _redirect(parts, request)
-    try:
-        await parts.desks.configurations.replace(bundle, request.body)
-    except errors.NotLeader as error:
-        return _redirect(parts, request, error.detail)
+    await _desks(parts).configurations.replace(bundle, request.body)
     return _json({'version': bundle.version})
 
 
 @page('GET', '/api/configuration/read')
 async def _read(parts: Parts, request: httputil.HTTPServerRequest) -> Reply:
-    if parts.desks is None:
-        return _redirect(parts, request)
-    try:
-        document = parts.desks.configurations.read()
-    except errors.NotLeader as error:
-        return _redirect(parts, request, error.detail)
+    document = _desks(parts).configurations.read()
     return Reply(body=document, headers={'Content-Type': 'application/json'})
 
 
@@ -126,39 +116,38 @@
 async def _evacuate(
     parts: Parts, request: httputil.HTTPServerRequest, domain: str
 ) -> Reply:
-    return await _order_evacuation(parts, request, domain, ends=False)
+    return await _order_evacuation(parts, domain, ends=False)
 
 
 @page('POST', '/api/evacuations/{domain}/finish')
 async def _take_back(
     parts: Parts, request: httputil.HTTPServerRequest, domain: str
 ) -> Reply:
-    return await _order_evacuation(parts, request, domain, ends=True)
+    return await _order_evacuation(parts, domain, ends=True)
 
 
-async def _order_evacuation(
-    parts: Parts,
-    request: httputil.HTTPServerRequest,
-    domain: str,
-    *,
-    ends: bool,
-) -> Reply:
+async def _order_evacuation(parts: Parts, domain: str, *, ends: bool) -> Reply:
     """Begin or end an evacuation.
 
     :raises errors.UnknownDomain: if the settings name no such domain
     """
     if domain not in parts.settings.regions:
         raise errors.UnknownDomain(f'no failure domain {domain!r}')
-    if parts.desks is None:
-        return _redirect(parts, request)
-    desk = parts.desks.evacuations
-    try:
-        await (desk.end(domain) if ends else desk.begin(domain))
-    except errors.NotLeader as error:
-        return _redirect(parts, request, error.detail)
+    desk = _desks(parts).evacuations
+    await desk.order(domain, ends=ends)
     return _json({'evacuated': sorted(desk.evacuated)})
 
 
+def _desks(parts: Parts) -> 'replica.Desks':
+    """Return where operators ask the replica beside us.
+
+    :raises errors.NotLeader: if there is none; what asks is sent on
+    """
+    if parts.desks is None:
+        raise errors.NotLeader('')
+    return parts.desks
+
+
 def serve(parts: Parts) -> list[httpserver.HTTPServer]:
     """Answer calls on all the addresses that the platform names."""
     settings = parts.settings
@@ -189,7 +178,7 @@
 
 async def _answer(parts: Parts, request: httputil.HTTPServerRequest) -> None:
     try:
-        reply = await _find(request)(parts, request)
+        reply = await _reply(parts, request)
     except errors.HoneyportError as error:
         reply = _json({'error': error.to_dict()}, error.status)
     except Exception as error:
@@ -198,6 +187,15 @@
     _write(request, reply)
 
 
+async def _reply(parts: Parts, request: httputil.HTTPServerRequest) -> Reply:
+    """Answer a call, or send whoever makes it to the leading replica."""
+    call = _find(request)
+    try:
+        return await call(parts, request)
+    except errors.NotLeader as error:
+        return _redirect(parts, request, error.detail)
+
+
 def _find(request: httputil.HTTPServerRequest) -> Call:
     """Return the function that answers a call, with what its path names.
 
@@ -248,10 +246,11 @@
 
 
 def _redirect(
-    parts: Parts, request: httputil.HTTPServerRequest, leader: str = ''
+    parts: Parts, request: httputil.HTTPServerRequest, leader: str
 ) -> Reply:
     """Send an operator to the leading replica.
 
+    :param leader: its address as the replica beside us knows it, or ``''``
     :raises errors.ControlUnavailable: if none is known
     """
     leader = leader or parts.gateway.leader
