Settings of cold instances and of the link have names of the product

Read again: cold_overage, cold_tolerance, cold_per_s and link_mbps are names of the platform, and stood in the settings, the bundle, the gateway and the control replica. They are cold_multiple, cold_extra, cold_rate and bandwidth_mbps now; the adapter alone knows the others.

--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -14,7 +14,7 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _SERVICE = 'llm'
-_TOLERANCE = cold.tolerance(3.0, 9.6, overage=1.5, extra=5.0)
+_TOLERANCE = cold.tolerance(3.0, 9.6, multiple=1.5, extra=5.0)
 _COLD_MS = 3000
 _STAY_S = 0.3
 _SEEDS = (1, 2, 3)
--- a/features/steps/domain_steps.py
+++ b/features/steps/domain_steps.py
@@ -26,7 +26,7 @@
         self.held = contextlib.ExitStack()
         self.balancer = balancer.Balancer('g-1', domains[0], self.regions)
         self.balancer.tolerate(
-            {_SERVICE: cold.tolerance(2.5, 2.0, overage=1.5, extra=2.0)}
+            {_SERVICE: cold.tolerance(2.5, 2.0, multiple=1.5, extra=2.0)}
         )
         self.listed = pb.Instances(number=1)
         for domain in domains:
--- a/features/steps/platform_format_steps.py
+++ b/features/steps/platform_format_steps.py
@@ -131,8 +131,8 @@
     found = cold.tolerance(
         3.0,
         per_s,
-        overage=context.found.cold_overage,
-        extra=context.found.cold_tolerance,
+        multiple=context.found.cold_multiple,
+        extra=context.found.cold_extra,
     )
     assert abs(found.most - most) < 1e-9, found
 
@@ -189,7 +189,7 @@
 )
 def step_cold_service(context, service, cold_s, per_s):
     found = context.found.services[service]
-    assert (found.cold_s, found.cold_per_s) == (cold_s, per_s), found
+    assert (found.cold_s, found.cold_rate) == (cold_s, per_s), found
 
 
 @behave.then('"{call}" with key "{key}" may run in {regions} alone')
--- a/src/honeyport/bundle/model.py
+++ b/src/honeyport/bundle/model.py
@@ -123,7 +123,7 @@
         0.0,
         check=fields.at_least(0),
     )
-    cold_per_s: float = fields.field(
+    cold_rate: float = fields.field(
         'requests a second that an instance is made for while it is cold',
         0.0,
         check=fields.at_least(0),
--- a/src/honeyport/control/group.py
+++ b/src/honeyport/control/group.py
@@ -76,7 +76,7 @@
         ),
         seed=zlib.crc32(settings.name.encode()),
     )
-    routers = sessions.Sessions(node, counters, settings.link_mbps)
+    routers = sessions.Sessions(node, counters, settings.bandwidth_mbps)
     server = channels.server()
     rpc.add_ReplicaServicer_to_server(links.ReplicaServicer(node), server)
     rpc.add_SessionServicer_to_server(routers, server)
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -62,17 +62,17 @@
 class Sessions(rpc.SessionServicer):
     """All streams of routers to this replica.
 
-    :param link_mbps: bandwidth of its link, in Mbit/s
+    :param bandwidth_mbps: bandwidth of its link, in Mbit/s
     """
 
     def __init__(
         self,
         node: replica.Replica,
         counters: metrics.Metrics,
-        link_mbps: float = 1000.0,
+        bandwidth_mbps: float = 1000.0,
     ) -> None:
         self._node = node
-        self._pace = pacing.link(link_mbps)
+        self._pace = pacing.link(bandwidth_mbps)
         self._metrics = counters
         self._sessions: dict[str, Session] = {}
         self._lists = listings.Listings()
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -200,9 +200,9 @@
             {
                 name: cold.tolerance(
                     service.cold_s,
-                    service.cold_per_s,
-                    overage=self._settings.cold_overage,
-                    extra=self._settings.cold_tolerance,
+                    service.cold_rate,
+                    multiple=self._settings.cold_multiple,
+                    extra=self._settings.cold_extra,
                 )
                 for name, service in bundle.services.items()
             }
--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -19,9 +19,9 @@
 _RETRY_EXTRA = 50.0  # below the least that a page names, 58
 _RETRY_WINDOW_S = 10.0
 _TTL_S = 5.0
-_LINK_MBPS = 1000.0
-_COLD_OVERAGE = 1.0  # what a cold instance is made for, and no more
-_COLD_TOLERANCE = 0.0
+_BANDWIDTH_MBPS = 1000.0
+_COLD_MULTIPLE = 1.0  # what a cold instance is made for, and no more
+_COLD_EXTRA = 0.0
 _ZONES = 'zones.'  # how fields begin that name a failure domain's region
 # Where metrics are served, as `deploy/system.toml` names it: the platform
 # draws all other ports anew each day. Usual for exporters of metrics.
@@ -55,10 +55,10 @@
     :ivar grace_s: from SIGTERM to SIGKILL
     :ivar ttl_s: longest time that callers keep an address list
     :ivar regions: the region of each failure domain (the platform's zones)
-    :ivar link_mbps: bandwidth of the machine's link, in Mbit/s
-    :ivar cold_overage: the multiple of what a cold instance is made for that
+    :ivar bandwidth_mbps: bandwidth of the machine's link, in Mbit/s
+    :ivar cold_multiple: the multiple of what a cold instance is made for that
         it tolerates within one second
-    :ivar cold_tolerance: and so many more
+    :ivar cold_extra: and so many more
     """
 
     name: str
@@ -82,9 +82,9 @@
     grace_s: float
     ttl_s: float
     regions: dict[str, str]
-    link_mbps: float
-    cold_overage: float
-    cold_tolerance: float
+    bandwidth_mbps: float
+    cold_multiple: float
+    cold_extra: float
 
     @property
     def replica(self) -> str:
@@ -177,11 +177,9 @@
             grace_s=self._number('bounds.grace_period_s', _GRACE_S),
             ttl_s=self._number('bounds.ttl_max_s', _TTL_S),
             regions=self._regions(),
-            link_mbps=self._number('limits.link_mbps', _LINK_MBPS),
-            cold_overage=self._number('bounds.cold_overage', _COLD_OVERAGE),
-            cold_tolerance=self._number(
-                'bounds.cold_tolerance', _COLD_TOLERANCE
-            ),
+            bandwidth_mbps=self._number('limits.link_mbps', _BANDWIDTH_MBPS),
+            cold_multiple=self._number('bounds.cold_overage', _COLD_MULTIPLE),
+            cold_extra=self._number('bounds.cold_tolerance', _COLD_EXTRA),
         )
 
     def _regions(self) -> dict[str, str]:
--- a/src/honeyport/platform/configuration.py
+++ b/src/honeyport/platform/configuration.py
@@ -127,7 +127,7 @@
         health_path=one.text('health_path'),
         max_connections=one.whole('max_connections', least=1),
         cold_s=one.number('cold_start_s'),
-        cold_per_s=one.number('cold_per_s'),
+        cold_rate=one.number('cold_per_s'),
     )
 
 
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -70,8 +70,8 @@
             control=self._boot.control,
             replica=self._boot.replica,
             regions=self._boot.regions,
-            cold_overage=self._boot.cold_overage,
-            cold_tolerance=self._boot.cold_tolerance,
+            cold_multiple=self._boot.cold_multiple,
+            cold_extra=self._boot.cold_extra,
         )
 
     async def start(
--- a/src/honeyport/platform/replica.py
+++ b/src/honeyport/platform/replica.py
@@ -44,7 +44,7 @@
         voters=2 * told.losses + 1,
         may_found=told.founding,
         signers={},
-        link_mbps=told.link_mbps,
+        bandwidth_mbps=told.bandwidth_mbps,
     )
     parts = group.create(settings, tree, counters)
     listed = catalog.Catalog(
--- a/src/honeyport/policy/cold.py
+++ b/src/honeyport/policy/cold.py
@@ -57,18 +57,18 @@
 
 
 def tolerance(
-    cold_s: float, per_s: float, *, overage: float, extra: float
+    cold_s: float, rate: float, *, multiple: float, extra: float
 ) -> Tolerance:
     """Return the tolerance of a service from what its operator states.
 
     :param cold_s: 0 if its instances do not turn cold
-    :param per_s: requests a second that a cold instance is made for
-    :param overage: the multiple of these that operators tolerate
+    :param rate: requests a second that a cold instance is made for
+    :param multiple: of these, as operators tolerate it
     :param extra: how many more in one second
     """
     if cold_s <= 0:
         return Tolerance()
-    return Tolerance(cold_s=cold_s, most=per_s * overage + extra)
+    return Tolerance(cold_s=cold_s, most=rate * multiple + extra)
 
 
 class Spells:
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -42,13 +42,13 @@
     regions: dict[str, str] = fields.field(
         'the region of each failure domain', factory=dict
     )
-    cold_overage: float = fields.field(
-        'the multiple of cold_per_s of a service that a cold instance '
+    cold_multiple: float = fields.field(
+        'the multiple of cold_rate of a service that a cold instance '
         'tolerates within one second',
         1.5,
         check=fields.at_least(0),
     )
-    cold_tolerance: float = fields.field(
+    cold_extra: float = fields.field(
         'requests that it tolerates on top of that',
         5.0,
         check=fields.at_least(0),
@@ -114,7 +114,7 @@
         120,
         check=fields.at_least(10),
     )
-    link_mbps: float = fields.field(
+    bandwidth_mbps: float = fields.field(
         'bandwidth of its link in Mbit/s: half of it is for lists and '
         'configurations of routers that attach',
         1000.0,
