An address on the command line is checked as one in the settings is

Read again: the verbs had a check of their own beside settings.fields, which takes the port's range into account, too. Imported where it is needed, like all that the verbs use: help does not load it.

--- a/src/honeyport/cli.py
+++ b/src/honeyport/cli.py
@@ -272,14 +272,16 @@
 
     :raises errors.UsageInvalid: if one of them is no address
     """
+    from honeyport.settings import fields
+
     if isinstance(addresses, str):
         addresses = addresses.split(',')
     found = [str(address) for address in addresses]
     for address in found:
-        host, _, port = address.rpartition(':')
-        if not host or not port.isdigit():
+        expected = fields.address(address)
+        if expected:
             raise errors.UsageInvalid(
-                f'{address!r} is no address: IP:PORT, several with commas'
+                f'{address!r} is no address: {expected}, several with commas'
             )
     return found
 
