An endless number in a configuration is refused as invalid everywhere

Read again: the check that a number is finite had been added to the new fields alone, beside the twin that reads whole numbers. There, Infinity and NaN raised an error that nobody caught: the operator got 500, which is no refusal, and sent the same again. Both read through one check now.

Three rows of the outline of invalid configurations: two failed first (OverflowError, ValueError), the third is the check that there was.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -28,6 +28,9 @@
       | limits.idle_timeout_ms             | "long"         | a number             |
       | services.0.cold_start_s            | -1             | at least 0           |
       | services.0.cold_per_s              | "few"          | a number             |
+      | services.0.cold_per_s              | Infinity       | finite               |
+      | routes.0.timeout_ms                | Infinity       | finite               |
+      | limits.max_body_bytes              | NaN            | finite               |
       | routes.0.allowed_regions           | "hcm"          | a list of texts      |
       | tenants.0.allowed_regions          | [7]            | a list of texts      |
 
--- a/src/honeyport/platform/configuration.py
+++ b/src/honeyport/platform/configuration.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 import json
-import math
+import sys
 import typing
 
 from honeyport.bundle import model
@@ -78,21 +78,23 @@
         return value
 
     def whole(self, name: str, default: int | None = None, least: int = 0):
-        value = self._fields.get(name, default)
-        if isinstance(value, bool) or not isinstance(value, (int, float)):
-            self.fail(name, 'a number')
-        if value < least:
-            self.fail(name, f'at least {least}')
-        return int(value)
+        return int(self._finite(name, default, least))
 
     def number(self, name: str, default: float = 0.0) -> float:
         """Return a number that is not negative."""
+        return float(self._finite(name, default, 0))
+
+    def _finite(
+        self, name: str, default: float | None, least: float
+    ) -> int | float:
         value = self._fields.get(name, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             self.fail(name, 'a number')
-        if not 0 <= value < math.inf:
-            self.fail(name, 'at least 0, and finite')
-        return float(value)
+        if not abs(value) <= sys.float_info.max:
+            self.fail(name, 'a finite number')
+        if value < least:
+            self.fail(name, f'at least {least}')
+        return value
 
     def flag(self, name: str) -> bool:
         value = self._fields.get(name, False)
