Tests make prompts and lists of instances in one place

Read again: the same prompt stood in three step files and the same list of instances in three; drawing what runs where stood twice in one. They are in features/support/choices.py and one function now. Steps and assertions as they were.

--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -6,14 +6,13 @@
 
 import behave
 
+from features.support import choices
 from features.support import simulation
 from honeyport import errors
 from honeyport.gateway import balancer
 from honeyport.policy import cold
 from honeyport.policy import prefixes
-from honeyport.wire import honeyport_pb2 as pb
 
-_SERVICE = 'llm'
 _TOLERANCE = cold.tolerance(3.0, 9.6, multiple=1.5, extra=5.0)
 _COLD_MS = 3000
 _STAY_S = 0.3
@@ -44,7 +43,7 @@
         loop.run_until_complete(self._play(drawn, per_s, hot_per_s, seconds))
 
     async def _play(self, drawn, per_s, hot_per_s, seconds):
-        choices = [self._gateway(name) for name in self.names]
+        gateways = [self._gateway(name) for name in self.names]
         prompt = self._hot_prompt()
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
@@ -52,26 +51,18 @@
             await asyncio.sleep(drawn.expovariate(per_s))
             parts = prompt
             if drawn.random() >= hot_per_s / per_s:
-                parts = _prompt(f'subject-{drawn.randrange(500)}')
-            self._send(drawn.choice(choices), parts)
+                parts = choices.prompt(f'subject-{drawn.randrange(500)}')
+            self._send(drawn.choice(gateways), parts)
 
     def _gateway(self, name):
         made = balancer.Balancer(name, 'thu-duc', {})
-        made.tolerate({_SERVICE: _TOLERANCE})
+        made.tolerate({choices.SERVICE: _TOLERANCE})
         for members in (self.seen_lately.get(name), self.seen[name]):
             if members is not None:
                 made.meet(members)
-        listed = pb.Instances(number=1)
-        for one in self.instances:
-            listed.instances.add(
-                id=one,
-                service=_SERVICE,
-                address=one,
-                domain='thu-duc',
-                slots=64,
-                place=one,
-                cold_ms=_COLD_MS if one in self.cold else 0,
-            )
+        listed = choices.listed(dict.fromkeys(self.instances, 'thu-duc'))
+        for one in listed.instances:
+            one.cold_ms = _COLD_MS if one.id in self.cold else 0
         made.regard(listed, {}, asyncio.get_running_loop().time())
         return made
 
@@ -79,7 +70,7 @@
         """Return a prompt whose first choice is a cold instance."""
         number = 0
         while True:
-            parts = _prompt(f'hot-{number}')
+            parts = choices.prompt(f'hot-{number}')
             if next(prefixes.order(parts, self.instances)) in self.cold:
                 return parts
             number += 1
@@ -87,7 +78,7 @@
     def _send(self, choice, parts):
         self.offered += 1
         try:
-            chosen = choice.choose(_SERVICE, parts, ()).instance
+            chosen = choice.choose(choices.SERVICE, parts, ()).instance
         except errors.NoInstance:
             return
         self.sent += 1
@@ -108,14 +99,6 @@
         return most
 
 
-def _prompt(subject):
-    return (
-        prefixes.Part('lead', 2500),
-        prefixes.Part(subject, 6000),
-        prefixes.Part('own', 500),
-    )
-
-
 @behave.given(
     '{gateways:d} gateways before {instances:d} instances, of which '
     '{count:d} is cold'
--- a/features/steps/domain_steps.py
+++ b/features/steps/domain_steps.py
@@ -5,14 +5,12 @@
 
 import behave
 
+from features.support import choices
 from features.support import simulation
 from honeyport import errors
 from honeyport.gateway import balancer
 from honeyport.policy import cold
-from honeyport.policy import prefixes
-from honeyport.wire import honeyport_pb2 as pb
 
-_SERVICE = 'llm'
 _REGION = frozenset({'hcm'})
 
 
@@ -26,20 +24,19 @@
         self.held = contextlib.ExitStack()
         self.balancer = balancer.Balancer('g-1', domains[0], self.regions)
         self.balancer.tolerate(
-            {_SERVICE: cold.tolerance(2.5, 2.0, multiple=1.5, extra=2.0)}
-        )
-        self.listed = pb.Instances(number=1)
-        for domain in domains:
-            for number in range(count):
-                name = f'{domain}-{number}'
-                self.listed.instances.add(
-                    id=name,
-                    service=_SERVICE,
-                    address=name,
-                    domain=domain,
-                    slots=8,
-                    place=name,
+            {
+                choices.SERVICE: cold.tolerance(
+                    2.5, 2.0, multiple=1.5, extra=2.0
                 )
+            }
+        )
+        self.listed = choices.listed(
+            {
+                f'{domain}-{number}': domain
+                for domain in domains
+                for number in range(count)
+            }
+        )
         self.run(self._tell())
 
     def run(self, coroutine):
@@ -56,21 +53,21 @@
 
     async def send(self, count, regions=None, kinds=(True, False)):
         """Choose for many requests, each of which ends at once."""
-        choices = []
+        made = []
         for number in range(count):
             has_prompt = kinds[number % len(kinds)]
-            parts = _prompt(f's-{number}') if has_prompt else ()
-            choice = self.balancer.choose(_SERVICE, parts, (), regions)
+            parts = choices.prompt(f's-{number}') if has_prompt else ()
+            choice = self.balancer.choose(choices.SERVICE, parts, (), regions)
             with self.balancer.hold(choice.instance):
-                choices.append(choice)
-        return choices
+                made.append(choice)
+        return made
 
     async def fill(self, count, subjects):
         """Choose for requests that stay; return the load each met."""
         met = []
         for number in range(count):
-            parts = _prompt(f's-{number % subjects}')
-            choice = self.balancer.choose(_SERVICE, parts, ())
+            parts = choices.prompt(f's-{number % subjects}')
+            choice = self.balancer.choose(choices.SERVICE, parts, ())
             running = self.balancer.running
             mean = running.total() / len(self.listed.instances)
             met.append((running[choice.instance.id], mean))
@@ -78,14 +75,6 @@
         return met
 
 
-def _prompt(subject):
-    return (
-        prefixes.Part('lead', 2500),
-        prefixes.Part(subject, 6000),
-        prefixes.Part('own', 500),
-    )
-
-
 @behave.given('a choice among {count:d} instances in each of {domains}')
 def step_choice(context, count, domains):
     context.setting = Setting(domains.split(', '), count)
@@ -153,8 +142,8 @@
 )
 def step_few(context, count, most):
     setting = context.setting
-    choices = setting.run(setting.send(count, kinds=(True,)))
-    found = sum(one.instance.domain == 'thu-duc' for one in choices)
+    made = setting.run(setting.send(count, kinds=(True,)))
+    found = sum(one.instance.domain == 'thu-duc' for one in made)
     assert found <= most, found
 
 
@@ -180,9 +169,9 @@
     raise AssertionError('it was sent')
 
 
-def _domains(choices):
-    return {one.instance.domain for one in choices}
+def _domains(made):
+    return {one.instance.domain for one in made}
 
 
-def _source_domains(choices):
-    return {one.source.domain for one in choices if one.source is not None}
+def _source_domains(made):
+    return {one.source.domain for one in made if one.source is not None}
--- a/features/steps/prefix_steps.py
+++ b/features/steps/prefix_steps.py
@@ -4,13 +4,12 @@
 
 import behave
 
+from features.support import choices
 from honeyport.gateway import balancer
 from honeyport.policy import placement
 from honeyport.policy import prefixes
 from honeyport.wire import honeyport_pb2 as pb
 
-_SERVICE = 'llm'
-
 
 class Setting:
     """A balancer and the instances that it knows of."""
@@ -29,7 +28,7 @@
         for name, listed in self.listed.items():
             news.instances.add(
                 id=name,
-                service=_SERVICE,
+                service=choices.SERVICE,
                 address=name,
                 domain='thu-duc',
                 leaving=listed.leaving,
@@ -39,10 +38,10 @@
 
     def ranked(self, rank):
         """Return the instance of a rank for a prompt of the subject."""
-        places = list(prefixes.order(prompt('subject'), self.listed))
+        places = list(prefixes.order(choices.prompt('subject'), self.listed))
         return placement.Instance(
             id=places[rank],
-            service=_SERVICE,
+            service=choices.SERVICE,
             address=places[rank],
             domain='thu-duc',
             leaving=False,
@@ -52,16 +51,9 @@
 
     def choose(self, subject='subject'):
         """Return the choice for a prompt of a subject."""
-        return self.balancer.choose(_SERVICE, prompt(subject), ())
-
-
-def prompt(subject):
-    """Return the parts of a prompt."""
-    return (
-        prefixes.Part('lead', 2500),
-        prefixes.Part(subject, 6000),
-        prefixes.Part('own', 500),
-    )
+        return self.balancer.choose(
+            choices.SERVICE, choices.prompt(subject), ()
+        )
 
 
 @behave.given('a choice among the instances {names}')
@@ -76,7 +68,7 @@
 @behave.when('the first choice of a prompt answers it')
 def step_answers(context):
     setting = context.setting
-    setting.balancer.succeeded(setting.first, prompt('subject'))
+    setting.balancer.succeeded(setting.first, choices.prompt('subject'))
 
 
 @behave.when('the first choice of a prompt leaves')
@@ -144,7 +136,7 @@
 @behave.when('the second choice of a prompt answers another one')
 def step_second_answers(context):
     setting = context.setting
-    setting.balancer.succeeded(setting.ranked(1), prompt('another'))
+    setting.balancer.succeeded(setting.ranked(1), choices.prompt('another'))
 
 
 @behave.then('the next prompt of the subject goes there, and copies nothing')
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -5,15 +5,14 @@
 
 import behave
 
+from features.support import choices
 from features.support import simulation
 from honeyport.gateway import balancer
 from honeyport.policy import prefixes
 from honeyport.policy import reach
-from honeyport.wire import honeyport_pb2 as pb
 
 _PER_DOMAIN = 4
 _GATEWAYS_PER_DOMAIN = 3
-_SERVICE = 'llm'
 # From a failure to the word of it at all gateways: a report's period, a tick
 # and the next answer.
 _LAG_S = 0.3
@@ -118,16 +117,7 @@
 
     async def start(self):
         """Tell all gateways which instances there are."""
-        listed = pb.Instances(number=1)
-        for name, domain in self.domains.items():
-            listed.instances.add(
-                id=name,
-                service=_SERVICE,
-                address=name,
-                domain=domain,
-                slots=64,
-                place=name,
-            )
+        listed = choices.listed(self.domains)
         for one in self.heard:
             one.regard(listed, {}, 0.0)
 
@@ -149,7 +139,7 @@
         """Offer one request; return whether the instance was dark."""
         subject = prefixes.Part(f's-{self.random.randrange(10**6)}', 6000)
         parts = (subject, prefixes.Part('own', 500))
-        chosen = gateway.choose(_SERVICE, parts, ()).instance
+        chosen = gateway.choose(choices.SERVICE, parts, ()).instance
         is_dark = chosen.domain == self.lost
         if is_dark:
             gateway.failed(chosen, 'HP-3007', was_reached=False)
--- a/features/steps/size_steps.py
+++ b/features/steps/size_steps.py
@@ -254,13 +254,7 @@
 @behave.when('each of them reports other loads')
 def step_report(context):
     drawn = random.Random(1)
-    names = [one.id for one in context.listed]
-    context.running = dict.fromkeys(names, 0)
-
-    for one in context.gateways:
-        one.running = drawn.sample(names, 10)
-        for name in one.running:
-            context.running[name] += 1
+    _draw_running(context, drawn)
     context.leader.run(context.leader.tick(2 * _TICKS_A_REPORT))
 
 
@@ -273,12 +267,7 @@
     async def change():
         for _ in range(20):
             context.listed = context.listed[1:]
-            names = [one.id for one in context.listed]
-            context.running = dict.fromkeys(names, 0)
-            for one in context.gateways:
-                one.running = drawn.sample(names, 10)
-                for name in one.running:
-                    context.running[name] += 1
+            _draw_running(context, drawn)
             context.leader.changes.append(context.listed)
             await context.leader.tick()
         await context.leader.tick(2 * _TICKS_A_REPORT)
@@ -383,6 +372,16 @@
     assert context.lagging.sent <= 60_000, context.lagging.sent
 
 
+def _draw_running(context, drawn):
+    """Have each gateway run requests on ten instances of the list."""
+    names = [one.id for one in context.listed]
+    context.running = dict.fromkeys(names, 0)
+    for one in context.gateways:
+        one.running = drawn.sample(names, 10)
+        for name in one.running:
+            context.running[name] += 1
+
+
 def _lead_anew(context):
     former = context.leader
     context.leader = Leader(term=former.node.term + 1)
