What runs through other routers is a module of its own

fleetstate.py had grown to 442 lines: lists, leases, views and the sums of all routers with what is taken off them. The sums are in router/others.py now, eight attributes and their arithmetic; fleetstate.py has 383 lines. Behaviour as it was.

--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -10,10 +10,10 @@
 from honeyport.bundle import packed
 from honeyport import errors
 from honeyport.policy import hashing
+from honeyport.router import others
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
-from honeyport.wire import instance_load
 
 # From a start to the first configuration while control starts as well, in
 # seconds (measured: 1.2 to 2.3).
@@ -51,17 +51,10 @@
         self._layout = 0
         self._lease_until = float('-inf')
         self._heard_as_of = float('-inf')
-        self._totals: dict[str, int] = {}
-        self._running: dict[str, int] = {}
-        self._own_totals: dict[str, int] = {}
-        self._own_running: dict[str, int] = {}
-        self._others: dict[str, int] = {}
-        self._others_before: dict[str, int] = {}
-        self._residuals: dict[str, int] = {}
+        self._others = others.Others()
         self._down: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
         self._instances = pb.Instances()
-        self._unreachable: set[str] = set()
         self._evacuated: frozenset[str] = frozenset()
         self._present: list[pb.Member] = []
         self._departing: list[str] = []
@@ -130,7 +123,7 @@
     @property
     def unreachable(self) -> set[str]:
         """The instances that gateways of several domains cannot reach."""
-        return self._unreachable
+        return self._others.unreachable
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -236,18 +229,16 @@
         now = asyncio.get_running_loop().time()
         if now - self._heard_as_of > fresh_s:
             return 0
-        return min(
-            self._others.get(service, 0), self._others_before.get(service, 0)
-        )
+        return self._others.surely(service)
 
     @property
     def residuals(self) -> dict[str, int]:
         """What other routers have running, by backend server."""
-        return self._residuals
+        return self._others.by_backend
 
     def residual(self, backend: str) -> int:
         """Return what former stewards still have running there."""
-        return self._residuals.get(backend, 0)
+        return self._others.by_backend.get(backend, 0)
 
     def apply_config(self, config: pb.Config) -> bool:
         """Take a version; return whether it is in force now.
@@ -309,63 +300,19 @@
         return True
 
     def apply_loads(self, loads: pb.Loads) -> None:
-        """Take the loads of all routers, or what changed of them."""
-        self._totals = {load.service: load.running for load in loads.totals}
-        if not loads.base:
-            self._running = {}
-            self._unreachable = set()
-        for name, load in self._named(loads):
-            if load.running:
-                self._running[name] = load.running
-            else:
-                self._running.pop(name, None)
-            if load.unreachable:
-                self._unreachable.add(name)
-            else:
-                self._unreachable.discard(name)
-        self._others_before = self._others
-        self._take_off_own()
+        """Take the loads of all routers, or what changed of them.
+
+        :raises errors.ListUnusable: if they are those of another list
+        """
+        self._others.take(loads, self._instances)
         self._settled = loads.settled
         self._settled_version = loads.settled_version
         self._down = frozenset(loads.down)
         self._leaving = frozenset(loads.leaving)
 
-    def _named(
-        self, loads: pb.Loads
-    ) -> collections.abc.Iterator[tuple[str, instance_load.Load]]:
-        """Return what is told of backend servers, by name.
-
-        :raises errors.ListUnusable: if indexes are those of another list
-        """
-        for load in loads.residuals:
-            yield load.backend, instance_load.Load(load.running)
-        if not loads.steps:
-            return
-        if loads.instances != self._instances.number:
-            raise errors.ListUnusable(
-                f'loads of list {loads.instances}, and list '
-                f'{self._instances.number} is known'
-            )
-        index = -1
-        for step, code in zip(loads.steps, loads.codes, strict=True):
-            index += step
-            name = self._instances.instances[index].id
-            yield name, instance_load.decode(code)
-
     def apply_own(self, report: pb.Report) -> None:
         """Take the report of ours that the loads of all contain."""
-        self._own_totals = {
-            load.service: load.running + load.waiting for load in report.loads
-        }
-        self._own_running = {
-            load.backend: load.running for load in report.residuals
-        }
-        self._take_off_own()
-
-    def _take_off_own(self) -> None:
-        """Work out what all other routers have."""
-        self._others = _without(self._totals, self._own_totals)
-        self._residuals = _without(self._running, self._own_running)
+        self._others.take_own(report)
 
     def apply_presence(self, presence: pb.Presence) -> None:
         """Take the routers that callers may be sent to, or what changed."""
@@ -421,12 +368,6 @@
         return self._near.get(domain) or list(self._members)
 
 
-def _without(total: dict[str, int], part: dict[str, int]) -> dict[str, int]:
-    """Return what is left of each total, where anything is."""
-    left = {key: count - part.get(key, 0) for key, count in total.items()}
-    return {key: count for key, count in left.items() if count > 0}
-
-
 def _moves_work(key: str) -> bool:
     """Whether an entry says which backend servers there are."""
     return key.startswith(('backends/', 'services/'))
