--- a/features/run.py
+++ b/features/run.py
@@ -28,7 +28,9 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
+# In what lands; while faults are worked on, each has its failing test listed.
 _MOST_RED = 3
+_MOST_RED_AT_WORK = 8
 _SOMETIMES = 'sometimes'
 _ALONE = 'alone'
 _WORKERS = max(1, min(6, (os.cpu_count() or 2) - 2))
@@ -201,8 +203,9 @@
         if line.strip() and not line.startswith('#'):
             name, _, cause = line.partition(' | ')
             known[name.strip()] = cause.strip()
-    if len(known) > _MOST_RED:
-        raise SystemExit(f'KNOWN-RED.txt names more than {_MOST_RED} tests')
+    most = _MOST_RED if 'CI' in os.environ else _MOST_RED_AT_WORK
+    if len(known) > most:
+        raise SystemExit(f'KNOWN-RED.txt names more than {most} tests')
     return known
 
 
--- a/features/steps/early_steps.py
+++ b/features/steps/early_steps.py
@@ -89,7 +89,7 @@
 )
 def step_told_early(context, number):
     platform = context.platform
-    node = platform.nodes[number - 1]
+    node = platform.node(number)
     platform.send_signal(node, signal.SIGKILL)
     platform.launch(node)
     context.run(platform.await_port(node))
@@ -99,7 +99,7 @@
 
 @behave.then('instance {number:d} still runs')
 def step_still_runs(context, number):
-    process = context.platform.nodes[number - 1].process
+    process = context.platform.node(number).process
     context.run(asyncio.sleep(_START_S))
     assert process.poll() is None, process.poll()
 
@@ -109,7 +109,7 @@
 )
 def step_has_read(context, number):
     platform = context.platform
-    node = platform.nodes[number - 1]
+    node = platform.node(number)
 
     async def read():
         lines = [
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -17,8 +17,16 @@
 
 
 @behave.given('a platform of three instances with disks')
+def step_platform_of_disks(context):
+    context.platform = platforms.Platform(context.folder)
+    context.run(context.platform.start())
+    context.to_stop.append(context.platform.stop)
+
+
+@behave.given('a platform of three instances with disks and one without')
 def step_platform(context):
     context.platform = platforms.Platform(context.folder)
+    context.platform.add_gateway()
     context.run(context.platform.start())
     context.to_stop.append(context.platform.stop)
 
@@ -68,7 +76,7 @@
     for node in platform.nodes:
         platform.send_signal(node, signal.SIGKILL)
     for number in (one, two):
-        node = platform.nodes[number - 1]
+        node = platform.node(number)
         shutil.rmtree(node.data)
         node.data.mkdir()
     for node in platform.nodes:
@@ -110,7 +118,7 @@
 @behave.when('instance {number:d} loses its disk and starts again')
 def step_lose_disk(context, number):
     platform = context.platform
-    node = platform.nodes[number - 1]
+    node = platform.node(number)
     platform.send_signal(node, signal.SIGKILL)
     shutil.rmtree(node.data)
     node.data.mkdir()
@@ -123,7 +131,7 @@
 @behave.when('instance {number:d} is killed')
 def step_kill(context, number):
     platform = context.platform
-    platform.send_signal(platform.nodes[number - 1], signal.SIGKILL)
+    platform.send_signal(platform.node(number), signal.SIGKILL)
 
 
 @behave.when('every instance gets SIGHUP')
@@ -134,7 +142,7 @@
 
 @behave.when('instance {number:d} gets SIGTERM')
 def step_term(context, number):
-    node = context.platform.nodes[number - 1]
+    node = context.platform.node(number)
     context.platform.send_signal(node, signal.SIGTERM)
 
 
@@ -176,7 +184,7 @@
 @behave.when('an operator sends version {version:d} to instance {number:d}')
 def step_send_to(context, version, number):
     platform = context.platform
-    platform.only = platform.nodes[number - 1]
+    platform.only = platform.node(number)
     context.status = context.run(platform.replace({'version': version}))
 
 
@@ -223,7 +231,8 @@
 
 @behave.then('every instance reads back what was sent as version {version:d}')
 def step_reads_back(context, version):
-    check_reads(context, (1, 2, 3), version)
+    numbers = [node.number for node in context.platform.nodes]
+    check_reads(context, numbers, version)
 
 
 @behave.then('instances 1 and 3 read back what was sent as version 7')
@@ -233,14 +242,14 @@
 
 @behave.then('instance {number:d} ends by itself with code 0')
 def step_ends(context, number):
-    process = context.platform.nodes[number - 1].process
+    process = context.platform.node(number).process
     assert process.wait(_ENDS_S) == 0
 
 
 @behave.then('a request to instance {number:d} is refused as not run')
 def step_refused_not_run(context, number):
     platform = context.platform
-    node = platform.nodes[number - 1]
+    node = platform.node(number)
     status, body = context.run(platform.call(node, 'cut-off'))
     assert status == 503, (status, body)
     assert json.loads(body)['error']['ran'] is False
@@ -258,7 +267,7 @@
 def check_reads(context, numbers, version):
     """Check that each of some nodes shows a version, and no other."""
     for number in numbers:
-        node = context.platform.nodes[number - 1]
+        node = context.platform.node(number)
         context.run(
             until(
                 lambda node=node: _reads(context.platform, node, version),
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -47,6 +47,8 @@
 bounds.ttl_max_s=5
 """
 _ZONES = ('thu-duc', 'tan-binh', 'binh-chanh')
+_WITH_DISKS = (1, 2, 3)
+_WITHOUT_DISK = 9
 _ASK_S = 2.0
 KEY = 'key-of-district'
 CONFIGURATION: dict[str, typing.Any] = {
@@ -78,6 +80,7 @@
 class Node:
     """One instance of the system, its addresses and its process."""
 
+    number: int
     name: str
     zone: str
     ip: str
@@ -119,7 +122,7 @@
 
 
 class Platform:
-    """Three instances with disks, an instance list and a service."""
+    """Instances with and without disks, an instance list and a service."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -133,11 +136,19 @@
         self.suspendable = False
         self.sent: dict[int, typing.Any] = {}
         self.ports = _free_ports(5)
-        self.nodes = [self.make_node(number) for number in (1, 2, 3)]
+        self.nodes = [self.make_node(number) for number in _WITH_DISKS]
         self.seeds = [node.ip for node in self.nodes]
         self._asked = 0
         self.only: Node | None = None
 
+    def node(self, number: int) -> Node:
+        """Return the node that a scenario names by its number."""
+        return next(node for node in self.nodes if node.number == number)
+
+    def add_gateway(self) -> None:
+        """Have a node without a disk among those that start."""
+        self.nodes.append(self.make_node(_WITHOUT_DISK, disk=False))
+
     async def start(self) -> None:
         """Start everything."""
         self._cloud = local.free_address()
@@ -270,20 +281,35 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Ask one port of a node; status 0 if nothing came."""
+        url = f'http://{node.ip}:{self.ports[port]}{path}'
+        response = await self.fetch(url, body, headers, redirects=2)
+        if response is None:
+            return 0, b''
+        return response.code, response.body
+
+    async def fetch(
+        self,
+        url: str,
+        body: typing.Any = None,
+        headers: dict[str, str] | None = None,
+        *,
+        redirects: int = 0,
+    ) -> httpclient.HTTPResponse | None:
+        """Return the answer to one call, or ``None`` if nothing came."""
         request = httpclient.HTTPRequest(
-            f'http://{node.ip}:{self.ports[port]}{path}',
+            url,
             method='POST' if body is not None else 'GET',
             body=_to_bytes(body),
             headers=headers or {},
             request_timeout=_ASK_S,
             connect_timeout=_ASK_S,
-            max_redirects=2,
+            follow_redirects=redirects > 0,
+            max_redirects=redirects,
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            return await self._client.fetch(request, raise_error=False)
         except (OSError, httpclient.HTTPError):
-            return 0, b''
-        return response.code, response.body
+            return None
 
     async def call(
         self, node: Node, name: str, path: str = '/app/x', text: str = ''
@@ -308,6 +334,7 @@
         if data is not None:
             data.mkdir()
         return Node(
+            number,
             name,
             zone,
             f'127.0.{octet}.{number}',
