Logs say that an instance asked for rest, and who goes there all the same

New: 3215 rest_asked (once a rest: status, time asked, time kept), 3216 resting_used (a request goes to one that rests: time left, usable, rank, load, and how many were left out for each reason), 3217 instance_leaves; left_out in attempt_failed; the counter rests_asked and the gauge instances_resting. Nothing is decided by it yet.

--- a/features/steps/choice_steps.py
+++ b/features/steps/choice_steps.py
@@ -4,7 +4,7 @@
 
 import behave
 
-from honeyport.gateway import balancer
+from features.support import choices
 from honeyport.policy import prefixes
 from honeyport.wire import honeyport_pb2 as pb
 
@@ -34,7 +34,7 @@
 @behave.then('no instance is over its bound though one subject is hot')
 def step_bound(context):
     async def place():
-        choice = balancer.Balancer('g-1', 'thu-duc', {})
+        choice = choices.make('g-1', 'thu-duc', {})
         listed = pb.Instances(number=1)
         for place in context.places:
             listed.instances.add(id=place, service='llm', place=place)
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -9,7 +9,6 @@
 from features.support import choices
 from features.support import simulation
 from honeyport import errors
-from honeyport.gateway import balancer
 from honeyport.policy import cold
 from honeyport.policy import prefixes
 
@@ -55,7 +54,7 @@
             self._send(drawn.choice(gateways), parts)
 
     def _gateway(self, name):
-        made = balancer.Balancer(name, 'thu-duc', {})
+        made = choices.make(name, 'thu-duc', {})
         made.tolerate({choices.SERVICE: _TOLERANCE})
         for members in (self.seen_lately.get(name), self.seen[name]):
             if members is not None:
--- a/features/steps/domain_steps.py
+++ b/features/steps/domain_steps.py
@@ -8,7 +8,6 @@
 from features.support import choices
 from features.support import simulation
 from honeyport import errors
-from honeyport.gateway import balancer
 from honeyport.policy import cold
 
 _REGION = frozenset({'hcm'})
@@ -22,7 +21,7 @@
         self.domains = domains
         self.regions = {}
         self.held = contextlib.ExitStack()
-        self.balancer = balancer.Balancer('g-1', domains[0], self.regions)
+        self.balancer = choices.make('g-1', domains[0], self.regions)
         self.balancer.tolerate(
             {
                 choices.SERVICE: cold.tolerance(
--- a/features/steps/prefix_steps.py
+++ b/features/steps/prefix_steps.py
@@ -5,7 +5,6 @@
 import behave
 
 from features.support import choices
-from honeyport.gateway import balancer
 from honeyport.policy import placement
 from honeyport.policy import prefixes
 from honeyport.wire import honeyport_pb2 as pb
@@ -15,7 +14,7 @@
     """A balancer and the instances that it knows of."""
 
     def __init__(self, names):
-        self.balancer = balancer.Balancer('g-1', 'thu-duc', {})
+        self.balancer = choices.make('g-1', 'thu-duc', {})
         self.listed = {name: pb.Instance(place=name) for name in names}
         self.number = 0
         self.first = None
@@ -113,7 +112,7 @@
 @behave.when('the gateway starts anew')
 def step_start_anew(context):
     async def start():
-        context.setting.balancer = balancer.Balancer('g-1', 'thu-duc', {})
+        context.setting.balancer = choices.make('g-1', 'thu-duc', {})
         context.setting.tell()
 
     context.run(start())
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -7,7 +7,6 @@
 
 from features.support import choices
 from features.support import simulation
-from honeyport.gateway import balancer
 from honeyport.policy import prefixes
 from honeyport.policy import reach
 
@@ -98,7 +97,7 @@
             for number in range(instances)
         }
         self.gateways = [
-            balancer.Balancer(f'g-{number}', names[number % domains], {})
+            choices.make(f'g-{number}', names[number % domains], {})
             for number in range(gateways)
         ]
         self.heard = [
--- a/features/support/choices.py
+++ b/features/support/choices.py
@@ -1,11 +1,21 @@
 """Prompts, and lists of instances, for choices that gateways make."""
 
+from honeyport.gateway import balancer
+from honeyport.gateway import headers
+from honeyport.gateway import wishes
 from honeyport.policy import prefixes
+from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
 SERVICE = 'llm'
 
 
+def make(name, domain, regions):
+    """Return the choice of a gateway of which no instance asked anything."""
+    asked = wishes.Wishes(headers.HeaderNames(), metrics.Metrics())
+    return balancer.Balancer(name, domain, regions, asked)
+
+
 def prompt(subject):
     """Return the parts of a prompt."""
     return (
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -72,15 +72,24 @@
         """Note that something came."""
 
 
+# Takes the head of each answer on a connection, whatever it answers.
+Heed = collections.abc.Callable[[Head], None]
+
+
 class _Reader(httputil.HTTPMessageDelegate):
     """Takes one answer from tornado's parser."""
 
     def __init__(
-        self, request_id: str, names: gateway_headers.HeaderNames, relay: Relay
+        self,
+        request_id: str,
+        names: gateway_headers.HeaderNames,
+        relay: Relay,
+        heed: Heed,
     ) -> None:
         self._request_id = request_id
         self._names = names
         self._relay = relay
+        self._heed = heed
         self.head: Head | None = None
         self.foreign = False
         self.relayed = False
@@ -95,11 +104,13 @@
         self._relay.hear()
         if start_line.code < 200:
             return None  # tornado calls again with the real answer
+        head = Head(start_line.code, start_line.reason, headers)
+        self._heed(head)
         answered = headers.get(self._names.request_id, self._request_id)
         self.foreign = answered != self._request_id
         if self.foreign:
             return None
-        self.head = Head(start_line.code, start_line.reason, headers)
+        self.head = head
         signed = self._names.digest in headers
         if self.head.is_success and self.head.is_stream and signed:
             self.relayed = True
@@ -129,10 +140,12 @@
         connection: pool.Connection,
         names: gateway_headers.HeaderNames,
         relay: Relay,
+        heed: Heed,
     ) -> None:
         self._connection = connection
         self._names = names
         self._relay = relay
+        self._heed = heed
 
     async def run(
         self,
@@ -146,7 +159,9 @@
         """
         try:
             for number in range(_MOST_FOREIGN + 1):
-                reader = _Reader(request.request_id, self._names, self._relay)
+                reader = _Reader(
+                    request.request_id, self._names, self._relay, self._heed
+                )
                 http = self._parser()
                 if number == 0:
                     _write(http, request, headers)
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -13,6 +13,7 @@
 import attrs
 
 from honeyport import errors
+from honeyport.gateway import wishes
 from honeyport.policy import cold
 from honeyport.policy import health
 from honeyport.policy import placement
@@ -31,6 +32,7 @@
 
 Tolerances = collections.abc.Mapping[str, cold.Tolerance]
 Domains = collections.abc.Set[str]
+Judge = collections.abc.Callable[[placement.Instance], bool]
 
 
 class Balancer:
@@ -39,6 +41,7 @@
     :param name: of our gateway
     :param domain: our failure domain
     :param regions: the region of each failure domain
+    :param asked: how the instances want to be treated
     """
 
     def __init__(
@@ -46,7 +49,9 @@
         name: str,
         domain: str,
         regions: collections.abc.Mapping[str, str],
+        asked: wishes.Wishes,
     ) -> None:
+        self._wishes = asked
         self._domain = domain
         self._regions = regions
         self._evacuated: Domains = frozenset()
@@ -144,6 +149,7 @@
         self._health.forget_others(usable)
         present = {one.id for one in instances.instances}
         self._holders.forget_others(present)
+        self._wishes.forget_others(present)
         self._cold_shares.forget_others(present)
         logs.emit(
             events.INSTANCES_APPLIED,
@@ -196,9 +202,38 @@
             stay_s=self._stays.of(service),
         )
         if not parts:
-            return placement.by_load(among.first, counts, self._domain)
-        choice = placement.by_prefix(parts, among, counts, self._domain)
-        return self._with_source(service, parts, choice, regions)
+            choice = placement.by_load(among.first, counts, self._domain)
+        else:
+            choice = placement.by_prefix(parts, among, counts, self._domain)
+            choice = self._with_source(service, parts, choice, regions)
+        if self._wishes.rest_left_s(choice.instance.id):
+            self._note_resting(choice, self.left_out(service, tried, regions))
+        return choice
+
+    def left_out(
+        self,
+        service: str,
+        tried: collections.abc.Container[str],
+        regions: Domains | None,
+    ) -> dict[str, int]:
+        """Return how many instances get no request now, by the reason."""
+        now = _now()
+        reasons: tuple[tuple[str, Judge], ...] = (
+            ('tried', lambda one: one.id in tried),
+            ('leaving', lambda one: one.leaving),
+            ('evacuated', lambda one: one.domain in self._evacuated),
+            ('region', lambda one: not self._is_allowed(one, regions)),
+            ('resting', lambda one: self._wishes.rest_left_s(one.id) > 0),
+            ('unreachable', lambda one: one.id in self._unreachable),
+            ('failed', lambda one: self._health.is_avoided(one.id, now)),
+            ('cold', lambda one: self._spells.is_cold(one.id, now)),
+        )
+        found = collections.Counter(
+            next((name for name, holds in reasons if holds(one)), '')
+            for one in self._services.get(service, ())
+        )
+        del found['']
+        return dict(found)
 
     @contextlib.contextmanager
     def hold(
@@ -252,6 +287,21 @@
             pause_s=pause.pause_s,
         )
 
+    def _note_resting(
+        self, choice: placement.Choice, left_out: dict[str, int]
+    ) -> None:
+        """Log that an instance that rests is taken, and why."""
+        left_s = self._wishes.rest_left_s(choice.instance.id)
+        logs.emit(
+            events.RESTING_USED,
+            backend=choice.instance.id,
+            rest_left_s=round(left_s, 3),
+            usable=choice.usable,
+            rank=choice.rank,
+            load=choice.load,
+            left_out=left_out,
+        )
+
     def _note_leaving(self, since: float) -> None:
         """Remember since when each instance that leaves does so.
 
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -13,6 +13,7 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import pool
 from honeyport.gateway import server
+from honeyport.gateway import wishes
 from honeyport.policy import addresses
 from honeyport.policy import cold
 from honeyport.policy import draining
@@ -45,8 +46,9 @@
         self._leaving = leaving
         self._metrics = counters
         self._state = fleetstate.FleetState()
+        self._wishes = wishes.Wishes(names, counters)
         self._balancer = balancer.Balancer(
-            settings.name, settings.domain, settings.regions
+            settings.name, settings.domain, settings.regions, self._wishes
         )
         self._pool = pool.Pool()
         self._gate = gate.Gate(self._state)
@@ -57,6 +59,7 @@
             self._gate,
             names,
             self._balancer,
+            self._wishes,
             self._pool,
             repeats.Budgets(allowance, lambda: len(self._state.present)),
             self._witness,
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -19,6 +19,7 @@
 from honeyport.gateway import pool
 from honeyport.gateway import routes
 from honeyport.gateway import watch
+from honeyport.gateway import wishes
 from honeyport.policy import fingerprints
 from honeyport.policy import placement
 from honeyport.policy import repeats
@@ -54,6 +55,7 @@
         entrance: gate.Gate,
         names: gateway_headers.HeaderNames,
         choice: balancer.Balancer,
+        asked: wishes.Wishes,
         connections: pool.Pool,
         budgets: repeats.Budgets,
         ends: witness.Witness,
@@ -64,6 +66,7 @@
         self._gate = entrance
         self._names = names
         self._balancer = choice
+        self._wishes = asked
         self._pool = connections
         self._metrics = counters
         self._table: routes.Table | None = None
@@ -243,7 +246,12 @@
         if exchange.may_repeat:
             limits = silence.patience(exchange.match.route)
         headers = exchange.headers(self._names, connection.instance)
-        sent = attempt.Attempt(connection, self._names, exchange)
+        sent = attempt.Attempt(
+            connection,
+            self._names,
+            exchange,
+            lambda head: self._wishes.heed(connection.instance, head),
+        )
         try:
             async with watch.Watch(limits) as exchange.silence:
                 return await sent.run(exchange.request, headers)
@@ -295,6 +303,9 @@
             detail=error.detail,
             offers=exchange.offers,
             fingerprint=exchange.fingerprint,
+            left_out=self._balancer.left_out(
+                exchange.service, exchange.tried, exchange.match.regions
+            ),
         )
         self._metrics.count('attempts_failed', code=error.code)
         self._testify(exchange, error)
--- a/src/honeyport/gateway/headers.py
+++ b/src/honeyport/gateway/headers.py
@@ -44,6 +44,8 @@
     digest: str = 'Honeyport-Digest'
     not_run: str = 'Honeyport-Not-Run'
     load: str = 'Honeyport-Load'
+    # In any answer of an instance that leaves.
+    leaving: str = 'Honeyport-Leaving'
     prompt_parts: str = 'Honeyport-Prompt-Parts'
     priority: str = 'Honeyport-Priority'
     last_event: str = 'Last-Event-Id'
--- /dev/null
+++ b/src/honeyport/gateway/wishes.py
@@ -0,0 +1,78 @@
+"""How instances ask this gateway to be treated, in the heads of answers."""
+
+import asyncio
+
+from honeyport.gateway import attempt
+from honeyport.gateway import headers as gateway_headers
+from honeyport.policy import placement
+from honeyport.policy import rests
+from honeyport.policy import retry_after
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
+
+# Answers that turn a request away and may name a time until the next one.
+_TURNED_AWAY = frozenset((429, 503))
+
+
+class Wishes:
+    """What the instances have asked for."""
+
+    def __init__(
+        self, names: gateway_headers.HeaderNames, counters: metrics.Metrics
+    ) -> None:
+        self._names = names
+        self._metrics = counters
+        self._rests = rests.Rests()
+        self._leaving_since: dict[str, float] = {}
+        counters.gauge('instances_resting', lambda: self._rests.count(_now()))
+
+    def heed(self, instance: placement.Instance, head: attempt.Head) -> None:
+        """Take what the head of an instance's answer says of itself."""
+        if self._names.leaving in head.headers:
+            self._leave(instance)
+        if head.status in _TURNED_AWAY:
+            text = head.headers.get('Retry-After', '')
+            asked_s = retry_after.seconds(text)
+            if asked_s is not None:
+                self._rest(instance, head.status, asked_s)
+
+    def rest_left_s(self, instance: str) -> float:
+        """Return how much longer an instance wants nothing, in seconds."""
+        return self._rests.left_s(instance, _now())
+
+    def forget_others(self, present: set[str]) -> None:
+        """Forget the instances that are gone."""
+        self._rests.forget_others(present)
+        for name in self._leaving_since.keys() - present:
+            del self._leaving_since[name]
+
+    def _leave(self, instance: placement.Instance) -> None:
+        if instance.id in self._leaving_since:
+            return
+        self._leaving_since[instance.id] = _now()
+        logs.emit(
+            events.INSTANCE_LEAVES,
+            backend=instance.id,
+            address=instance.address,
+            is_listed=instance.leaving,
+        )
+
+    def _rest(
+        self, instance: placement.Instance, status: int, asked_s: float
+    ) -> None:
+        rest = self._rests.ask(instance.id, asked_s, _now())
+        self._metrics.count('rests_asked')
+        if rest.is_new:
+            logs.emit(
+                events.REST_ASKED,
+                backend=instance.id,
+                address=instance.address,
+                status=status,
+                asked_s=rest.asked_s,
+                rest_s=rest.granted_s,
+            )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/honeyport/platform/names.py
+++ b/src/honeyport/platform/names.py
@@ -13,6 +13,7 @@
     digest='Response-Signature',
     not_run='Not-Executed',
     load='Server-Load',
+    leaving='Server-Leaving',
     prompt_parts='Prompt-Prefix',
     priority='Request-Priority',
     last_event='Last-Event-Id',
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -294,6 +294,24 @@
     'info',
     'Requests broke on an instance that takes connections.',
 )
+REST_ASKED = define(
+    3215,
+    'rest_asked',
+    'warning',
+    'An instance asked this gateway to send it nothing for a time.',
+)
+RESTING_USED = define(
+    3216,
+    'resting_used',
+    'warning',
+    'A request is sent to an instance that asked for rest.',
+)
+INSTANCE_LEAVES = define(
+    3217,
+    'instance_leaves',
+    'info',
+    'An instance says in its answers that it leaves.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
