A gateway leaves an instance alone for as long as it asks

What callers saw: refused with the rejections of two engines that had asked for rest (38 in 5.5 s), while four beside them answered all that they got. What the engines saw: up to four requests from one gateway in one rest.

A rejection was a matter of the one request; the instance stayed the first choice for its prefixes.

The choice leaves out who rests, also as the last resort and as a source of copies; it is looked at again after the connection was made, right before the send. All rest: refused at once with the end of the first rest and up to 0.5 s more. A rest ends with its time alone.

--- a/features/gateway/rests.feature
+++ b/features/gateway/rests.feature
@@ -17,16 +17,16 @@
 
   Scenario: two of four instances ask for rest
     Given a gateway with 4 instances and an allowance of 6 more offers
-    And the instances i-1 and i-2 rest for 3
+    And the instances i-1 and i-2 rest for 4
     When 25 requests a second reach the gateway for 3 seconds
-    Then the log says once of each of 2 rests who asked for 3 s
-    And the log says of each arrival in a rest why it went there
+    Then the log says once of each of 2 rests who asked for 4 s
+    And the log says of each arrival in a rest that it went there
     And nothing reaches an instance while it rests
     And all callers were served
 
   Scenario: all instances of a service ask for rest
     Given a gateway with 4 instances and an allowance of 6 more offers
-    And all instances rest for 3
+    And all instances rest for 4
     When 25 requests a second reach the gateway for 3 seconds
     Then nothing reaches an instance while it rests
     And who was refused was told when the rest ends, within 50 ms
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -213,6 +213,13 @@
     hint = 'Nothing listens at the address of the backend server; not run.'
 
 
+@register('HP-3018')
+class InstanceRests(HoneyportError):
+    status = 503
+    ran = False
+    hint = 'The backend server asked for rest; nothing was sent there.'
+
+
 @register('HP-3008')
 class BackendLost(HoneyportError):
     status = 502
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -189,7 +189,15 @@
                 f'no instance of {service} is left to try',
                 retry_after=_COME_BACK_S,
             )
-        among = self._among(found, peers)
+        awake = [one for one in found if not self._wishes.rest_left_s(one.id)]
+        if not awake:
+            # Taken all the same, they would turn it away, and the callers
+            # behind it would pay for that with the allowance.
+            raise errors.NoInstance(
+                f'all instances of {service} that are left rest',
+                retry_after=self._wishes.come_back_s(found),
+            )
+        among = self._among(awake, peers)
         if not among.first:
             raise errors.NoInstance(
                 f'all instances of {service} that are left are cold',
@@ -206,8 +214,6 @@
         else:
             choice = placement.by_prefix(parts, among, counts, self._domain)
             choice = self._with_source(service, parts, choice, regions)
-        if self._wishes.rest_left_s(choice.instance.id):
-            self._note_resting(choice, self.left_out(service, tried, regions))
         return choice
 
     def left_out(
@@ -287,21 +293,6 @@
             pause_s=pause.pause_s,
         )
 
-    def _note_resting(
-        self, choice: placement.Choice, left_out: dict[str, int]
-    ) -> None:
-        """Log that an instance that rests is taken, and why."""
-        left_s = self._wishes.rest_left_s(choice.instance.id)
-        logs.emit(
-            events.RESTING_USED,
-            backend=choice.instance.id,
-            rest_left_s=round(left_s, 3),
-            usable=choice.usable,
-            rank=choice.rank,
-            load=choice.load,
-            left_out=left_out,
-        )
-
     def _note_leaving(self, since: float) -> None:
         """Remember since when each instance that leaves does so.
 
@@ -363,7 +354,8 @@
         return placement.may_be_copied(
             now - self._leaving_since.get(instance.id, now),
             is_sound=self._health.is_sound(instance.id)
-            and instance.id not in self._unreachable,
+            and instance.id not in self._unreachable
+            and not self._wishes.rest_left_s(instance.id),
         )
 
     def _sound(
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -213,7 +213,6 @@
     async def _send(
         self, exchange: exchanges.Exchange, instance: placement.Instance
     ) -> attempt.Answer:
-        exchange.failure = None
         exchange.tried.add(instance.id)
         exchange.offers += 1
         began = asyncio.get_running_loop().time()
@@ -221,8 +220,11 @@
         exchange.connect_s += asyncio.get_running_loop().time() - began
         kept = False
         try:
-            # Connecting took time: the lease may have ended meanwhile.
+            # Connecting took time: the lease may have ended meanwhile, or the
+            # instance may have asked another request for rest.
             self._gate.check()
+            self._wishes.check(instance)
+            exchange.failure = None
             exchange.runs += 1
             answer = await self._attempt(exchange, connection)
             keep_s = attempt.keep_alive_s(answer.head)
@@ -246,11 +248,12 @@
         if exchange.may_repeat:
             limits = silence.patience(exchange.match.route)
         headers = exchange.headers(self._names, connection.instance)
+        began = asyncio.get_running_loop().time()
         sent = attempt.Attempt(
             connection,
             self._names,
             exchange,
-            lambda head: self._wishes.heed(connection.instance, head),
+            lambda head: self._wishes.heed(connection.instance, head, began),
         )
         try:
             async with watch.Watch(limits) as exchange.silence:
@@ -340,6 +343,8 @@
         self, exchange: exchanges.Exchange, error: errors.HoneyportError
     ) -> bool:
         """Whether another instance may get the request after an error."""
+        if isinstance(error, errors.InstanceRests):
+            return True
         if exchange.offers >= _MOST_OFFERS:
             return False
         if isinstance(error, errors.NotSent):
--- a/src/honeyport/gateway/wishes.py
+++ b/src/honeyport/gateway/wishes.py
@@ -1,7 +1,10 @@
 """How instances ask this gateway to be treated, in the heads of answers."""
 
 import asyncio
+import collections.abc
+import random
 
+from honeyport import errors
 from honeyport.gateway import attempt
 from honeyport.gateway import headers as gateway_headers
 from honeyport.policy import placement
@@ -13,6 +16,9 @@
 
 # Answers that turn a request away and may name a time until the next one.
 _TURNED_AWAY = frozenset((429, 503))
+# Callers who are refused since all instances rest come back within so long
+# after the first rest, in seconds: not all at its end.
+_SPREAD_S = 0.5
 
 
 class Wishes:
@@ -27,8 +33,14 @@
         self._leaving_since: dict[str, float] = {}
         counters.gauge('instances_resting', lambda: self._rests.count(_now()))
 
-    def heed(self, instance: placement.Instance, head: attempt.Head) -> None:
-        """Take what the head of an instance's answer says of itself."""
+    def heed(
+        self, instance: placement.Instance, head: attempt.Head, sent: float
+    ) -> None:
+        """Take what the head of an instance's answer says of itself.
+
+        :param sent: when the request was sent there, as loop time
+        """
+        self._note_late(instance, sent)
         if self._names.leaving in head.headers:
             self._leave(instance)
         if head.status in _TURNED_AWAY:
@@ -41,12 +53,46 @@
         """Return how much longer an instance wants nothing, in seconds."""
         return self._rests.left_s(instance, _now())
 
+    def check(self, instance: placement.Instance) -> None:
+        """Raise an error unless a request may be sent to an instance now.
+
+        :raises errors.InstanceRests: if it asked for rest meanwhile
+        """
+        left_s = self.rest_left_s(instance.id)
+        if left_s:
+            raise errors.InstanceRests(
+                f'{instance.id} rests', retry_after=left_s
+            )
+
+    def come_back_s(
+        self, instances: collections.abc.Iterable[placement.Instance]
+    ) -> float:
+        """Return when a caller finds one that rests no more, in seconds.
+
+        :param instances: those that it may use, at least one
+        """
+        first_s = min(self.rest_left_s(one.id) for one in instances)
+        return first_s + random.uniform(0.0, _SPREAD_S)
+
     def forget_others(self, present: set[str]) -> None:
         """Forget the instances that are gone."""
         self._rests.forget_others(present)
         for name in self._leaving_since.keys() - present:
             del self._leaving_since[name]
 
+    def _note_late(self, instance: placement.Instance, sent: float) -> None:
+        """Log a request that was sent to an instance in its rest."""
+        passed_s = self._rests.passed_s(instance.id, sent)
+        if passed_s is None:
+            return
+        self._metrics.count('resting_used')
+        logs.emit(
+            events.RESTING_USED,
+            backend=instance.id,
+            address=instance.address,
+            rested_s=round(passed_s, 3),
+        )
+
     def _leave(self, instance: placement.Instance) -> None:
         if instance.id in self._leaving_since:
             return
--- a/src/honeyport/policy/rests.py
+++ b/src/honeyport/policy/rests.py
@@ -21,6 +21,12 @@
     is_new: bool
 
 
+@attrs.define
+class _Record:
+    began: float
+    until: float
+
+
 class Rests:
     """The rests that are not over yet.
 
@@ -30,24 +36,40 @@
     """
 
     def __init__(self) -> None:
-        self._until: dict[str, float] = {}
+        self._records: dict[str, _Record] = {}
 
     def ask(self, instance: str, asked_s: float, now: float) -> Rest:
         """Note that an instance asks for rest."""
         granted_s = min(asked_s, LONGEST_S)
-        until = self._until.get(instance, now)
-        self._until[instance] = max(until, now + granted_s)
-        return Rest(asked_s, granted_s, is_new=until <= now)
+        until = now + granted_s
+        record = self._records.get(instance)
+        is_new = record is None or record.until <= now
+        if record is None or is_new:
+            self._records[instance] = _Record(now, until)
+        else:
+            record.until = max(record.until, until)
+        return Rest(asked_s, granted_s, is_new)
 
     def left_s(self, instance: str, now: float) -> float:
         """Return how much longer an instance rests; 0 if it does not."""
-        return max(0.0, self._until.get(instance, now) - now)
+        record = self._records.get(instance)
+        return 0.0 if record is None else max(0.0, record.until - now)
+
+    def passed_s(self, instance: str, at: float) -> float | None:
+        """Return for how long an instance had rested at a moment.
+
+        :returns: seconds, or ``None`` if it did not rest then
+        """
+        record = self._records.get(instance)
+        if record is None or not record.began < at < record.until:
+            return None
+        return at - record.began
 
     def count(self, now: float) -> int:
         """Return how many instances rest."""
-        return sum(until > now for until in self._until.values())
+        return sum(one.until > now for one in self._records.values())
 
     def forget_others(self, present: set[str]) -> None:
         """Forget the instances that are gone."""
-        for name in self._until.keys() - present:
-            del self._until[name]
+        for name in self._records.keys() - present:
+            del self._records[name]
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -304,7 +304,7 @@
     3216,
     'resting_used',
     'warning',
-    'A request is sent to an instance that asked for rest.',
+    'A request was sent to an instance that had asked for rest.',
 )
 INSTANCE_LEAVES = define(
     3217,
