An instance that says that it leaves gets nothing new, whatever the list says

What callers would see: requests cut off, sent to an instance that had said 3 s and longer before that it leaves, since the platform's list said ready.

Cause: as with rest, nobody read it in answers; the list alone counted.

Change: the word in the head of any answer counts like the list's, for the choice, for the age of a source of copies, and for the witness, who would have taken the end of such an instance for the doing of the requests there. If there is no other instance it is used for one second more, since its successor is listed a little later; after that callers are refused. It holds until the instance is off the list: a word that is taken back would have to come in an answer, and nothing is asked there. Others are not told: each gateway hears it in its first answer from there, which costs nothing.

--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -32,6 +32,7 @@
 
 Tolerances = collections.abc.Mapping[str, cold.Tolerance]
 Domains = collections.abc.Set[str]
+Instances = collections.abc.Iterable[placement.Instance]
 Judge = collections.abc.Callable[[placement.Instance], bool]
 
 
@@ -172,18 +173,12 @@
         :param regions: the only ones in which it may run; ``None`` for any
         :raises errors.NoInstance: if there is none left
         """
-        peers = [
-            instance
-            for instance in self._services.get(service, ())
-            if not instance.leaving
-        ]
-        found = [
-            instance
-            for instance in peers
-            if instance.id not in tried
-            and instance.domain not in self._evacuated
-            and self._is_allowed(instance, regions)
-        ]
+        listed = self._services.get(service, ())
+        peers = [one for one in listed if not self._leaves(one)]
+        found = self._usable(peers, tried, regions)
+        if not found:
+            last = [one for one in listed if self._is_last_resort(one)]
+            peers = found = self._usable(last, tried, regions)
         if not found:
             raise errors.NoInstance(
                 f'no instance of {service} is left to try',
@@ -216,6 +211,31 @@
             choice = self._with_source(service, parts, choice, regions)
         return choice
 
+    def _usable(
+        self,
+        instances: Instances,
+        tried: collections.abc.Container[str],
+        regions: Domains | None,
+    ) -> list[placement.Instance]:
+        """Return those that a request may be offered to."""
+        return [
+            one
+            for one in instances
+            if one.id not in tried
+            and one.domain not in self._evacuated
+            and self._is_allowed(one, regions)
+        ]
+
+    def _leaves(self, instance: placement.Instance) -> bool:
+        """Whether an instance leaves, by the list or by its own word."""
+        said = self._wishes.leaving_since(instance.id)
+        return instance.leaving or said is not None
+
+    def _is_last_resort(self, instance: placement.Instance) -> bool:
+        """Whether an instance that leaves may be used if there is no other."""
+        said = self._wishes.is_last_resort(instance.id)
+        return said and not instance.leaving
+
     def left_out(
         self,
         service: str,
@@ -226,7 +246,7 @@
         now = _now()
         reasons: tuple[tuple[str, Judge], ...] = (
             ('tried', lambda one: one.id in tried),
-            ('leaving', lambda one: one.leaving),
+            ('leaving', self._leaves),
             ('evacuated', lambda one: one.domain in self._evacuated),
             ('region', lambda one: not self._is_allowed(one, regions)),
             ('resting', lambda one: self._wishes.rest_left_s(one.id) > 0),
@@ -351,8 +371,10 @@
         now = _now()
         if self._spells.is_cold(instance.id, now):
             return False  # it holds next to nothing yet
+        listed = self._leaving_since.get(instance.id, now)
+        said = self._wishes.leaving_since(instance.id)
         return placement.may_be_copied(
-            now - self._leaving_since.get(instance.id, now),
+            now - (listed if said is None else min(said, listed)),
             is_sound=self._health.is_sound(instance.id)
             and instance.id not in self._unreachable
             and not self._wishes.rest_left_s(instance.id),
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -46,7 +46,9 @@
         self._leaving = leaving
         self._metrics = counters
         self._state = fleetstate.FleetState()
-        self._wishes = wishes.Wishes(names, counters)
+        self._wishes = wishes.Wishes(
+            names, counters, lambda name: self._witness.leaves(name)
+        )
         self._balancer = balancer.Balancer(
             settings.name, settings.domain, settings.regions, self._wishes
         )
@@ -216,7 +218,12 @@
         listed = self._state.instances.instances
         self._witness.regard(
             {one.id for one in listed},
-            {one.id for one in listed if one.leaving},
+            {
+                one.id
+                for one in listed
+                if one.leaving
+                or self._wishes.leaving_since(one.id) is not None
+            },
         )
 
     def _on_end(self, instance: str, requests: frozenset[str]) -> None:
--- a/src/honeyport/gateway/wishes.py
+++ b/src/honeyport/gateway/wishes.py
@@ -19,15 +19,35 @@
 # Callers who are refused since all instances rest come back within so long
 # after the first rest, in seconds: not all at its end.
 _SPREAD_S = 0.5
+# How long an instance that says that it leaves still takes requests if there
+# is no other one, in seconds: its successor is listed a little later. Well
+# under the time for which one that leaves goes on serving.
+_LAST_RESORT_S = 1.0
+# What an instance says that does not leave, where it says so at all.
+_NO = frozenset(('', '0', 'false'))
+
+
+# Called with the name of an instance that says for the first time that it
+# leaves.
+OnLeave = collections.abc.Callable[[str], None]
 
 
 class Wishes:
-    """What the instances have asked for."""
+    """What the instances have asked for, each for itself.
+
+    Other gateways are not told: each hears it in its first answer from there.
+
+    :param on_leave: called once for each instance that leaves
+    """
 
     def __init__(
-        self, names: gateway_headers.HeaderNames, counters: metrics.Metrics
+        self,
+        names: gateway_headers.HeaderNames,
+        counters: metrics.Metrics,
+        on_leave: OnLeave = lambda _: None,
     ) -> None:
         self._names = names
+        self._on_leave = on_leave
         self._metrics = counters
         self._rests = rests.Rests()
         self._leaving_since: dict[str, float] = {}
@@ -41,7 +61,8 @@
         :param sent: when the request was sent there, as loop time
         """
         self._note_late(instance, sent)
-        if self._names.leaving in head.headers:
+        said = head.headers.get(self._names.leaving, '')
+        if said.strip().lower() not in _NO:
             self._leave(instance)
         if head.status in _TURNED_AWAY:
             text = head.headers.get('Retry-After', '')
@@ -53,6 +74,15 @@
         """Return how much longer an instance wants nothing, in seconds."""
         return self._rests.left_s(instance, _now())
 
+    def leaving_since(self, instance: str) -> float | None:
+        """Return when an instance first said that it leaves, as loop time."""
+        return self._leaving_since.get(instance)
+
+    def is_last_resort(self, instance: str) -> bool:
+        """Whether an instance that leaves serves on if there is no other."""
+        since = self._leaving_since.get(instance)
+        return since is not None and _now() - since < _LAST_RESORT_S
+
     def check(self, instance: placement.Instance) -> None:
         """Raise an error unless a request may be sent to an instance now.
 
@@ -103,6 +133,7 @@
             address=instance.address,
             is_listed=instance.leaving,
         )
+        self._on_leave(instance.id)
 
     def _rest(
         self, instance: placement.Instance, status: int, asked_s: float
--- a/src/honeyport/router/witness.py
+++ b/src/honeyport/router/witness.py
@@ -119,6 +119,10 @@
         self._leaving = leaving | left
         self._forget_old()
 
+    def leaves(self, instance: str) -> None:
+        """Take it that an instance leaves in an orderly way."""
+        self._leaving.add(instance)
+
     async def settle(self, instance: str) -> None:
         """Return once an instance is not being probed."""
         doubt = self._doubts.get(instance)
