Gateways come back to an instance gently after its rest

After a rest all that had been kept from an instance came back at its end: from all gateways at one moment, and from each all that the instance is first for.

Change: a gateway comes back up to a fifth of the rest later, a second at the most; then one request at a time runs there, twice as many with each answer, as long as other instances are there.

--- a/features/gateway/rests.feature
+++ b/features/gateway/rests.feature
@@ -37,3 +37,46 @@
     When 25 requests a second reach the gateway for 5 seconds
     Then nothing reaches an instance 3 seconds after it said that it leaves
     And all callers were served
+
+  Scenario: instances that turn away with 429 name a time, too
+    Given a gateway with 4 instances and an allowance of 6 more offers
+    And the instances i-1 and i-2 slow down for 4
+    When 25 requests a second reach the gateway for 2 seconds
+    Then nothing reaches an instance while it rests
+    And all callers were served
+
+  Scenario: a new list and a new configuration end no rest
+    Given a gateway with 4 instances and an allowance of 6 more offers
+    And the instances i-1 and i-2 rest for 5
+    When 25 requests a second reach the gateway for 1 seconds
+    And the list of instances and the configuration come anew
+    And 25 requests a second reach the gateway for 2 seconds
+    Then nothing reaches an instance while it rests
+    And all callers were served
+
+  Scenario: requests wait for a connection to an instance that asks for rest
+    Given a gateway with 1 instances and an allowance of 6 more offers
+    And the instances i-1 rest for 4
+    When 8 requests wait 200 ms for a connection, and one before them does not
+    Then 1 request has reached an instance
+
+  Scenario Outline: an instance says in any answer that it leaves
+    Given a gateway with 4 instances and an allowance of 6 more offers
+    And the instances i-1 and i-2 say that they leave and <answer>
+    When 25 requests a second reach the gateway for 2 seconds
+    Then nothing reaches an instance 1 seconds after it said that it leaves
+
+    Examples:
+      | answer      |
+      | answer      |
+      | stream      |
+      | fail        |
+      | not run     |
+      | misdirected |
+
+  Scenario: all instances of a service say that they leave
+    Given a gateway with 4 instances and an allowance of 6 more offers
+    And all instances say that they leave and answer
+    When 25 requests a second reach the gateway for 3 seconds
+    Then nothing reaches an instance 2 seconds after it said that it leaves
+    And whoever came in the first 900 ms was served
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from unittest import mock
 
 import attrs
 import behave
@@ -57,7 +58,22 @@
 
 @behave.given('the instances {names} say in their answers that they leave')
 def step_leave(context, names):
-    _have_do(context, names.split(' and '), 'leaving')
+    _have_do(context, names.split(' and '), 'leaves, answer')
+
+
+@behave.given('the instances {names} say that they leave and {step}')
+def step_leave_with(context, names, step):
+    _have_do(context, names.split(' and '), f'leaves, {step}')
+
+
+@behave.given('all instances say that they leave and {step}')
+def step_all_leave(context, step):
+    _have_do(context, _names(context), f'leaves, {step}')
+
+
+@behave.given('the instances {names} slow down for {text}')
+def step_slow_down(context, names, text):
+    _have_do(context, names.split(' and '), f'slow down for {text}')
 
 
 @behave.when(
@@ -68,6 +84,36 @@
         context.run(_load(context, per_s, seconds))
 
 
+@behave.when(
+    '{count:d} requests wait {ms:d} ms for a connection, and one before them '
+    'does not'
+)
+def step_wait(context, count, ms):
+    context.run(_wait(context, count, ms / 1000))
+
+
+@behave.then('{count:d} request has reached an instance')
+def step_reached(context, count):
+    arrivals = context.setting.script.arrivals
+    assert len(arrivals) == count, arrivals
+
+
+@behave.when('the list of instances and the configuration come anew')
+def step_anew(context):
+    async def tell():
+        context.setting.configure('idempotent')
+        context.setting.list()
+
+    context.run(tell())
+
+
+@behave.then('whoever came in the first {ms:d} ms was served')
+def step_first_served(context, ms):
+    began = context.all_got[0].at
+    early = [got for got in context.all_got if got.at < began + ms / 1000]
+    assert early and all(got.status == _SERVED for got in early), early
+
+
 @behave.then(
     'the log says once of each of {count:d} rests who asked for {s:g} s'
 )
@@ -156,11 +202,11 @@
 
 def _asks(arrival):
     """Return how long an instance rests after an arrival; 0 if not."""
-    return _rest_s(arrival) if arrival.step.startswith('rest') else 0.0
+    return _rest_s(arrival) if ' for ' in arrival.step else 0.0
 
 
 def _leaves(arrival):
-    return float('inf') if arrival.step == 'leaving' else 0.0
+    return float('inf') if arrival.step.startswith('leaves') else 0.0
 
 
 def _late(context, lasts, grace_s):
@@ -184,6 +230,23 @@
     return late
 
 
+async def _wait(context, count, wait_s):
+    """Send requests whose connections are late, and one before them."""
+    connections = context.setting.gateway._pool
+    take = connections.take
+
+    async def take_late(instance):
+        await asyncio.sleep(wait_s)
+        return await take(instance)
+
+    async with asyncio.TaskGroup() as group:
+        with mock.patch.object(connections, 'take', take_late):
+            for _ in range(count):
+                group.create_task(_ask(context))
+            await asyncio.sleep(wait_s / 2)
+        group.create_task(_ask(context))
+
+
 async def _load(context, per_s, seconds):
     """Send requests at an even rate, whatever becomes of each."""
     async with asyncio.TaskGroup() as group:
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -144,8 +144,13 @@
 def _bytes(step: str, arrival: Arrival) -> bytes:
     """Return what an instance writes in one step.
 
-    After ``for`` comes how long the instance wants nothing.
+    After ``for`` comes how long the instance wants nothing, after
+    ``leaves`` what it does while it says that it leaves.
     """
+    name, _, told = step.partition(_LEAVES)
+    if told:
+        leaving = f'\r\n{NAMES.leaving}: 1\r\n'.encode()
+        return _bytes(told, arrival).replace(b'\r\n', leaving, 1)
     name, _, rest = step.partition(' for ')
     if name in _TURNED_AWAY:
         return _answer(
@@ -203,6 +208,8 @@
     return _stream_head(arrival) + _chunk(whole) + _chunk(half)
 
 
+# Before what an instance does that says in its answer that it leaves.
+_LEAVES = 'leaves, '
 _TURNED_AWAY = {
     'rest': '503 Service Unavailable',
     'slow down': '429 Too Many Requests',
@@ -221,7 +228,6 @@
     'garbage': lambda one: b'\x00\x01 no answer\r\n\r\n',
     'foreign, then answer': lambda one: _foreign(one) + _answer(one),
     'answer, then foreign': lambda one: _answer(one) + _foreign(one),
-    'leaving': lambda one: _answer(one, **{NAMES.leaving: '1'}),
     'stream': _stream,
     'stream cut': _stream_cut,
 }
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -284,6 +284,7 @@
     ) -> None:
         """Note that an instance answered a prompt with these parts."""
         self._health.succeeded(instance.id)
+        self._wishes.answered(instance.id)
         for part in prefixes.shared(parts):
             self._holders.note(part.id, instance.id)
 
@@ -383,13 +384,14 @@
     def _sound(
         self, found: list[placement.Instance]
     ) -> list[placement.Instance]:
-        """Return those that have not failed lately, here or elsewhere."""
+        """Return those that did not fail lately, nor come back from a rest."""
         now = _now()
         return [
             one
             for one in found
             if one.id not in self._unreachable
             and not self._health.is_avoided(one.id, now)
+            and self._wishes.is_back(one.id, self._running[one.id])
         ]
 
     def _with_source(
--- a/src/honeyport/gateway/wishes.py
+++ b/src/honeyport/gateway/wishes.py
@@ -74,6 +74,17 @@
         """Return how much longer an instance wants nothing, in seconds."""
         return self._rests.left_s(instance, _now())
 
+    def answered(self, instance: str) -> None:
+        """Note that an instance took a request and answered it."""
+        self._rests.answered(instance, _now())
+
+    def is_back(self, instance: str, running: int) -> bool:
+        """Whether one that rested may get one more, others being there.
+
+        :param running: the requests of this gateway that run there
+        """
+        return self._rests.is_back(instance, running, _now())
+
     def leaving_since(self, instance: str) -> float | None:
         """Return when an instance first said that it leaves, as loop time."""
         return self._leaving_since.get(instance)
--- a/src/honeyport/policy/rests.py
+++ b/src/honeyport/policy/rests.py
@@ -1,10 +1,21 @@
 """Which instances have asked this gateway for rest, and until when."""
 
+import random
+
 import attrs
 
 # The longest rest that is granted, in seconds: a broken instance that asks
 # for days is tried again after it.
 LONGEST_S = 60.0
+# How much later than it may, at most, a gateway comes back: as a share of the
+# rest, and in seconds. Many gateways got the same rest at one moment.
+_SPREAD_SHARE = 0.2
+_SPREAD_S = 1.0
+# After its rest an instance gets one request at a time from a gateway, then
+# twice as many with each answer, up to so many: all that was kept from it
+# would turn it away again.
+_FIRST_RUNNING = 1
+_FULL_RUNNING = 16
 
 
 @attrs.frozen
@@ -23,12 +34,18 @@
 
 @attrs.define
 class _Record:
+    """What is known of one rest.
+
+    :ivar running: the most requests that may run there at once after it
+    """
+
     began: float
     until: float
+    running: int = _FIRST_RUNNING
 
 
 class Rests:
-    """The rests that are not over yet.
+    """The rests that are not over yet, or from which instances come back.
 
     A rest ends with its time and with nothing else: an answer of a request
     that was sent before says nothing about it, and neither does a shorter
@@ -41,7 +58,8 @@
     def ask(self, instance: str, asked_s: float, now: float) -> Rest:
         """Note that an instance asks for rest."""
         granted_s = min(asked_s, LONGEST_S)
-        until = now + granted_s
+        spread_s = min(granted_s * _SPREAD_SHARE, _SPREAD_S)
+        until = now + granted_s + random.uniform(0.0, spread_s)
         record = self._records.get(instance)
         is_new = record is None or record.until <= now
         if record is None or is_new:
@@ -50,6 +68,25 @@
             record.until = max(record.until, until)
         return Rest(asked_s, granted_s, is_new)
 
+    def answered(self, instance: str, now: float) -> None:
+        """Note that an instance took a request and answered it."""
+        record = self._records.get(instance)
+        if record is None or record.until > now:
+            return
+        record.running *= 2
+        if record.running > _FULL_RUNNING:
+            del self._records[instance]
+
+    def is_back(self, instance: str, running: int, now: float) -> bool:
+        """Whether an instance may get one more request, others being there.
+
+        :param running: the requests of this gateway that run there
+        """
+        record = self._records.get(instance)
+        if record is None:
+            return True
+        return record.until <= now and running < record.running
+
     def left_s(self, instance: str, now: float) -> float:
         """Return how much longer an instance rests; 0 if it does not."""
         record = self._records.get(instance)
