A steward sends an engine nothing for as long as the engine asks

The same cause in the product's own way: an engine that turned a call away with 503 or 429 and named a time got the next call at once, ten of ten in 20 ms. Now the steward keeps the rest and the gentle return that gateways keep, for plain services too, whose rejections are passed on; calls that wait count the rest into their time, so that what cannot start before its deadline is refused at once. One of ten arrives in the 0.8 s after the first (10 before), the second after the rest. Which statuses name a time is said in one place.

--- a/features/router/steward.feature
+++ b/features/router/steward.feature
@@ -19,3 +19,14 @@
     When 6 calls wait for room, 1 at each engine
     And the lease lapses and the view is settled after that
     Then all of them are refused with "HP-3005" and none was sent
+
+  # Steward and gateway had the same fault: what an engine asks for when it
+  # turns a call away was never read. All ten calls went there in 20 ms.
+  Scenario: an engine that asks for rest gets nothing from its steward
+    Given a steward of 1 engines with 1 slots and nothing running elsewhere
+    And its engines turn calls away and ask for 1 s of rest
+    When 10 calls wait for room, 10 at each engine
+    And 0.8 s pass with a settled view
+    Then 1 call has reached the engines
+    When 1 s pass with a settled view
+    Then 2 calls have reached the engines
--- a/features/steps/steward_steps.py
+++ b/features/steps/steward_steps.py
@@ -1,6 +1,7 @@
 """Steps about admission, with a steward that has no process around it."""
 
 import asyncio
+import contextlib
 import zlib
 
 import behave
@@ -8,12 +9,16 @@
 from honeyport.bundle import entries
 from honeyport.bundle import model
 from honeyport import exchange
+from honeyport import local
 from honeyport.router import fleetstate
 from honeyport.router import steward
 from honeyport.router import suspects
+from honeyport.settings import roles
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
+_ENGINE = local.free_address()
+
 
 @behave.given(
     'a steward of {count:d} engines with {slots:d} slots and nothing running '
@@ -53,7 +58,7 @@
         backends={
             f'engine-{number}': model.Backend(
                 service='llm',
-                address='127.0.0.2:1',
+                address=_ENGINE,
                 domain='thu-duc',
                 slots=slots,
             )
@@ -68,6 +73,55 @@
     )
 
 
+@behave.given('its engines turn calls away and ask for {seconds:g} s of rest')
+def step_turn_away(context, seconds):
+    context.arrived = []
+    answer = (
+        'HTTP/1.1 503 Service Unavailable\r\n'
+        f'Retry-After: {seconds:g}\r\n'
+        'Content-Length: 0\r\n\r\n'
+    ).encode()
+
+    async def serve(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while line := await reader.readline():
+                await reader.readuntil(b'\r\n\r\n')
+                if line.startswith(b'POST'):
+                    context.arrived.append(line)
+                writer.write(answer)
+        writer.close()
+
+    async def start():
+        host, port = roles.split(_ENGINE)
+        return await asyncio.start_server(serve, host, port)
+
+    server = context.run(start())
+
+    async def stop():
+        server.close()
+
+    context.to_stop.append(stop)
+
+
+@behave.when('{seconds:g} s pass with a settled view')
+def step_pass(context, seconds):
+    made = context.steward
+
+    async def pass_by():
+        for slot in made._slots.values():
+            slot.ready = True
+            made._admit_waiting(slot)
+        await asyncio.sleep(seconds)
+
+    context.run(pass_by())
+
+
+@behave.then('{count:d} call has reached the engines')
+@behave.then('{count:d} calls have reached the engines')
+def step_reached(context, count):
+    assert len(context.arrived) == count, len(context.arrived)
+
+
 @behave.when('{count:d} calls wait for room, {each:d} at each engine')
 def step_calls_wait(context, count, each):
     async def begin():
--- a/src/honeyport/backend/engine.py
+++ b/src/honeyport/backend/engine.py
@@ -14,12 +14,12 @@
 from honeyport.backend import registry
 from honeyport import errors
 from honeyport import exchange
+from honeyport.policy import retry_after
 
 _PROBE_S = 1.0
 _CANCEL_S = 2.0
 _PREFIX_S = 10.0
 _LAST_EVENT = b'data: [DONE]\n\n'
-_BUSY = (429, 503)
 
 
 @attrs.frozen
@@ -105,8 +105,10 @@
 
     def _refuse(self, head: exchange.Head) -> None:
         """Raise if the engine says that it did not take the request."""
-        if head.status in _BUSY:
-            raise errors.BackendFull(f'{self._name} is busy')
+        if retry_after.is_turned_away(head.status):
+            raise errors.BackendFull(
+                f'{self._name} is busy', retry_after=head.retry_after_s
+            )
         if head.status == 410:
             raise errors.AnswerCut(f'{self._name} no longer has the stream')
 
--- a/src/honeyport/exchange.py
+++ b/src/honeyport/exchange.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from honeyport.policy import retry_after
+
 NOT_RESUMED = -1
 
 Headers = tuple[tuple[str, str], ...]
@@ -70,6 +72,16 @@
     backend: str
     recorded: bool = False  # the outcome of an earlier run
 
+    @property
+    def retry_after_s(self) -> float | None:
+        """When a backend server that turned this away may be asked again."""
+        named = (
+            value
+            for name, value in self.headers
+            if name.lower() == 'retry-after'
+        )
+        return retry_after.asked_s(self.status, next(named, ''))
+
     @property
     def is_success(self) -> bool:
         """Whether the backend server did what was asked."""
--- a/src/honeyport/gateway/wishes.py
+++ b/src/honeyport/gateway/wishes.py
@@ -14,8 +14,6 @@
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
 
-# Answers that turn a request away and may name a time until the next one.
-_TURNED_AWAY = frozenset((429, 503))
 # Callers who are refused since all instances rest come back within so long
 # after the first rest, in seconds: not all at its end.
 _SPREAD_S = 0.5
@@ -64,11 +62,10 @@
         said = head.headers.get(self._names.leaving, '')
         if said.strip().lower() not in _NO:
             self._leave(instance)
-        if head.status in _TURNED_AWAY:
-            text = head.headers.get('Retry-After', '')
-            asked_s = retry_after.seconds(text)
-            if asked_s is not None:
-                self._rest(instance, head.status, asked_s)
+        text = head.headers.get('Retry-After', '')
+        asked_s = retry_after.asked_s(head.status, text)
+        if asked_s is not None:
+            self._rest(instance, head.status, asked_s)
 
     def rest_left_s(self, instance: str) -> float:
         """Return how much longer an instance wants nothing, in seconds."""
--- a/src/honeyport/policy/retry_after.py
+++ b/src/honeyport/policy/retry_after.py
@@ -4,6 +4,23 @@
 import math
 import time
 
+# Answers that turn a request away and may name a time until the next one.
+_TURNED_AWAY = frozenset((429, 503))
+
+
+def is_turned_away(status: int) -> bool:
+    """Whether an answer's status says that the request was turned away."""
+    return status in _TURNED_AWAY
+
+
+def asked_s(status: int, text: str) -> float | None:
+    """Return for how long who answers wants nothing, or ``None``.
+
+    :param status: of the answer
+    :param text: the value of its header, or ``''``
+    """
+    return seconds(text) if is_turned_away(status) else None
+
 
 def seconds(text: str) -> float | None:
     """Return the time that a header names, or ``None`` if it names none.
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -17,6 +17,7 @@
 from honeyport import exchange
 from honeyport.policy import fingerprints
 from honeyport.policy import hashing
+from honeyport.policy import rests
 from honeyport.router import fleetstate
 from honeyport.router import slots
 from honeyport.router import suspects
@@ -62,6 +63,7 @@
         )
         self._news = asyncio.Event()
         self._lapsed = False
+        self._rests = rests.Rests()
         self._transfers = transfer.Transfers(state, counters)
         self._parting: set[asyncio.Task[None]] = set()
         counters.gauge('steward_slots', lambda: len(self._owned()))
@@ -164,7 +166,7 @@
             async with contextlib.aclosing(answer):
                 async for frame in answer:
                     if isinstance(frame, exchange.Head):
-                        self._answered(slot)
+                        self._heed(slot, frame)
                         slot.hot.note(call.chat)
                         succeeded = frame.is_success
                     elif isinstance(frame, exchange.End):
@@ -274,6 +276,7 @@
     def _drop(self, slot: slots.Slot) -> None:
         if self._slots.get(slot.name) is slot:
             del self._slots[slot.name]
+            self._rests.forget_others(set(self._slots))
         if not slot.running:
             slot.client.close()
 
@@ -302,6 +305,8 @@
         share = self._share(call.account)
         ahead = slot.queue.ahead(call.account)
         wait_s = (ahead + 1) * slot.service_s / max(1, self._limit(slot))
+        now = asyncio.get_running_loop().time()
+        wait_s += self._rests.left_s(slot.name, now)
         full = len(slot.queue) >= self._state.bundle.limits.queue
         most_s = min(call.left(), call.patience_s)
         if call.patience_s < call.left() and (full or wait_s > most_s):
@@ -326,6 +331,9 @@
     def _has_room(self, slot: slots.Slot) -> bool:
         if not slot.ready or self._state.lease_left <= 0:
             return False
+        now = asyncio.get_running_loop().time()
+        if not self._rests.is_back(slot.name, slot.running, now):
+            return False
         foreign = max(slot.foreign, self._state.residual(slot.name))
         return slot.running + foreign < self._limit(slot)
 
@@ -376,6 +384,7 @@
         if slot.down:
             logs.emit(events.BACKEND_UP, backend=slot.name)
         slot.failures = 0
+        self._rests.answered(slot.name, asyncio.get_running_loop().time())
         slot.limit = min(slot.backend.slots, slot.limit + 1 / slot.limit)
 
     def _failed(
@@ -387,9 +396,33 @@
             self._witness.is_gone(slot.name, witness.REFUSES)
         if isinstance(error, errors.BackendFull):
             slot.limit = max(1.0, slot.limit * _BACKOFF)
+            if error.retry_after is not None:
+                self._rest(slot, error.retry_after)
         elif isinstance(error, errors.NotSent | errors.BackendLost):
             self._unreachable(slot)
 
+    def _heed(self, slot: slots.Slot, head: exchange.Head) -> None:
+        """Take what the head of an answer says of its backend server."""
+        if head.retry_after_s is not None:
+            self._rest(slot, head.retry_after_s)
+        else:
+            self._answered(slot)
+
+    def _rest(self, slot: slots.Slot, asked_s: float) -> None:
+        """Send a backend server nothing for as long as it asks."""
+        loop = asyncio.get_running_loop()
+        rest = self._rests.ask(slot.name, asked_s, loop.time())
+        if rest.is_new:
+            logs.emit(
+                events.REST_ASKED,
+                backend=slot.name,
+                address=slot.address,
+                asked_s=rest.asked_s,
+                rest_s=rest.granted_s,
+            )
+        left_s = self._rests.left_s(slot.name, loop.time())
+        loop.call_later(left_s, self._admit_waiting, slot)
+
     async def _knock(self, slot: slots.Slot) -> None:
         """Connect to a backend server for the witness.
 
