The platform's list is read less often where the platform asks for that

Now the time is kept, 3 s at the most: with an older list requests go on to instances that leave. A Connection header that names close beside others closes as well.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -101,3 +101,14 @@
     When a part with a spoilt entry of b that names a is all it reads
     Then the instances are still a, c
     And 1 entry is counted as refused
+
+  Scenario Outline: whoever serves the list wants to be asked less
+    Given a catalog that has read the instances a, b, c
+    When the list is refused, to be asked for again in <named> s
+    Then it is read <count> times in 6 seconds
+
+    Examples:
+      | named | count |
+      | 0     | 7     |
+      | 2     | 3     |
+      | 900   | 2     |
--- a/features/platform/listing.feature
+++ b/features/platform/listing.feature
@@ -90,3 +90,8 @@
 
   Scenario: whatever else is written beside good entries
     Then any list names exactly the good ones among its entries
+
+  Scenario: the platform wants to be asked less
+    Given a list of the instances a, b, c
+    And the platform answers 429 with Retry-After 1.5
+    Then the list cannot be read, and is read again after 1.5 s
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -41,6 +41,8 @@
         self.listed: list[pb.Instance] | None = []
         self.first_number = 0
         self.missing = ''
+        self.again_s: float | None = None
+        self.reads = 0
         self.refusals: list[readings.Refusal] = []
         self.counters = metrics.Metrics()
         self.node = _Leader()
@@ -82,6 +84,17 @@
         """Read the list as it is, and let places be recorded."""
         self.loop.run_until_complete(self._look())
 
+    def count_reads(self, seconds: float) -> int:
+        """Return how often the list is read in some seconds."""
+        self.reads = 0
+        self.loop.run_until_complete(self._read_for(seconds))
+        return self.reads
+
+    async def _read_for(self, seconds: float) -> None:
+        reading = asyncio.create_task(self.catalog.run())
+        await asyncio.sleep(seconds)
+        reading.cancel()
+
     async def _look(self) -> None:
         reading = asyncio.create_task(self.catalog.run())
         recording = asyncio.create_task(self.catalog.record())
@@ -91,8 +104,9 @@
         await asyncio.wait([reading, recording])
 
     async def _read(self) -> readings.Reading:
+        self.reads += 1
         if self.listed is None:
-            raise errors.ListUnreadable('no answer')
+            raise errors.ListUnreadable('no answer', retry_after=self.again_s)
         return readings.Reading(
             instances=self.listed,
             refusals=self.refusals,
@@ -236,3 +250,15 @@
 def step_told_once(context):
     first = context.catalog.catalog.number - 1
     assert context.catalog.first_number == first
+
+
+@behave.when('the list is refused, to be asked for again in {seconds:d} s')
+def step_turned_away(context, seconds):
+    context.catalog.listed = None
+    context.catalog.again_s = float(seconds) or None
+
+
+@behave.then('it is read {count:d} times in {seconds:d} seconds')
+def step_count(context, count, seconds):
+    found = context.catalog.count_reads(float(seconds))
+    assert found == count, found
--- a/features/steps/listing_steps.py
+++ b/features/steps/listing_steps.py
@@ -62,6 +62,7 @@
         self.page_size = page_size
         self.raw = {}
         self.broken_page = None
+        self.status = '200 OK'
 
     def bodies(self):
         """Return the bodies of all pages."""
@@ -96,7 +97,10 @@
         def answer(request):
             number = int(request.arguments.get('page_token', [b'0'])[0])
             body = bodies[number]
-            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+            head = (
+                f'HTTP/1.1 {self.status}\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n'
+            )
             request.connection.stream.write(head.encode() + body)
             request.connection.finish()
 
@@ -175,6 +179,21 @@
     context.listed.broken_page = number
 
 
+@behave.given('the platform answers 429 with Retry-After {text}')
+def step_turned_away(context, text):
+    context.listed.status = f'429 Too Many\r\nRetry-After: {text}'
+
+
+@behave.then('the list cannot be read, and is read again after {seconds:g} s')
+def step_again(context, seconds):
+    try:
+        context.run(context.listed.read())
+    except errors.ListUnreadable as error:
+        assert error.retry_after == seconds, error.retry_after
+        return
+    raise AssertionError('it was read')
+
+
 @behave.when('the list is read')
 def step_read(context):
     context.reading = context.run(context.listed.read())
--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -28,6 +28,9 @@
 # A third of the shortest bound that the platforms set between the first
 # sign that an instance leaves and its last request (3 s).
 PERIOD_S = 0.9
+# The longest time, in seconds, for which the list is left alone where who
+# serves it asks for that: requests go on to instances that leave meanwhile.
+_LONGEST_PAUSE_S = 3.0
 _TERM_SHIFT = 24  # as for views: ordered across leaders
 # Between two looks at whether places have changed, in seconds: far below the
 # time between two changes of the list, and each look is a comparison.
@@ -86,8 +89,8 @@
         """Read the list while this replica leads, until cancelled."""
         while True:
             if self._node.leads:
-                await self._read()
-                await asyncio.sleep(PERIOD_S)
+                again_s = await self._read()
+                await asyncio.sleep(max(PERIOD_S, again_s))
             else:
                 self._lists.clear()
                 self._known = []
@@ -124,12 +127,18 @@
             removed=change.removed,
         )
 
-    async def _read(self) -> None:
+    async def _read(self) -> float:
+        """Read the list once; return when it may be read again, in seconds."""
         try:
             reading = await self._source()
         except errors.ListUnreadable as error:
             self._note_readable(error.detail)
-            return
+            return min(error.retry_after or 0.0, _LONGEST_PAUSE_S)
+        self._take(reading)
+        return min(reading.again_s, _LONGEST_PAUSE_S)
+
+    def _take(self, reading: readings.Reading) -> None:
+        """Make what was read known, if anything is new."""
         self._note_readable(reading.missing)
         self._note_refusals(tuple(reading.refusals))
         found = readings.merge(self._known, reading)
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -215,7 +215,8 @@
 
     :returns: seconds, 0 if the connection is to be closed, or ``None``
     """
-    if head.headers.get('Connection', '').lower() == 'close':
+    listed = head.headers.get('Connection', '').lower().split(',')
+    if any(one.strip() == 'close' for one in listed):
         return 0.0
     for item in head.headers.get('Keep-Alive', '').split(','):
         name, _, value = item.partition('=')
--- a/src/honeyport/platform/listing.py
+++ b/src/honeyport/platform/listing.py
@@ -12,6 +12,7 @@
 from honeyport import errors
 from honeyport.platform import entries
 from honeyport.policy import readings
+from honeyport.policy import retry_after
 from honeyport.wire import honeyport_pb2 as pb
 
 # A list that has not come by then is asked for again at the next period.
@@ -61,7 +62,10 @@
         )
         self._is_long = sum(part.pages for part in parts) > _FEW_PAGES
         if not any(part.pages for part in parts):
-            raise errors.ListUnreadable(parts[0].missing)
+            again_s = max(part.again_s for part in parts)
+            raise errors.ListUnreadable(
+                parts[0].missing, retry_after=again_s or None
+            )
         return _reading(parts)
 
     async def _read_part(self, zone: str, most: int) -> '_Part':
@@ -76,6 +80,7 @@
                 if not zone and not part.pages:
                     raise
                 part.missing = error.detail
+                part.again_s = error.retry_after or 0.0
                 return part
             part.pages += 1
             part.decoded += [entries.decode(entry) for entry in page.entries]
@@ -98,7 +103,9 @@
             )
             return entries.decode_page(response.body)
         except (OSError, httpclient.HTTPError, ValueError) as error:
-            raise errors.ListUnreadable(f'{url}: {error!r}') from None
+            raise errors.ListUnreadable(
+                f'{url}: {error!r}', retry_after=_again_s(error)
+            ) from None
 
 
 @attrs.define
@@ -106,19 +113,31 @@
     """What was read of one zone.
 
     :ivar missing: why the rest could not be read, or ``''``
+    :ivar again_s: when the platform wants to be asked again; 0 for any time
     """
 
     decoded: list[pb.Instance | readings.Refusal] = attrs.field(factory=list)
     pages: int = 0
     is_whole: bool = False
     missing: str = ''
+    again_s: float = 0.0
+
+
+def _again_s(error: Exception) -> float | None:
+    """Return when the platform wants to be asked again, if it says so."""
+    response = getattr(error, 'response', None)
+    if response is None:
+        return None
+    text = response.headers.get('Retry-After', '')
+    return retry_after.asked_s(response.code, text)
 
 
-def _reading(parts: collections.abc.Iterable[_Part]) -> readings.Reading:
+def _reading(parts: collections.abc.Collection[_Part]) -> readings.Reading:
     decoded = [one for part in parts for one in part.decoded]
     missing = [part.missing for part in parts if part.missing]
     return readings.Reading(
         instances=[one for one in decoded if isinstance(one, pb.Instance)],
         refusals=[one for one in decoded if isinstance(one, readings.Refusal)],
         missing='; '.join(missing),
+        again_s=max((part.again_s for part in parts), default=0.0),
     )
--- a/src/honeyport/policy/readings.py
+++ b/src/honeyport/policy/readings.py
@@ -31,11 +31,14 @@
     :ivar instances: those that may be used, in the order of the list
     :ivar refusals: the entries that were left out
     :ivar missing: why the rest of the list could not be read, or ``''``
+    :ivar again_s: when whoever serves it wants to be asked again, in seconds;
+        0 if it does not say
     """
 
     instances: collections.abc.Sequence[pb.Instance] = ()
     refusals: collections.abc.Sequence[Refusal] = ()
     missing: str = ''
+    again_s: float = 0.0
 
 
 Instances = collections.abc.Iterable[pb.Instance]
