What a gateway knows of cold instances is a module of its own; choices stay cheap

Cold instances and a gateway's share of what they tolerate stand in gateway/warmth.py. Rest and leaving are asked of whole lists, and cost nothing while no instance asked for anything; before, each choice read the clock three times for each instance.

--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -13,8 +13,8 @@
 import attrs
 
 from honeyport import errors
+from honeyport.gateway import warmth
 from honeyport.gateway import wishes
-from honeyport.policy import cold
 from honeyport.policy import health
 from honeyport.policy import placement
 from honeyport.policy import prefixes
@@ -30,7 +30,6 @@
 # may at once, so that this is about the way to there.
 _ELSEWHERE_S = 0.1
 
-Tolerances = collections.abc.Mapping[str, cold.Tolerance]
 Domains = collections.abc.Set[str]
 Instances = collections.abc.Iterable[placement.Instance]
 Judge = collections.abc.Callable[[placement.Instance], bool]
@@ -56,9 +55,7 @@
         self._domain = domain
         self._regions = regions
         self._evacuated: Domains = frozenset()
-        self._tolerances: Tolerances = {}
-        self._spells = cold.Spells()
-        self._cold_shares = cold.Shares(name)
+        self._warmth = warmth.Warmth(name)
         self._number = 0
         self._services: dict[str, list[placement.Instance]] = {}
         self._running: collections.Counter[str] = collections.Counter()
@@ -75,9 +72,9 @@
         """Requests of this gateway in flight, by instance."""
         return self._running
 
-    def tolerate(self, tolerances: Tolerances) -> None:
+    def tolerate(self, tolerances: warmth.Tolerances) -> None:
         """Take what cold instances tolerate, by service."""
-        self._tolerances = tolerances
+        self._warmth.tolerate(tolerances)
 
     def evacuate(self, domains: Domains) -> None:
         """Take the failure domains whose instances get nothing new.
@@ -91,12 +88,11 @@
         for found in self._services.values():
             for one in found:
                 if one.domain in ended:
-                    until = _now() + self._tolerance(one).cold_s
-                    self._spells.note(one.id, until)
+                    self._warmth.turn_cold(one)
 
     def meet(self, gateways: collections.abc.Collection[str]) -> None:
         """Take the names of the gateways that callers are sent to."""
-        self._cold_shares.regard(gateways, _now())
+        self._warmth.meet(gateways)
 
     @property
     def unreachable(self) -> list[str]:
@@ -137,9 +133,8 @@
             )
             self._services.setdefault(listed.service, []).append(instance)
             if listed.cold_ms:
-                until = _now() + listed.cold_ms / 1000
-                self._spells.note(listed.id, until)
-        self._spells.forget_over(_now())
+                self._warmth.note_cold(listed.id, listed.cold_ms / 1000)
+        self._warmth.forget_over()
         usable = {
             instance.id
             for found in self._services.values()
@@ -151,7 +146,7 @@
         present = {one.id for one in instances.instances}
         self._holders.forget_others(present)
         self._wishes.forget_others(present)
-        self._cold_shares.forget_others(present)
+        self._warmth.forget_others(present)
         logs.emit(
             events.INSTANCES_APPLIED,
             list_number=self._number,
@@ -174,17 +169,19 @@
         :raises errors.NoInstance: if there is none left
         """
         listed = self._services.get(service, ())
-        peers = [one for one in listed if not self._leaves(one)]
+        peers = self._wishes.staying(
+            [one for one in listed if not one.leaving]
+        )
         found = self._usable(peers, tried, regions)
         if not found:
-            last = [one for one in listed if self._is_last_resort(one)]
+            last = self._wishes.last_resort(listed)
             peers = found = self._usable(last, tried, regions)
         if not found:
             raise errors.NoInstance(
                 f'no instance of {service} is left to try',
                 retry_after=_COME_BACK_S,
             )
-        awake = [one for one in found if not self._wishes.rest_left_s(one.id)]
+        awake = self._wishes.awake(found)
         if not awake:
             # Taken all the same, they would turn it away, and the callers
             # behind it would pay for that with the allowance.
@@ -205,11 +202,9 @@
             stay_s=self._stays.of(service),
         )
         if not parts:
-            choice = placement.by_load(among.first, counts, self._domain)
-        else:
-            choice = placement.by_prefix(parts, among, counts, self._domain)
-            choice = self._with_source(service, parts, choice, regions)
-        return choice
+            return placement.by_load(among.first, counts, self._domain)
+        choice = placement.by_prefix(parts, among, counts, self._domain)
+        return self._with_source(service, parts, choice, regions)
 
     def _usable(
         self,
@@ -231,11 +226,6 @@
         said = self._wishes.leaving_since(instance.id)
         return instance.leaving or said is not None
 
-    def _is_last_resort(self, instance: placement.Instance) -> bool:
-        """Whether an instance that leaves may be used if there is no other."""
-        said = self._wishes.is_last_resort(instance.id)
-        return said and not instance.leaving
-
     def left_out(
         self,
         service: str,
@@ -252,7 +242,7 @@
             ('resting', lambda one: self._wishes.rest_left_s(one.id) > 0),
             ('unreachable', lambda one: one.id in self._unreachable),
             ('failed', lambda one: self._health.is_avoided(one.id, now)),
-            ('cold', lambda one: self._spells.is_cold(one.id, now)),
+            ('cold', lambda one: self._warmth.is_cold(one, now)),
         )
         found = collections.Counter(
             next((name for name, holds in reasons if holds(one)), '')
@@ -268,8 +258,7 @@
         """Count a request while it runs on an instance."""
         self._running[instance.id] += 1
         began = _now()
-        if self._spells.is_cold(instance.id, began):
-            self._cold_shares.note_sent(instance.id, began)
+        self._warmth.note_sent(instance)
         try:
             yield
             # Not where it failed: that took more time, or none at all.
@@ -349,28 +338,22 @@
         warm: list[placement.Instance] = []
         cold_ones: list[placement.Instance] = []
         for one in found:
-            is_cold = self._spells.is_cold(one.id, now)
+            is_cold = self._warmth.is_cold(one, now)
             (cold_ones if is_cold else warm).append(one)
         sound = self._sound(warm)
         spared = [
             one
             for one in cold_ones
-            if self._cold_shares.may_take(
-                one.id, self._tolerance(one).most, now, is_last=not sound
-            )
+            if self._warmth.may_take(one, now, is_last=not sound)
         ]
         ready = self._sound(spared)
         if sound:
             return placement.Candidates(sound, ready, peers)
         return placement.Candidates(ready or warm or spared, (), peers)
 
-    def _tolerance(self, instance: placement.Instance) -> cold.Tolerance:
-        """Return what an instance takes while it is cold."""
-        return self._tolerances.get(instance.service, cold.Tolerance())
-
     def _may_be_copied(self, instance: placement.Instance) -> bool:
         now = _now()
-        if self._spells.is_cold(instance.id, now):
+        if self._warmth.is_cold(instance, now):
             return False  # it holds next to nothing yet
         listed = self._leaving_since.get(instance.id, now)
         said = self._wishes.leaving_since(instance.id)
@@ -386,13 +369,13 @@
     ) -> list[placement.Instance]:
         """Return those that did not fail lately, nor come back from a rest."""
         now = _now()
-        return [
+        sound = [
             one
             for one in found
             if one.id not in self._unreachable
             and not self._health.is_avoided(one.id, now)
-            and self._wishes.is_back(one.id, self._running[one.id])
         ]
+        return self._wishes.back(sound, self._running)
 
     def _with_source(
         self,
--- a/src/honeyport/gateway/wishes.py
+++ b/src/honeyport/gateway/wishes.py
@@ -25,6 +25,8 @@
 _NO = frozenset(('', '0', 'false'))
 
 
+Instances = collections.abc.Sequence[placement.Instance]
+Running = collections.abc.Mapping[str, int]
 # Called with the name of an instance that says for the first time that it
 # leaves.
 OnLeave = collections.abc.Callable[[str], None]
@@ -73,24 +75,57 @@
 
     def answered(self, instance: str) -> None:
         """Note that an instance took a request and answered it."""
-        self._rests.answered(instance, _now())
+        if self._rests:
+            self._rests.answered(instance, _now())
 
-    def is_back(self, instance: str, running: int) -> bool:
-        """Whether one that rested may get one more, others being there.
+    def awake(self, instances: Instances) -> Instances:
+        """Return those that do not rest."""
+        if not self._rests:
+            return instances
+        now = _now()
+        return [
+            one for one in instances if not self._rests.left_s(one.id, now)
+        ]
 
-        :param running: the requests of this gateway that run there
+    def back(self, instances: Instances, running: Running) -> Instances:
+        """Return those that may get one more request, others being there.
+
+        One that comes back from a rest gets little at first.
+
+        :param running: the requests of this gateway that run on each
         """
-        return self._rests.is_back(instance, running, _now())
+        if not self._rests:
+            return instances
+        now = _now()
+        return [
+            one
+            for one in instances
+            if self._rests.is_back(one.id, running.get(one.id, 0), now)
+        ]
+
+    def staying(self, instances: Instances) -> Instances:
+        """Return those that have not said that they leave."""
+        if not self._leaving_since:
+            return instances
+        return [one for one in instances if one.id not in self._leaving_since]
+
+    def last_resort(self, instances: Instances) -> Instances:
+        """Return those that leave, and serve on if there is no other one.
+
+        The list may not say so yet; where it does, their time is over.
+        """
+        latest = _now() - _LAST_RESORT_S
+        return [
+            one
+            for one in instances
+            if not one.leaving
+            and self._leaving_since.get(one.id, latest) > latest
+        ]
 
     def leaving_since(self, instance: str) -> float | None:
         """Return when an instance first said that it leaves, as loop time."""
         return self._leaving_since.get(instance)
 
-    def is_last_resort(self, instance: str) -> bool:
-        """Whether an instance that leaves serves on if there is no other."""
-        since = self._leaving_since.get(instance)
-        return since is not None and _now() - since < _LAST_RESORT_S
-
     def check(self, instance: placement.Instance) -> None:
         """Raise an error unless a request may be sent to an instance now.
 
--- a/src/honeyport/policy/rests.py
+++ b/src/honeyport/policy/rests.py
@@ -55,6 +55,10 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
+    def __bool__(self) -> bool:
+        """Whether any instance rests, or comes back from a rest."""
+        return bool(self._records)
+
     def ask(self, instance: str, asked_s: float, now: float) -> Rest:
         """Note that an instance asks for rest."""
         granted_s = min(asked_s, LONGEST_S)
