What rests is told to all gateways, who leave it alone while others are there

Reports name the instances at rest, 64 at the most; the leader marks in the sums, with the bit that says out of reach, what gateways of two failure domains name, and as long as they do. So a false word of one gateway does nothing; a true one to all keeps nobody out where nothing else is left, since this degree is soft: only the rest that a gateway was asked for itself is kept in any case. A domain is not taken for lost by instances at rest.

--- a/features/gateway/rests.feature
+++ b/features/gateway/rests.feature
@@ -80,3 +80,11 @@
     When 25 requests a second reach the gateway for 3 seconds
     Then nothing reaches an instance 2 seconds after it said that it leaves
     And whoever came in the first 900 ms was served
+
+  Scenario: a gateway tells which instances asked it for rest
+    Given a gateway with 4 instances and an allowance of 6 more offers
+    And the instances i-1 and i-2 rest for 2
+    When 25 requests a second reach the gateway for 1 seconds
+    Then its reports name i-1 and i-2 as resting
+    When 3 seconds pass at the gateway
+    Then its reports name nothing as resting
--- a/features/policy/reach.feature
+++ b/features/policy/reach.feature
@@ -55,3 +55,24 @@
     And a leader that never heard the gateways of the one that gets lost
     When one failure domain is lost, and 20 requests a second come to each
     Then 1.5 seconds later at most 2 in 100 offers go to instances that are lost
+
+  # Each gateway had to be turned away itself before it left an instance alone
+  # that asked all of them for rest: with 83 gateways 242 rejections in ten
+  # seconds where ten instances did so, and 67 callers refused by them.
+  Scenario: an instance asks gateways of two failure domains for rest
+    Given gateways in thu-duc, tan-binh, binh-chanh, and instances in each
+    When gateways of thu-duc, tan-binh tell that tan-binh-1 rests
+    Then all leave tan-binh-1 alone
+    When gateways of thu-duc, tan-binh tell that nothing rests
+    Then all leave nothing alone
+
+  Scenario: a single failure domain tells of rest
+    Given gateways in thu-duc, tan-binh, binh-chanh, and instances in each
+    When gateways of thu-duc tell that tan-binh-1 rests
+    Then all leave nothing alone
+
+  Scenario: instances at rest are no sign that their failure domain is lost
+    Given gateways in thu-duc, tan-binh, binh-chanh, and instances in each
+    When the gateways of binh-chanh fall silent
+    And gateways of thu-duc, tan-binh tell that binh-chanh-1, binh-chanh-2 rests
+    Then all leave binh-chanh-1, binh-chanh-2 alone
--- a/features/router/loads.feature
+++ b/features/router/loads.feature
@@ -23,3 +23,12 @@
     Given the reports of three routers on two backend servers
     When all of them have ended
     Then no router knows of any request
+
+  Scenario: rest that was asked of some gateways is known to all
+    Given the reports of three gateways, two of them in one domain
+    When gateways 1 and 2 report that the first instance rests
+    Then all gateways leave 0 instances alone
+    When gateways 1 and 3 report that the first instance rests
+    Then all gateways leave 1 instances alone
+    When no gateway reports that any more
+    Then all gateways leave 0 instances alone
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -3,10 +3,12 @@
 import behave
 
 from honeyport.control import fleet
+from honeyport.control import listings
 from honeyport.router import fleetstate
 from honeyport.wire import honeyport_pb2 as pb
 
 _ROUTERS = ('g-1', 'g-2', 'g-3')
+_DOMAINS = ('thu-duc', 'thu-duc', 'tan-binh')
 _SERVERS = ('i-1', 'i-2')
 _LEASE_S = 3600.0
 _FRESH_S = 3600.0
@@ -15,8 +17,16 @@
 class Setting:
     """The leader's fleet, and what three routers know."""
 
-    def __init__(self):
-        self.fleet = fleet.Fleet(1, 0.0)
+    def __init__(self, **hello):
+        listed = [
+            pb.Instance(id=name, domain=domain)
+            for name, domain in zip(_SERVERS, _DOMAINS, strict=False)
+        ]
+        lists = listings.Listings()
+        if hello:  # of those who read the list of instances
+            lists.take(1, listed)
+            lists.publish()
+        self.fleet = fleet.Fleet(1, 0.0, lists)
         self.now = 100.0
         self.running = {
             name: {
@@ -25,11 +35,18 @@
             }
             for number, name in enumerate(_ROUTERS)
         }
+        self.resting = dict.fromkeys(_ROUTERS, ())
         self.sessions = {
-            name: self.fleet.greet(pb.Hello(router=name), self.now, _LEASE_S)
-            for name in _ROUTERS
+            name: self.fleet.greet(
+                pb.Hello(router=name, domain=domain, **hello),
+                self.now,
+                _LEASE_S,
+            )
+            for name, domain in zip(_ROUTERS, _DOMAINS, strict=True)
         }
         self.states = {name: fleetstate.FleetState() for name in _ROUTERS}
+        for state in self.states.values():
+            state.apply_instances(pb.Instances(number=1, instances=listed))
         self.has = dict.fromkeys(_ROUTERS, 0)
         self.number = 0
         self.exchange()
@@ -42,6 +59,7 @@
             report = pb.Report(
                 number=self.number, stamp=self.fleet.stamp(self.now)
             )
+            report.resting.extend(self.resting[name])
             for server, running in self.running[name].items():
                 report.residuals.add(backend=server, running=running)
             report.loads.add(
@@ -66,6 +84,32 @@
     context.setting = Setting()
 
 
+@behave.given('the reports of three gateways, two of them in one domain')
+def step_gateways(context):
+    context.setting = Setting(no_view=True)
+
+
+@behave.when('gateways {numbers} report that the first instance rests')
+def step_rests(context, numbers):
+    for number in numbers.split(' and '):
+        name = _ROUTERS[int(number) - 1]
+        context.setting.resting[name] = _SERVERS[:1]
+    context.setting.exchange()
+
+
+@behave.when('no gateway reports that any more')
+def step_rested(context):
+    context.setting.resting = dict.fromkeys(_ROUTERS, ())
+    context.setting.exchange()
+
+
+@behave.then('all gateways leave {count:d} instances alone')
+def step_alone(context, count):
+    for name, state in context.setting.states.items():
+        found = state.unreachable
+        assert found == set(_SERVERS[:count]), (name, found)
+
+
 @behave.when('one of them has one request more on the first')
 def step_more(context):
     context.setting.running[_ROUTERS[0]][_SERVERS[0]] += 1
--- a/features/steps/reach_steps.py
+++ b/features/steps/reach_steps.py
@@ -32,6 +32,7 @@
     context.gateways = gateways
     context.silent = set()
     context.down = {domain: frozenset() for domain in gateways}
+    context.resting = {}
     context.domains = {
         f'{domain}-{number}': domain
         for domain in instances
@@ -51,6 +52,13 @@
         context.down[domain] = frozenset(instances.split(', '))
 
 
+@behave.when('gateways of {domains} tell that {instances} rests')
+def step_rests(context, domains, instances):
+    named = set() if instances == 'nothing' else set(instances.split(', '))
+    for domain in domains.split(', '):
+        context.resting[domain] = frozenset(named)
+
+
 @behave.then('all leave {instances} alone')
 def step_alone(context, instances):
     wanted = set(instances.split(', '))
@@ -61,7 +69,8 @@
         wanted = {name for name, of in context.domains.items() if of == domain}
     words = []
     for domain, down in context.down.items():
-        words.append(reach.Word(domain, down))
+        resting = context.resting.get(domain, frozenset())
+        words.append(reach.Word(domain, down, resting))
         # The other gateways of a domain have not tried.
         rest = _GATEWAYS_PER_DOMAIN - 1
         words += [reach.Word(domain, frozenset())] * rest
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -10,6 +10,7 @@
 
 from features.steps import gateway_steps
 from features.support import lines
+from honeyport.wire import honeyport_pb2 as pb
 
 # For what is on the wire when an instance asks for rest.
 _ON_THE_WIRE_S = 0.5
@@ -161,7 +162,7 @@
 @behave.then(
     'who was refused was told when the rest ends, within {most_ms:d} ms'
 )
-def step_told(context, most_ms):
+def step_told_when(context, most_ms):
     all_rest = [
         got
         for got in context.all_got
@@ -188,6 +189,23 @@
     return min(ends.values())
 
 
+@behave.when('{seconds:d} seconds pass at the gateway')
+def step_pass(context, seconds):
+    context.run(asyncio.sleep(seconds))
+
+
+@behave.then('its reports name {names} as resting')
+def step_told(context, names):
+    wanted = [] if names == 'nothing' else names.split(' and ')
+    report = pb.Report()
+
+    async def fill():
+        context.setting.gateway._fill(report)
+
+    context.run(fill())
+    assert sorted(report.resting) == wanted, report.resting
+
+
 def _names(context):
     return [one.name for one in context.setting.instances]
 
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -45,6 +45,7 @@
     counted: int = 0
     residuals: dict[str, int] = attrs.field(factory=dict)
     down: frozenset[str] = frozenset()
+    resting: frozenset[str] = frozenset()
     silent: bool = False
     replica: str = ''
     reach: pb.Member = attrs.field(factory=pb.Member)
@@ -185,6 +186,7 @@
             load.backend: load.running for load in report.residuals
         }
         router.down = frozenset(report.down)
+        router.resting = frozenset(report.resting)
 
     def stamp(self, now: float) -> int:
         """Return a time in the form in which reports bring it back."""
@@ -289,7 +291,8 @@
             if not router.silent and not router.has_view
         ]
         words = [
-            reach.Word(router.member.domain, router.down) for router in heard
+            reach.Word(router.member.domain, router.down, router.resting)
+            for router in heard
         ]
         silent = self._domains_seen - {word.domain for word in words}
         return self._reach.judge(words, self._lists.domains, silent, now)
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -29,6 +29,9 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _POLL_S = 0.05
+# Instances at rest that one report names: a report stays short also where
+# hundreds rest.
+_MOST_TOLD = 64
 
 
 class Gateway:
@@ -176,6 +179,7 @@
         for name, running in self._balancer.running.items():
             report.residuals.add(backend=name, running=running)
         report.down.extend(self._balancer.unreachable)
+        report.resting.extend(self._wishes.resting[:_MOST_TOLD])
 
     def take_news(self) -> None:
         """Bring choice, connections and limits in line with the state."""
--- a/src/honeyport/gateway/wishes.py
+++ b/src/honeyport/gateway/wishes.py
@@ -33,9 +33,11 @@
 
 
 class Wishes:
-    """What the instances have asked for, each for itself.
+    """What the instances have asked of this gateway.
 
-    Other gateways are not told: each hears it in its first answer from there.
+    Of rests all others are told, who leave these instances alone while others
+    are there. That one leaves they are not told: each hears it in its first
+    answer from there, which costs no caller anything.
 
     :param on_leave: called once for each instance that leaves
     """
@@ -51,7 +53,12 @@
         self._metrics = counters
         self._rests = rests.Rests()
         self._leaving_since: dict[str, float] = {}
-        counters.gauge('instances_resting', lambda: self._rests.count(_now()))
+        counters.gauge('instances_resting', lambda: len(self.resting))
+
+    @property
+    def resting(self) -> list[str]:
+        """The instances that asked this gateway for rest, not over yet."""
+        return self._rests.resting(_now()) if self._rests else []
 
     def heed(
         self, instance: placement.Instance, head: attempt.Head, sent: float
--- a/src/honeyport/policy/reach.py
+++ b/src/honeyport/policy/reach.py
@@ -5,13 +5,18 @@
 them, and sends a few requests a second: before 1,000 dark instances a third of
 all requests are late for as long as the domain is away.
 
-A gateway may be the one that is cut off. So an instance is left alone by all
-only if gateways of two failure domains could not connect to it, or of all that
-have any. And where all gateways of a domain fell silent as well, two of its
-instances stand for all; some more where a new leader has never heard any.
-
-While all leave an instance alone, nobody finds out that it is back; so it is
-tried again after a pause that doubles.
+An instance that asks one gateway for rest turns the others away as well, each
+of which would pay with a repeat of its allowance; so all leave it alone while
+gateways tell that it rests.
+
+A gateway may be the one that is cut off, or be told of a rest by mistake. So
+an instance is left alone by all only if gateways of two failure domains say
+so, or of all that have any. And where all gateways of a domain fell silent as
+well, two of its instances stand for all; some more where a new leader has
+never heard any.
+
+While all leave an instance alone that is out of reach, nobody finds out that
+it is back; so it is tried again after a pause that doubles.
 """
 
 import collections
@@ -47,10 +52,12 @@
 
     :ivar domain: its failure domain
     :ivar down: the instances that it could not connect to lately
+    :ivar resting: the instances that asked it for rest which is not over
     """
 
     domain: str
     down: Names
+    resting: Names = frozenset()
 
 
 @attrs.define
@@ -111,26 +118,32 @@
         """
         words = list(words)
         heard = {word.domain for word in words}
-        for instance in _agreed(words):
+        for instance in _agreed(words, lambda word: word.down):
             self._instances.hold(instance, now)
         held = self._instances.held(now)
+        resting = _agreed(words, lambda word: word.resting)
         for domain in _lost(held, domains, silent, heard):
             self._domains.hold(domain, now)
         lost = self._domains.held(now) - heard
         if not lost:
-            return frozenset(held)
-        return frozenset(
-            held | {name for name, domain in domains.items() if domain in lost}
-        )
+            return frozenset(held | resting)
+        dark = {name for name, domain in domains.items() if domain in lost}
+        return frozenset(held | resting | dark)
+
 
+def _agreed(
+    words: collections.abc.Iterable[Word],
+    named: collections.abc.Callable[[Word], Names],
+) -> set[str]:
+    """Return what gateways of enough failure domains name.
 
-def _agreed(words: collections.abc.Iterable[Word]) -> set[str]:
-    """Return what gateways of enough failure domains cannot reach."""
+    :param named: what one of them names
+    """
     heard = set()
     by_instance: dict[str, set[str]] = {}
     for word in words:
         heard.add(word.domain)
-        for instance in word.down:
+        for instance in named(word):
             by_instance.setdefault(instance, set()).add(word.domain)
     needed = min(_AGREEING, len(heard))
     return {
--- a/src/honeyport/policy/rests.py
+++ b/src/honeyport/policy/rests.py
@@ -106,9 +106,9 @@
             return None
         return at - record.began
 
-    def count(self, now: float) -> int:
-        """Return how many instances rest."""
-        return sum(one.until > now for one in self._records.values())
+    def resting(self, now: float) -> list[str]:
+        """Return the instances that rest."""
+        return [name for name, one in self._records.items() if one.until > now]
 
     def forget_others(self, present: set[str]) -> None:
         """Forget the instances that are gone."""
