--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 STAMP := .venv/.installed
 
-.PHONY: run fleet test lint format generate bench soak
+.PHONY: run fleet test lint format generate bench soak played
 
 run: $(STAMP)
 	$(BIN)/honeyport local
@@ -25,6 +25,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+played: $(STAMP)
+	$(BIN)/python -m bench.played
+
 soak: $(STAMP)
 	$(BIN)/python -m soak many --first=$(or $(SEED),1) \
 	    --count=$(or $(SEEDS),10) --jobs=$(or $(JOBS),3)
