The soak has instances that ask for rest, and that leave by their word alone

Callers' requests tell which node had been asked, so that each arrival is checked against what the instance had asked of that node.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -14,6 +14,10 @@
 _EVENT_PAUSE_S = 0.03
 _WORK_S = 0.03
 _SLOW = 10.0  # how much longer a slow instance takes
+_LEAVING = 'Server-Leaving: 1\r\n'
+# From an answer until what an instance asks for in it has to hold.
+_ON_THE_WIRE_S = 0.5
+_DRAIN_S = 3.0
 MOODS = ('errors', 'shed', 'mute', 'cut', 'reset', 'slow', 'extra')
 
 
@@ -45,6 +49,8 @@
         self.service = service
         self.state = 'ready'
         self.mood = ''
+        self.rest_s = 0.0  # asked for with each request turned away
+        self.leaves = False  # says so in all answers
         self.ended = False
         self._found = found
         self._random = chance
@@ -108,21 +114,31 @@
         if headers.get('Expected-Instance', self.name) != self.name:
             writer.write(self._plain(request_id, '421 Misdirected', False))
             return True
-        if self.mood == 'shed':
+        now = asyncio.get_running_loop().time()
+        self._found.arrivals.append(
+            soak_records.Run(request_id, self.name, now)
+        )
+        if self.leaves:
+            self._wish(request_id, _DRAIN_S, float('inf'))
+        if self.rest_s:
+            self._wish(request_id, _ON_THE_WIRE_S, self.rest_s)
+        if self.mood == 'shed' or self.rest_s:
             writer.write(self._plain(request_id, '503 Full', False))
             return True
         self._found.runs[request_id].append(
-            soak_records.Run(
-                request_id,
-                self.name,
-                asyncio.get_running_loop().time(),
-            )
+            soak_records.Run(request_id, self.name, now)
         )
         if body == ENDING:
             self._end()
             return False
         return await self._run(line, headers, reader, writer)
 
+    def _wish(self, request_id: str, since_s: float, until_s: float) -> None:
+        at = asyncio.get_running_loop().time()
+        self._found.wishes.append(
+            soak_records.Wish(request_id, self.name, at, since_s, until_s)
+        )
+
     def _end(self) -> None:
         """End as a process does; what stands before it goes on."""
         self._found.ends.append(asyncio.get_running_loop().time())
@@ -175,6 +191,7 @@
                 'HTTP/1.1 200 OK\r\n'
                 f'Attempt-Id: {request_id}\r\n'
                 f'Response-Signature: {self.name}.{request_id}\r\n'
+                f'{_LEAVING if self.leaves else ""}'
                 'Content-Type: text/event-stream\r\n'
                 'Transfer-Encoding: chunked\r\n\r\n'
             ).encode()
@@ -202,4 +219,8 @@
             lines.append(f'Response-Signature: {self.name}.{request_id}')
         else:
             lines.append('Not-Executed: 1')
+        if self.rest_s and not ran:
+            lines.append(f'Retry-After: {self.rest_s:g}')
+        if self.leaves:
+            lines.append(_LEAVING.strip())
         return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,7 @@
 each violation.
 """
 
+import collections
 import collections.abc
 import json
 
@@ -162,6 +163,29 @@
                 yield f'{run.request_id} ran on {run.instance}, which was gone'
 
 
+@promise
+def what_instances_ask_for_is_kept(
+    found: soak_records.Records,
+) -> collections.abc.Iterator[str]:
+    nodes = {one.request_id: one.node for one in found.ended}
+    wishes = collections.defaultdict(list)
+    for wish in found.wishes:
+        node = nodes.get(wish.request_id)
+        if node is not None:
+            wishes[wish.instance, node].append(wish)
+    for arrival in found.arrivals:
+        node = nodes.get(arrival.request_id)
+        for wish in wishes.get((arrival.instance, node), ()):
+            after_s = arrival.at - wish.at
+            calm = not found.is_disturbed(wish.at, arrival.at, node)
+            if wish.since_s + _SLACK_S < after_s < wish.until_s and calm:
+                yield (
+                    f'{arrival.request_id} reached {arrival.instance} from '
+                    f'{node} {after_s:.1f} s after it had asked for nothing'
+                )
+                break
+
+
 @promise
 def what_ends_instances_is_refused(
     found: soak_records.Records,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,7 @@
 # added, and keep the plans that they had.
 _SINCE: dict[str, int] = {}
 _SEEDS = 3  # instances that the platform names to each
+_RESTS_S = (0.5, 2.0, 4.0)
 # How often the request that ends instances comes, in seconds, and how long.
 _COMES_S = (0.1, 0.5)
 _COMES_FOR_S = (4.0, 9.0)
@@ -380,3 +381,35 @@
     await asyncio.sleep(_REPLACED_S)
     await site.remove_instance(instance)
     await site.add_instance(instance.service)
+
+
+@fault_since(3000)
+async def resting(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
+    """Some instances turn all away and ask for rest."""
+    count = chance.randint(1, len(site.instances))
+    chosen = chance.sample(site.instances, count)
+    asked_s = chance.choice(_RESTS_S)
+    with _disturbed(site, *(one.name for one in chosen)):
+        for one in chosen:
+            one.rest_s = asked_s
+        await _pause(chance, 1.0, 5.0)
+        for one in chosen:
+            one.rest_s = 0.0
+
+
+@fault_since(3000)
+async def leaving_by_word(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    chance: random.Random,
+) -> None:
+    """An instance says that it leaves; the list says so much later."""
+    instance = chance.choice(site.instances)
+    await site.add_instance(instance.service)
+    instance.leaves = True
+    await _pause(chance, 3.5, 6.0)
+    await site.remove_instance(instance)
--- a/soak/records.py
+++ b/soak/records.py
@@ -15,6 +15,21 @@
     at: float
 
 
+@attrs.frozen
+class Wish:
+    """What an instance asked for in its answer to a request.
+
+    :ivar since_s: from the answer until nothing may come any more
+    :ivar until_s: from the answer until something may come again
+    """
+
+    request_id: str
+    instance: str
+    at: float
+    since_s: float
+    until_s: float
+
+
 @attrs.frozen
 class Ended:
     """How a caller's request ended.
@@ -59,6 +74,8 @@
 
     def __init__(self) -> None:
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self.arrivals: list[Run] = []
+        self.wishes: list[Wish] = []
         self.asked: set[str] = set()
         self.ended: list[Ended] = []
         self.accepted: list[Accepted] = []
