--- a/features/docs/played.feature
+++ b/features/docs/played.feature
@@ -18,6 +18,7 @@
       | the file docs/page.md is changed                  | nothing    |
       | the file src/a.py changes before a run            | nothing    |
       | the file src/a.py changes before a run and after it | src/a.py |
+      | a trial on a copy is the newest run                 | nothing  |
 
   Scenario: a journal without a run
     Given a tree without a run
--- a/features/steps/played_steps.py
+++ b/features/steps/played_steps.py
@@ -63,6 +63,11 @@
     _write(context, name, 'changed again')
 
 
+@behave.when('a trial on a copy is the newest run')
+def step_trial(context):
+    _note_run(context, _SECOND, {'src/a.py': 'of other contents'})
+
+
 @behave.then('the warning names {files}')
 def step_warning(context, files):
     found = played.warning(context.root)
