Log lines follow an operator's request through all processes

Before, an order that reached no instance and one that instances refused looked alike: only redirects and committed configurations were logged.

Each process now logs an operator's request when it is received, with a checksum of its body that is the same wherever the order is sent again, and how it was answered: redirected (to which address), refused (with which code) or acknowledged, after how many ms, or that the operator had disconnected. The leader logs a configuration before it is committed, and refusals of the product's own verbs. Two lines a request and process, three at the leader; the limit of 400 lines a second of each process applies.

--- a/features/platform/operators.feature
+++ b/features/platform/operators.feature
@@ -33,3 +33,11 @@
     When instance 1 is killed
     And instance 2 is killed
     Then instances 3 and 9 soon answer with Retry-After
+
+  Scenario: the log lines of an order show its way through all processes
+    Given a platform of three instances with disks and one without
+    When an operator sends version 7 to instance 9
+    Then it is acknowledged
+    When an operator sends version 9 to instance 9
+    Then the order of version 9 is logged by instance 9 as operator_received, operator_redirected
+    And it is logged by the leader as operator_received, replacement_proposed, bundle_accepted, operator_answered
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import urllib.parse
+import zlib
 
 import behave
 
@@ -16,6 +17,8 @@
 _REDIRECT = 307
 _UNAVAILABLE = 503
 _OK = 200
+_COMMIT_EVENTS = ('replacement_proposed', 'bundle_accepted')
+_LAST_EVENTS = ('operator_redirected', 'operator_answered')
 _OPERATOR_PORT = 2  # index among the ports of a node
 _CONFIGURATION = '/api/configuration'
 _EVACUATION = '/api/evacuations/thu-duc'
@@ -70,6 +73,55 @@
         )
 
 
+@behave.then(
+    'the order of version {version:d} is logged by instance {number:d} as '
+    '{names}'
+)
+def step_logged(context, version, number, names):
+    platform = context.platform
+    context.version = version
+    lines = context.run(_order_lines(platform, platform.node(number), version))
+    assert _names(lines) == names, lines
+    redirect = lines[-1]
+    host = urllib.parse.urlsplit(redirect['location']).hostname
+    context.leader = next(node for node in platform.nodes if node.ip == host)
+    context.order = redirect['order']
+
+
+@behave.then('it is logged by the leader as {names}')
+def step_logged_by_leader(context, names):
+    lines = context.run(
+        _order_lines(context.platform, context.leader, context.version)
+    )
+    assert _names(lines) == names, lines
+    assert lines[0]['order'] == lines[-1]['order'] == context.order, lines
+
+
+async def _order_lines(platform, node, version):
+    """Return the lines about an order once its answer is logged."""
+    body = json.dumps(platform.configurations[version]).encode()
+    checksum = f'{zlib.crc32(body):08x}'
+    lines = []
+
+    async def is_complete():
+        texts = node.log.read_text().splitlines()
+        lines[:] = [
+            line
+            for line in map(json.loads, texts)
+            if line.get('order') == checksum
+            or line.get('version') == version
+            and line['event'] in _COMMIT_EVENTS
+        ]
+        return bool(lines) and lines[-1]['event'] in _LAST_EVENTS
+
+    await platform_steps.wait_until(is_complete, _TIMEOUT_S)
+    return lines
+
+
+def _names(lines):
+    return ', '.join(line['event'] for line in lines)
+
+
 async def _send(platform, node, path, body):
     url = f'http://{node.ip}:{platform.ports[_OPERATOR_PORT]}{path}'
     return await platform.fetch(url, body)
--- a/src/honeyport/control/operators.py
+++ b/src/honeyport/control/operators.py
@@ -41,7 +41,8 @@
             return await self.submit(signing.from_json(request.signed))
         except errors.HoneyportError as error:
             return pb.SubmitAnswer(
-                failure=_failure(error), leader=self._node.leader_address
+                failure=_refuse(error, 'Submit'),
+                leader=self._node.leader_address,
             )
 
     async def Change(
@@ -52,7 +53,8 @@
             return pb.SubmitAnswer()
         except errors.HoneyportError as error:
             return pb.SubmitAnswer(
-                failure=_failure(error), leader=self._node.leader_address
+                failure=_refuse(error, 'Change'),
+                leader=self._node.leader_address,
             )
 
     async def Evacuate(
@@ -63,7 +65,8 @@
             return pb.EvacuateAnswer()
         except errors.HoneyportError as error:
             return pb.EvacuateAnswer(
-                failure=_failure(error), leader=self._node.leader_address
+                failure=_refuse(error, 'Evacuate'),
+                leader=self._node.leader_address,
             )
 
     async def Status(
@@ -72,7 +75,8 @@
         if not self._node.leads:
             error = errors.NotLeader(leader=self._node.leader_address)
             return pb.StatusAnswer(
-                failure=_failure(error), leader=self._node.leader_address
+                failure=_failure(error),
+                leader=self._node.leader_address,
             )
         return self._status()
 
@@ -212,6 +216,18 @@
         return answer
 
 
+def _refuse(error: errors.HoneyportError, method: str) -> pb.Failure:
+    """Log that a request was refused, and return the failure to answer."""
+    logs.emit(
+        events.OPERATOR_ANSWERED,
+        path=method,
+        status=error.status,
+        code=error.code,
+        detail=error.detail,
+    )
+    return _failure(error)
+
+
 def _failure(error: errors.HoneyportError) -> pb.Failure:
     return pb.Failure(
         code=error.code,
--- a/src/honeyport/control/replacement.py
+++ b/src/honeyport/control/replacement.py
@@ -41,13 +41,19 @@
             )
             return
         entries = bundle_entries.to_entries(bundle)
-        await self._node.propose(
-            pb.ReplaceBundle(
-                version=version,
-                entries=packed.pack_snapshot(entries),
-                document=zlib.compress(document),
-            )
+        command = pb.ReplaceBundle(
+            version=version,
+            entries=packed.pack_snapshot(entries),
+            document=zlib.compress(document),
+        )
+        logs.emit(
+            events.REPLACEMENT_PROPOSED,
+            version=version,
+            bytes=command.ByteSize(),
+            term=self._node.term,
+            commit=self._node.commit,
         )
+        await self._node.propose(command)
         logs.emit(
             events.BUNDLE_ACCEPTED,
             version=version,
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -13,6 +13,7 @@
 import urllib.parse
 
 import attrs
+from tornado import http1connection
 from tornado import httpserver
 from tornado import httputil
 
@@ -20,6 +21,7 @@
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport.platform import boot
 from honeyport.platform import configuration
+from honeyport.platform import operator_log
 from honeyport.settings import roles
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
@@ -30,6 +32,8 @@
 
 _MAX_BODY_BYTES = 32 * 1024 * 1024
 _RETRY_AFTER_S = 0.5  # requested of operators while no leader is known
+# The paths of operators' requests, which are logged.
+_OPERATOR_PATHS = ('/api/configuration/', '/api/evacuations/')
 
 
 @attrs.frozen(kw_only=True)
@@ -204,16 +208,36 @@
 async def _handle(
     components: Components, request: httputil.HTTPServerRequest
 ) -> None:
+    is_logged = request.path.startswith(_OPERATOR_PATHS)
+    request_log = operator_log.start(request) if is_logged else None
+    code = ''
     try:
         response = await _respond(components, request)
     except errors.HoneyportError as error:
+        code = error.code
         response = _error_response(error)
     except Exception as error:
         logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
+        code = errors.HoneyportError.code
         response = _error_response(errors.HoneyportError())
+    if request_log is not None:
+        request_log.record_answer(
+            response.status,
+            code,
+            location=response.headers.get('Location', ''),
+            disconnected=_is_closed(request),
+        )
     _send(request, response)
 
 
+def _is_closed(request: httputil.HTTPServerRequest) -> bool:
+    """Whether the client has closed the connection."""
+    connection = typing.cast(
+        http1connection.HTTP1Connection, request.connection
+    )
+    return connection.stream is None or connection.stream.closed()
+
+
 async def _respond(
     components: Components, request: httputil.HTTPServerRequest
 ) -> Response:
@@ -301,7 +325,6 @@
     host = leader.rpartition(':')[0]
     port = components.settings.operator_address.rpartition(':')[2]
     location = f'http://{host}:{port}{request.path}'
-    logs.emit(events.OPERATOR_REDIRECTED, leader=leader, path=request.path)
     return Response(status=307, headers={'Location': location})
 
 
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -191,7 +191,34 @@
     2105,
     'operator_redirected',
     'info',
-    "An operator's request was redirected to the leader.",
+    "An operator's request was redirected to the leader at the location.",
+)
+OPERATOR_RECEIVED = define(
+    2106,
+    'operator_received',
+    'info',
+    "An operator's request was received; the checksum of its body is the "
+    'same wherever it is sent again.',
+)
+OPERATOR_ANSWERED = define(
+    2107,
+    'operator_answered',
+    'info',
+    "An operator's request was answered, other than by a redirect; the line "
+    'has the status, and the code of the error, if any.',
+)
+OPERATOR_DISCONNECTED = define(
+    2108,
+    'operator_disconnected',
+    'warning',
+    'An operator closed the connection before its request was answered.',
+)
+REPLACEMENT_PROPOSED = define(
+    2109,
+    'replacement_proposed',
+    'info',
+    'The leader appended a submitted configuration to its log; it is not '
+    'committed yet.',
 )
 LIST_CHANGED = define(
     2401, 'list_changed', 'info', "The platform's list of instances changed."
