A gateway does not redirect operators to a leader that is silent

What operators saw: a redirect to a leader without power, a second without an answer, and the same from the next instance, for up to two seconds after the leader was lost.

Cause: a gateway named the leader of its stream until half a lease had passed without a message. Other routers that asked it got no such leader any more after 0.8 s; operators did.

Change: both get the same answer.

Elsewhere: control_location() already served Attach; the product's verbs ask control replicas, which name a leader for one election timeout at most.

--- a/features/platform/operators.feature
+++ b/features/platform/operators.feature
@@ -26,6 +26,16 @@
     Then each remaining instance redirects operators to a running instance or answers with Retry-After
     And each remaining instance serves operator requests or redirects them to one that does
 
+  # Guards against redirects to a leader that gateways have not heard of for
+  # longer than an election takes.
+  Scenario: operators are not redirected to a leader that has gone silent
+    Given a platform of three instances with disks and one without
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When the leader is frozen
+    Then each remaining instance redirects operators to a running instance or answers with Retry-After
+    And each remaining instance serves operator requests or redirects them to one that does
+
   Scenario: without a quorum instances answer with Retry-After
     Given a platform of three instances with disks and one without
     When an operator sends version 7 to any instance
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import urllib.parse
 import zlib
 
@@ -31,6 +32,14 @@
 )
 
 
+@behave.when('the leader is frozen')
+def step_freeze(context):
+    platform = context.platform
+    leader = context.run(platform_steps.find_leader(platform))
+    platform.send_signal(leader, signal.SIGSTOP)
+    context.remaining = [node for node in platform.nodes if node is not leader]
+
+
 @behave.then(
     'each instance serves operator requests or redirects them to one that does'
 )
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -22,6 +22,7 @@
 from honeyport.control import replica
 from honeyport.platform import pages
 from honeyport.platform import replica as platform_replica
+from honeyport.policy import addresses
 
 _INTERNAL_PORT = 7340
 _OPERATOR_PORT = 8229
@@ -54,7 +55,7 @@
     @property
     def leader(self) -> str:
         """The address that the gateway names as the leader's."""
-        if not self._leader_name:
+        if not self._leader_name or addresses.is_isolated(self._silence_s):
             return ''
         return _internal_address(self._leader_name)
 
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -95,8 +95,11 @@
 
     @property
     def leader(self) -> str:
-        """Address of the leading control replica, or ``''``."""
-        return self._session.leader
+        """Address of the leading control replica, or ``''``.
+
+        A leader that no longer answers is not named.
+        """
+        return self._session.control_location().leader
 
     @property
     def not_ready_reason(self) -> str:
