Random histories and the election scenario send evacuations, too

Evacuations take the same way through an instance as configurations: held for the next leader, redirected, committed. Both scenarios pass with them; the election's fails for both kinds without the wait for a leader.

--- a/features/steps/operator_history_steps.py
+++ b/features/steps/operator_history_steps.py
@@ -59,7 +59,13 @@
     await asyncio.sleep(delay_s)
     names = [name for name in site.names if name != killed][:count]
     orders = [
-        site.send(version, name) for version, name in enumerate(names, 2)
+        site.send_configuration(version, name)
+        for version, name in enumerate(names, 2)
+    ]
+    orders += [
+        site.send_evacuation(path, name)
+        for path in operators.EVACUATION_PATHS
+        for name in names
     ]
     await site.group.run_for(_MAX_ELECTION_S)
     await site.stop()
@@ -99,7 +105,10 @@
             faults.append(asyncio.create_task(_fail(site, kind)))
         if now < _ORDERS_S and site.random.random() < _ORDER_PROBABILITY:
             version += 1
-            site.send(version)
+            site.send_configuration(version)
+            site.send_evacuation(
+                site.random.choice(operators.EVACUATION_PATHS)
+            )
         await site.group.run_for(_STEP_S)
     for order in site.orders:
         context.waits.append((site.calm_wait_s(order), seed, order))
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -27,6 +27,11 @@
 _INTERNAL_PORT = 7340
 _OPERATOR_PORT = 8229
 _REPLACE_PATH = '/api/configuration/replace'
+_DOMAIN = 'thu-duc'
+EVACUATION_PATHS = (
+    f'/api/evacuations/{_DOMAIN}/begin',
+    f'/api/evacuations/{_DOMAIN}/finish',
+)
 _REVOCATION_S = 5.0
 _MAX_NETWORK_DELAY_S = 0.005
 # The operator's patience for one attempt, and its pauses between attempts.
@@ -97,13 +102,14 @@
 
 @attrs.define
 class Order:
-    """A configuration that an operator sends until it is acknowledged.
+    """A request that an operator sends until it is acknowledged.
 
     :ivar attempts: for each attempt, when it began, the instance that was
         asked first, and the status of the last answer; 0 without one
     """
 
-    version: int
+    path: str
+    body: bytes
     sent_at: float
     acknowledged_at: float = float('inf')
     attempts: list[tuple[float, str, int]] = attrs.field(factory=list)
@@ -214,12 +220,23 @@
         is_sound = len(running) > 2 and not self._cut
         self._core_events.append((_now(), is_sound))
 
-    def send(self, version: int, first: str = '') -> Order:
+    def send_configuration(self, version: int, first: str = '') -> Order:
         """Send a configuration until it is acknowledged.
 
         :param first: the instance that is asked first; by default any
         """
-        order = Order(version, _now())
+        return self._start(_REPLACE_PATH, _document(version), first)
+
+    def send_evacuation(self, path: str, first: str = '') -> Order:
+        """Send an order to evacuate a domain until it is acknowledged.
+
+        :param path: one of ``EVACUATION_PATHS``
+        :param first: the instance that is asked first; by default any
+        """
+        return self._start(path, b'', first)
+
+    def _start(self, path: str, body: bytes, first: str) -> Order:
+        order = Order(path, body, _now())
         self.orders.append(order)
         self._tasks.append(asyncio.create_task(self._send(order, first)))
         return order
@@ -261,7 +278,7 @@
             started_at = _now()
             try:
                 async with asyncio.timeout(_ATTEMPT_TIMEOUT_S):
-                    status = await self._attempt(name, order.version)
+                    status = await self._attempt(name, order)
             except (OSError, TimeoutError):
                 status = 0
             order.attempts.append((started_at, name, status))
@@ -271,23 +288,23 @@
             await asyncio.sleep(backoff_s)
             backoff_s *= _BACKOFF_FACTOR
 
-    async def _attempt(self, name: str, version: int) -> int:
-        """Send a configuration to an instance, and follow redirects."""
+    async def _attempt(self, name: str, order: Order) -> int:
+        """Send an order to an instance, and follow redirects."""
         for _ in range(_MAX_REDIRECTS + 1):
-            response = await self._request(name, _document(version))
+            response = await self._request(name, order)
             if response.status != 307:
                 break
             url = urllib.parse.urlsplit(response.headers['Location'])
             name = typing.cast(str, url.hostname)
         return response.status
 
-    async def _request(self, name: str, body: bytes) -> pages.Response:
+    async def _request(self, name: str, order: Order) -> pages.Response:
         await self._transmit(name)
         node = self.group.nodes.get(name)
         if name in self.group.names and node is None:
             raise ConnectionRefusedError(name)
         request = httputil.HTTPServerRequest(
-            method='POST', uri=_REPLACE_PATH, body=body
+            method='POST', uri=order.path, body=order.body
         )
         response = await pages.respond(self._components(name, node), request)
         if self.group.nodes.get(name) is not node:
@@ -326,6 +343,7 @@
 
     name: str
     revocation_s: float = _REVOCATION_S
+    regions: dict[str, str] = attrs.field(factory=lambda: {_DOMAIN: 'hcm'})
 
     @property
     def internal_address(self) -> str:
