A queued request counts once into the bound on running requests

What callers saw: at times an engine ran more requests than the bound allows for what runs in all.

Cause: the bound is a multiple of the mean load with the next request in it. A request that is taken from a queue is part of the load already, and was added once more.

Change: the load is lowered by one where the next request comes from a queue. Each request that gets a slot logs what its owner believed (3106, at level debug, which the routers of the tests use), so that a red run explains itself.

--- a/features/support/world.py
+++ b/features/support/world.py
@@ -134,6 +134,7 @@
                 'listen': local.free_address(),
                 'peer_listen': local.free_address(),
                 'control': list(self.control.values()),
+                'log_level': 'debug',
                 **options,
             },
         )
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -324,8 +324,10 @@
                 )
             if server.down or self._state.is_leaving(backend):
                 raise errors.NotSent(f'{backend} accepts no new requests')
-            if not len(server.queue) and self._has_free_slot(server):
-                server.running += 1
+            if not len(server.queue) and self._has_free_slot(
+                server, is_queued=False
+            ):
+                self._take_slot(server)
                 return server
             if call.queue_timeout_s <= 0:
                 raise errors.BackendFull(f'{backend} is at its limit')
@@ -372,7 +374,14 @@
         settings = self._state.bundle.accounts.get(account)
         return settings.share if settings else 1.0
 
-    def _has_free_slot(self, server: slots.BackendState) -> bool:
+    def _has_free_slot(
+        self, server: slots.BackendState, *, is_queued: bool
+    ) -> bool:
+        """Whether a server may run one more request.
+
+        :param is_queued: whether that request waits in a queue here, so that
+            it is part of the load already
+        """
         if not server.ready or self._state.lease_left <= 0:
             return False
         now = asyncio.get_running_loop().time()
@@ -382,12 +391,33 @@
             server.untracked_running,
             self._state.running_elsewhere_on(server.name),
         )
-        return server.running + external_running < self._concurrency_limit(
-            server
+        limit = self._concurrency_limit(server, is_queued=is_queued)
+        return server.running + external_running < limit
+
+    def _take_slot(self, server: slots.BackendState) -> None:
+        """Count a request in, and log the load that admitted it."""
+        service = server.config.service
+        logs.emit(
+            events.REQUEST_ADMITTED,
+            backend=server.name,
+            running=server.running,
+            limit=self._concurrency_limit(server),
+            own=[
+                self._own_load(service),
+                *self._recent_service_loads(service),
+            ],
+            elsewhere=self._state.load_elsewhere(service),
+            elsewhere_age_s=round(self._state.loads_age_s, 3),
         )
+        server.running += 1
+
+    def _concurrency_limit(
+        self, server: slots.BackendState, *, is_queued: bool = False
+    ) -> int:
+        """Return how many requests may run on a backend server now.
 
-    def _concurrency_limit(self, server: slots.BackendState) -> int:
-        """Return how many requests may run on a backend server now."""
+        :param is_queued: whether the next one waits in a queue here
+        """
         service = server.config.service
         backend_limit = max(1, int(min(server.limit, server.config.slots)))
         pool = self._state.pool(service)
@@ -396,7 +426,7 @@
         count = len(self._state.usable(pool))
         fair_limit = hashing.load_bound(
             self._state.bundle.limits.bound,
-            self._min_service_load(service),
+            max(0, self._min_service_load(service) - is_queued),
             count,
         )
         return min(backend_limit, fair_limit)
@@ -409,14 +439,22 @@
         and the last reports. Queued requests count as well: otherwise a limit
         that is too low would keep the total low, and thereby itself.
         """
-        own_load = sum(
+        own_load = min(
+            [self._own_load(service), *self._recent_service_loads(service)]
+        )
+        return self._state.load_elsewhere(service) + own_load
+
+    def _own_load(self, service: str) -> int:
+        """Return the running and queued requests of a service here."""
+        return sum(
             server.running + len(server.queue)
             for server in self._servers.values()
             if server.config.service == service
         )
-        for loads in self._recent_loads:
-            own_load = min(own_load, loads.get(service, 0))
-        return self._state.load_elsewhere(service) + own_load
+
+    def _recent_service_loads(self, service: str) -> list[int]:
+        """Return the own loads of a service in the last reports."""
+        return [loads.get(service, 0) for loads in self._recent_loads]
 
     def _finish_request(
         self, server: slots.BackendState, duration_s: float
@@ -428,8 +466,10 @@
         self._admit_waiting(server)
 
     def _admit_waiting(self, server: slots.BackendState) -> None:
-        while len(server.queue) and self._has_free_slot(server):
-            server.running += 1
+        while len(server.queue) and self._has_free_slot(
+            server, is_queued=True
+        ):
+            self._take_slot(server)
             if not server.queue.resolve_next(granted=True):
                 server.running -= 1
                 return
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -424,6 +424,13 @@
     'info',
     'Cached prefixes of chats were copied from an engine that is leaving.',
 )
+REQUEST_ADMITTED = define(
+    3106,
+    'request_admitted',
+    'debug',
+    'A request got a slot of an engine; the line has what ran there, the '
+    'limit, and the loads that it was computed from.',
+)
 REQUEST_FAILED = define(
     3201,
     'request_failed',
