Control decides how long an operator's request waits for a leader

The wait was in the platform's handlers, which are to translate only. It is a module of control now; the handlers pass what finds the leader. A slot of an engine is checked and taken in one method, and the line of an admission has the limit that admitted it.

Test: 'without a quorum instances answer with Retry-After' sent four requests one after the other, each of which is held for 0.7 s now, and allowed 5 s for a round after two instances were killed. The four are sent at once; what they have to answer, and in which time, is as before.

--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -68,9 +68,10 @@
     platform = context.platform
 
     async def is_unavailable(node):
-        responses = [
-            await _send(platform, node, *request) for request in _REQUESTS
-        ]
+        # At once, since each is held until its wait for a leader ends.
+        responses = await asyncio.gather(
+            *(_send(platform, node, *request) for request in _REQUESTS)
+        )
         return all(map(_has_retry_after, responses))
 
     for number in (first, second):
--- a/src/honeyport/control/operators.py
+++ b/src/honeyport/control/operators.py
@@ -75,8 +75,7 @@
         if not self._node.leads:
             error = errors.NotLeader(leader=self._node.leader_address)
             return pb.StatusAnswer(
-                failure=_failure(error),
-                leader=self._node.leader_address,
+                failure=_failure(error), leader=self._node.leader_address
             )
         return self._status()
 
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -18,6 +18,7 @@
 from tornado import httpserver
 from tornado import httputil
 
+from honeyport.control import leader_wait
 from honeyport import errors
 from honeyport.gateway import daemon as gateway_daemon
 from honeyport.platform import boot
@@ -32,11 +33,6 @@
     from honeyport.platform import replica
 
 _MAX_BODY_BYTES = 32 * 1024 * 1024
-_RETRY_AFTER_S = 0.5  # requested of operators while no leader is known
-# How long an operator's request is held while no leader is known; operators
-# wait one second for an answer, and longer and longer between attempts.
-_LEADER_WAIT_S = 0.7
-_LEADER_POLL_S = 0.02
 # The paths of operators' requests: only the leader serves them.
 _OPERATOR_PATHS = ('/api/configuration/', '/api/evacuations/')
 
@@ -263,10 +259,10 @@
     """
     if not request.path.startswith(_OPERATOR_PATHS):
         return await handler(components, request)
-    deadline = _now() + _LEADER_WAIT_S
+    wait = leader_wait.LeaderWait(lambda: _find_leader(components))
     while True:
         # Before the handler, which decodes the request.
-        leader = await _wait_for_leader(components, deadline)
+        leader = await wait.leader()
         if leader != components.settings.internal_address:
             return _redirect(components, request, leader)
         # Leadership may end before the request is appended to the log.
@@ -274,26 +270,16 @@
             return await handler(components, request)
 
 
-async def _wait_for_leader(components: Components, deadline: float) -> str:
-    """Return the internal address of the leader, once it is known.
-
-    :param deadline: loop time at which to give up
-    :raises errors.ControlUnavailable: if it is not known by then
-    """
-    while True:
-        services = components.operator_services
-        if services is not None and services.leads:
-            return components.settings.internal_address
-        known = services.leader if services is not None else ''
-        leader = known or components.gateway.leader
-        # A replica that lost its lease may still name itself.
-        if leader and leader != components.settings.internal_address:
-            return leader
-        if _now() >= deadline:
-            raise errors.ControlUnavailable(
-                'no leader is known', retry_after=_RETRY_AFTER_S
-            )
-        await asyncio.sleep(_LEADER_POLL_S)
+def _find_leader(components: Components) -> str:
+    """Return the internal address of the leader, or ``''``."""
+    own_address = components.settings.internal_address
+    services = components.operator_services
+    if services is not None and services.leads:
+        return own_address
+    leader = services.leader if services is not None else ''
+    leader = leader or components.gateway.leader
+    # A replica that lost its lease may still name itself.
+    return '' if leader == own_address else leader
 
 
 def _find_handler(request: httputil.HTTPServerRequest) -> Handler:
@@ -368,8 +354,4 @@
     return Response(status=307, headers={'Location': location})
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 _TASKS: set[asyncio.Task[None]] = set()
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -324,10 +324,9 @@
                 )
             if server.down or self._state.is_leaving(backend):
                 raise errors.NotSent(f'{backend} accepts no new requests')
-            if not len(server.queue) and self._has_free_slot(
+            if not len(server.queue) and self._take_slot(
                 server, is_queued=False
             ):
-                self._take_slot(server)
                 return server
             if call.queue_timeout_s <= 0:
                 raise errors.BackendFull(f'{backend} is at its limit')
@@ -374,13 +373,14 @@
         settings = self._state.bundle.accounts.get(account)
         return settings.share if settings else 1.0
 
-    def _has_free_slot(
+    def _take_slot(
         self, server: slots.BackendState, *, is_queued: bool
     ) -> bool:
-        """Whether a server may run one more request.
+        """Count one more request in, if the server may run it.
 
         :param is_queued: whether that request waits in a queue here, so that
             it is part of the load already
+        :returns: whether it was counted in
         """
         if not server.ready or self._state.lease_left <= 0:
             return False
@@ -392,16 +392,20 @@
             self._state.running_elsewhere_on(server.name),
         )
         limit = self._concurrency_limit(server, is_queued=is_queued)
-        return server.running + external_running < limit
+        if server.running + external_running >= limit:
+            return False
+        self._log_admission(server, limit)
+        server.running += 1
+        return True
 
-    def _take_slot(self, server: slots.BackendState) -> None:
-        """Count a request in, and log the load that admitted it."""
+    def _log_admission(self, server: slots.BackendState, limit: int) -> None:
+        """Log the loads from which the limit was computed."""
         service = server.config.service
         logs.emit(
             events.REQUEST_ADMITTED,
             backend=server.name,
             running=server.running,
-            limit=self._concurrency_limit(server),
+            limit=limit,
             own=[
                 self._own_load(service),
                 *self._recent_service_loads(service),
@@ -409,7 +413,6 @@
             elsewhere=self._state.load_elsewhere(service),
             elsewhere_age_s=round(self._state.loads_age_s, 3),
         )
-        server.running += 1
 
     def _concurrency_limit(
         self, server: slots.BackendState, *, is_queued: bool = False
@@ -466,10 +469,7 @@
         self._admit_waiting(server)
 
     def _admit_waiting(self, server: slots.BackendState) -> None:
-        while len(server.queue) and self._has_free_slot(
-            server, is_queued=True
-        ):
-            self._take_slot(server)
+        while len(server.queue) and self._take_slot(server, is_queued=True):
             if not server.queue.resolve_next(granted=True):
                 server.running -= 1
                 return
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -217,8 +217,8 @@
     2109,
     'replacement_proposed',
     'info',
-    'The leader appended a submitted configuration to its log; it is not '
-    'committed yet.',
+    'The leader appends a submitted configuration to its log; line 2101 '
+    'follows when it is committed.',
 )
 LIST_CHANGED = define(
     2401, 'list_changed', 'info', "The platform's list of instances changed."
