--- a/features/platform/operators.feature
+++ b/features/platform/operators.feature
@@ -58,7 +58,7 @@
     When orders are sent to 8 instances 0.5 s before a leader is elected
     Then each of them is acknowledged by its first attempt
 
-  Scenario: orders are acknowledged in every calm although replicas fail
+  Scenario: orders are acknowledged once the group is stable again
     When 25 random histories of orders and failures are run
-    Then no order waits longer than its time in a calm
-    And every attempt in a calm at a running instance succeeds
+    Then no order waits longer than 5 seconds while the group is stable
+    And every attempt at a running instance succeeds while the group is stable
--- a/features/steps/operator_history_steps.py
+++ b/features/steps/operator_history_steps.py
@@ -21,10 +21,10 @@
 _STEP_S = 0.4
 _FAILURE_PROBABILITY = 0.35
 _ORDER_PROBABILITY = 0.4
-_FAULTS = ('kill', 'kill the leader', 'darken', 'cut', 'cut the leader')
+_FAULTS = ('kill', 'kill the leader', 'disconnect', 'cut', 'cut the leader')
 _RESTART_S = (1.0, 3.0)
 _CUT_S = (2.0, 5.0)
-_DARK_S = (2.0, 3.0, 30.0)
+_DISCONNECTED_S = (2.0, 3.0, 30.0)
 
 
 @behave.when(
@@ -88,7 +88,7 @@
 
 
 async def _history(context, seed):
-    """Run one history; collect waits and failed attempts in calms."""
+    """Run one history; collect waits and failed attempts while stable."""
     site = operators.Site(_GATEWAYS, seed)
     await site.start()
     loop = asyncio.get_running_loop()
@@ -111,12 +111,14 @@
             )
         await site.group.run_for(_STEP_S)
     for order in site.orders:
-        context.waits.append((site.calm_wait_s(order), seed, order))
+        context.waits.append((site.stable_wait_s(order), seed, order))
     context.failed_attempts += [
         (seed, at, name, status)
         for order in site.orders
         for at, name, status in order.attempts
-        if status != 200 and name not in site.dark and site.is_calm(at)
+        if status != 200
+        and name not in site.unreachable
+        and site.is_stable(at)
     ]
     for fault in faults:
         fault.cancel()
@@ -135,23 +137,25 @@
         await site.kill(name)
         await asyncio.sleep(site.random.uniform(*_RESTART_S))
         site.restart(name)
-    elif kind == 'darken':
-        site.darken(name)
-        await asyncio.sleep(site.random.choice(_DARK_S))
-        site.lighten(name)
+    elif kind == 'disconnect':
+        site.disconnect(name)
+        await asyncio.sleep(site.random.choice(_DISCONNECTED_S))
+        site.reconnect(name)
     else:
         site.cut(name)
         await asyncio.sleep(site.random.uniform(*_CUT_S))
         site.heal(name)
 
 
-@behave.then('no order waits longer than its time in a calm')
+@behave.then('no order waits longer than 5 seconds while the group is stable')
 def step_in_time(context):
     late = [wait for wait in context.waits if wait[0] > _ACK_TIMEOUT_S]
     assert not late, late
 
 
-@behave.then('every attempt in a calm at a running instance succeeds')
+@behave.then(
+    'every attempt at a running instance succeeds while the group is stable'
+)
 def step_none_failed(context):
     assert len(context.waits) > 100, len(context.waits)
     assert not context.failed_attempts, context.failed_attempts
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -44,7 +44,7 @@
 _RECONNECT_DELAY_S = 0.1
 _STREAM_TIMEOUT_S = 2.0
 _POLL_S = 0.02
-# A core is calm if nothing happened to it for this time.
+# The group counts as stable if nothing happened to it for this time.
 _SETTLE_S = 4.0
 
 
@@ -119,7 +119,7 @@
     """Instances with and without control replicas, and an operator.
 
     :param gateway_count: number of instances without a replica
-    :ivar dark: names of instances that do not answer at all
+    :ivar unreachable: names of instances that answer nobody
     """
 
     def __init__(self, gateway_count: int, seed: int) -> None:
@@ -130,10 +130,10 @@
         self.random = self.group.random
         names = [f'g{number}' for number in range(gateway_count)]
         self.names = self.group.names + names
-        self.dark: set[str] = set()
+        self.unreachable: set[str] = set()
         self._cut: set[str] = set()
         self.orders: list[Order] = []
-        self._core_events: list[tuple[float, bool]] = []
+        self._replica_events: list[tuple[float, bool]] = []
         self._gateways = {name: Gateway(self, name) for name in self.names}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -144,7 +144,7 @@
         for gateway in self._gateways.values():
             self._tasks.append(asyncio.create_task(gateway.run()))
         await self.group.converge()
-        self._record_core_event()
+        self._record_event()
 
     async def stop(self) -> None:
         """Stop all instances and orders."""
@@ -156,40 +156,40 @@
     def can_reach(self, source: str, target: str) -> bool:
         """Whether packets between two instances arrive."""
         is_cut = (source, target) in self.group.cut_links
-        return not is_cut and not self.dark & {source, target}
+        return not is_cut and not self.unreachable & {source, target}
 
     @property
     def leader(self) -> str:
         """The name of the replica that leads, or ``''``."""
         for node in self.group.nodes.values():
-            if node.leads and node.name not in self.dark:
+            if node.leads and node.name not in self.unreachable:
                 return node.name
         return ''
 
     @property
     def lost_replicas(self) -> set[str]:
-        """The replicas that are killed, silent or cut off."""
+        """The replicas that are killed or cut off."""
         killed = set(self.group.names) - set(self.group.nodes)
-        return killed | (self.dark & set(self.group.names)) | self._cut
+        return killed | (self.unreachable & set(self.group.names)) | self._cut
 
     async def kill(self, name: str) -> None:
         """Kill the process of a replica."""
         await self.group.kill(name)
-        self._record_core_event()
+        self._record_event()
 
     def restart(self, name: str) -> None:
         """Start the process of a replica that was killed."""
         self.group.start(name)
-        self._record_core_event()
+        self._record_event()
 
-    def darken(self, *names: str) -> None:
-        """Make instances silent, as without power or behind a partition."""
-        self.dark |= set(names)
+    def disconnect(self, *names: str) -> None:
+        """Cut instances off from all others, as without power."""
+        self.unreachable |= set(names)
         self._update_links(names)
 
-    def lighten(self, *names: str) -> None:
-        """Make silent instances answer again, with the state they had."""
-        self.dark -= set(names)
+    def reconnect(self, *names: str) -> None:
+        """Connect instances again, with the state they had."""
+        self.unreachable -= set(names)
         self._update_links(names)
 
     def cut(self, name: str) -> None:
@@ -205,20 +205,20 @@
     def _update_links(self, names: collections.abc.Iterable[str]) -> None:
         self.group.heal()
         for name in self.group.names:
-            if name in self.dark | self._cut:
+            if name in self.unreachable | self._cut:
                 self.group.isolate(name)
         if set(names) & set(self.group.names):
-            self._record_core_event()
+            self._record_event()
 
-    def _record_core_event(self) -> None:
+    def _record_event(self) -> None:
         """Record that something happened to a replica or its links."""
         running = [
             name
             for name in self.group.names
-            if name in self.group.nodes and name not in self.dark
+            if name in self.group.nodes and name not in self.unreachable
         ]
         is_sound = len(running) > 2 and not self._cut
-        self._core_events.append((_now(), is_sound))
+        self._replica_events.append((_now(), is_sound))
 
     def send_configuration(self, version: int, first: str = '') -> Order:
         """Send a configuration until it is acknowledged.
@@ -241,31 +241,31 @@
         self._tasks.append(asyncio.create_task(self._send(order, first)))
         return order
 
-    def calms(self) -> list[tuple[float, float]]:
-        """Return the times in which the core was calm, as start and end.
+    def stable_periods(self) -> list[tuple[float, float]]:
+        """Return when the group was stable, as start and end.
 
-        It is calm while most of the replicas run and are connected, from
+        It is stable while most of the replicas run and are connected, from
         some time after the last event on.
         """
-        ends = [at for at, _ in self._core_events[1:]] + [_now()]
+        ends = [at for at, _ in self._replica_events[1:]] + [_now()]
         return [
             (event_at + _SETTLE_S, end)
             for (event_at, is_sound), end in zip(
-                self._core_events, ends, strict=True
+                self._replica_events, ends, strict=True
             )
             if is_sound and end > event_at + _SETTLE_S
         ]
 
-    def is_calm(self, at: float) -> bool:
-        """Whether the core was calm at a loop time."""
-        return any(start <= at < end for start, end in self.calms())
+    def is_stable(self, at: float) -> bool:
+        """Whether the group was stable at a loop time."""
+        return any(start <= at < end for start, end in self.stable_periods())
 
-    def calm_wait_s(self, order: Order) -> float:
-        """Return how long an order was not acknowledged in one calm."""
+    def stable_wait_s(self, order: Order) -> float:
+        """Return the longest wait for an acknowledgement in a stable time."""
         return max(
             (
                 min(end, order.acknowledged_at) - max(start, order.sent_at)
-                for start, end in self.calms()
+                for start, end in self.stable_periods()
             ),
             default=0.0,
         )
@@ -315,7 +315,7 @@
     async def _transmit(self, name: str) -> None:
         delay_s = self.random.uniform(0, _MAX_NETWORK_DELAY_S)
         await asyncio.sleep(delay_s)
-        if name in self.dark:
+        if name in self.unreachable:
             await asyncio.sleep(_ATTEMPT_TIMEOUT_S)
             raise TimeoutError(name)
 
