A router leaves a silent leader for one that introduces itself

What operators saw: after the leader had lost its power, instances without a replica held a request for 0.7 s and answered 503, although the next leader had been elected and had called them.

Cause: a router ignored introductions while it had a stream, and kept the stream to a silent leader for half a lease (2 s).

Change: an introduction ends the wait for the next message of a leader that has answered no report for 0.8 s, which is when it is no longer named to others either. While the leader answers, introductions are ignored as before.

It works since only a replica with a valid lease introduces itself, and one that does not lead redirects the router, as during any search.

Elsewhere: callers of the gateways gain the same time. Control calls a router 0.5 s after the election; that is what is left.

--- /dev/null
+++ b/features/router/session.feature
@@ -0,0 +1,15 @@
+Feature: A router stays with its leader while it answers
+
+  Background:
+    Given a router that is attached to leader A
+
+  # Guards against operators and callers that wait for the end of a stream to a
+  # leader without power although another one was elected.
+  Scenario: another leader introduces itself after the leader has gone silent
+    When leader A is silent for 0.9 seconds
+    And leader B introduces itself
+    Then the router is attached to leader B within 0.3 seconds
+
+  Scenario: another leader introduces itself while the leader answers
+    When leader B introduces itself
+    Then the router is still attached to leader A after 0.5 seconds
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -88,6 +88,7 @@
         self._pending_claims: dict[int, _PendingClaim] = {}
         self._has_view_gap = True
         self._leader_address = ''
+        self._read_timeout: asyncio.Timeout | None = None
         self._search = leader_search.LeaderSearch(counters)
         self._needs_full_state = False  # an update did not match
 
@@ -106,24 +107,33 @@
         """The address of the leader that the stream goes to, or ``''``."""
         return self._leader_address if self.attached else ''
 
+    @property
+    def _is_leader_silent(self) -> bool:
+        return addresses.is_isolated(self._state.control_silence_s)
+
     def set_control_addresses(self, control: tuple[str, ...]) -> None:
         """Set the configured addresses of control; keep an open stream."""
         self._contacts.set_configured(control)
 
     def handle_introduction(self, introduction: pb.Redirect) -> None:
-        """Try a leader that introduced itself next, if none is attached."""
+        """Try a leader that introduced itself next.
+
+        Ignored while the stream's leader answers.
+        """
         logs.emit(events.INTRODUCED, leader=introduction.leader)
-        if not self.attached:
-            self._contacts.add_hint(introduction.leader, introduction.replicas)
+        if self.attached and not self._is_leader_silent:
+            return
+        self._contacts.add_hint(introduction.leader, introduction.replicas)
+        if self._read_timeout is not None:
+            self._read_timeout.reschedule(asyncio.get_running_loop().time())
 
     def control_location(self) -> pb.Redirect:
         """Return the addresses of control, for another router that asks.
 
         A leader that no longer answers is left out.
         """
-        is_lost = addresses.is_isolated(self._state.control_silence_s)
         return pb.Redirect(
-            leader='' if is_lost else self.leader,
+            leader='' if self._is_leader_silent else self.leader,
             replicas=self._contacts.replicas,
         )
 
@@ -218,12 +228,17 @@
         """Return the next message.
 
         :raises TimeoutError: after half a lease period without a message,
-            which leaves time to find a new leader before the lease lapses
+            which leaves time to find a new leader before the lease lapses, or
+            if another leader introduced itself meanwhile
         """
         silence_s = (
             self._state.timing.lease_ms / 1000 * _SILENCE_TIMEOUT_LEASES
         )
-        return await asyncio.wait_for(call.read(), silence_s)
+        try:
+            async with asyncio.timeout(silence_s) as self._read_timeout:
+                return await call.read()
+        finally:
+            self._read_timeout = None
 
     def _start_stream(self, box: outbox.Outbox[pb.RouterItem]) -> None:
         self._outbox = box
