The load of a router whose stream has ended does not count

What callers saw: after a router was killed, an engine at times ran more requests than the bound allows for what ran in all.

Cause: the last report of the killed router counted into the total for three report periods and a tick (0.8 s), while its requests ended at once. The owners that were left computed their limits from both.

The new scenario fails without the change.

Change: such a router is known to the leader as silent; its load counts as zero from then on. If it still runs requests, the total errs on the low side, which keeps the bound.

--- a/features/router/loads.feature
+++ b/features/router/loads.feature
@@ -24,6 +24,12 @@
     When all requests have ended
     Then no router knows of any request
 
+  # Guards against a limit that counts the requests of a killed router.
+  Scenario: a router whose stream has ended does not raise the total load
+    Given the reports of three routers on two backend servers
+    When the stream of the last one ends
+    Then the total load is that of the first two
+
   Scenario: an instance is unreachable once gateways of two domains report it
     Given the reports of three gateways, two of them in one domain
     When gateways 1 and 2 report that the first instance is backing off
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -136,6 +136,24 @@
     context.fixture.exchange_loads()
 
 
+@behave.when('the stream of the last one ends')
+def step_stream_ends(context):
+    fixture = context.fixture
+    fixture.fleet.mark_silent(fixture.sessions[_ROUTERS[-1]])
+    fixture.fleet.update_loads(fixture.now, _MAX_LOAD_AGE_S)
+
+
+@behave.then('the total load is that of the first two')
+def step_total(context):
+    fixture = context.fixture
+    message = fixture.fleet.loads.message(0)
+    totals = {load.service: load.running for load in message.totals}
+    expected = sum(
+        sum(fixture.running[name].values()) for name in _ROUTERS[:2]
+    )
+    assert totals == {'llm': expected}, totals
+
+
 @behave.then('each router knows the loads of the other two')
 def step_knows_loads(context):
     fixture = context.fixture
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -275,8 +275,9 @@
         """Add up the reports and update :attr:`loads`.
 
         An old load counts as zero, since it would raise the mean that the
-        bound is a multiple of. The age is counted from when the report was
-        written, not from its arrival.
+        bound is a multiple of, and so does that of a router whose stream has
+        ended. The age is counted from when the report was written, not from
+        its arrival.
 
         :param now: loop time, in seconds
         :param max_age_s: the maximum age of a report
@@ -291,7 +292,7 @@
             if router.has_view:  # it alone probes its engines
                 down.update(router.down)
             router.counted_report_number = router.report_number
-            if router.written_after >= now - max_age_s:
+            if not router.silent and router.written_after >= now - max_age_s:
                 totals.update(router.demand)
         leaving = [
             name
