The own load counts only as far as it is as old as the loads of other routers

What callers saw: at times an engine ran more requests than the bound allows for what ran in all, also while no engine changed hands.

Cause: an owner adds its own load to the last known loads of the other routers, and takes of its own the least of now and the last two reports. While requests queue, reports are sent every 20 ms, so that two reports cover 40 ms, but the loads of the others are up to a report period (250 ms) old. Requests that end elsewhere and begin here in between were counted twice.

The new scenario fails without the change.

Change: own reports are kept with their time, and the least of those since the other loads were reported counts.

--- a/features/router/steward.feature
+++ b/features/router/steward.feature
@@ -9,6 +9,19 @@
     Given a router that owns 6 engines with 8 slots and nothing running elsewhere
     Then each engine may run 1 calls
 
+  # Guards against a limit that counts a request that moved here twice: in the
+  # own load and in an older load of another router.
+  Scenario: the own load counts only as far as it is as old as the other loads
+    Given a router that owns 6 engines with 8 slots and nothing running elsewhere
+    When 10 reports are sent within 0.2 s, the first without load and the others with 6 calls
+    Then each engine may run 1 calls
+
+  Scenario: the own load counts once it is as old as the other loads
+    Given a router that owns 6 engines with 8 slots and nothing running elsewhere
+    When 10 reports are sent within 0.2 s, the first without load and the others with 6 calls
+    And 0.3 s pass after an answer
+    Then each engine may run 2 calls
+
   Scenario: no call is sent to an engine before the view has converged
     Given a router that owns 6 engines with 8 slots and nothing running elsewhere
     When 6 calls are queued, 1 at each engine
--- a/features/steps/steward_steps.py
+++ b/features/steps/steward_steps.py
@@ -18,6 +18,7 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _ENGINE = local.free_address()
+_LEASE_MS = 60_000
 
 
 @behave.given(
@@ -32,7 +33,7 @@
         view.members.add(router='r1', domain='thu-duc')
         state.apply_view(view)
         loop = asyncio.get_running_loop()
-        state.renew_lease(loop.time(), 60_000)
+        state.renew_lease(loop.time(), _LEASE_MS)
         controller = steward.AdmissionController(
             'r1',
             state,
@@ -151,6 +152,44 @@
     return await anext(controller.answer(call, name))
 
 
+@behave.when(
+    '{reports:d} reports are sent within {seconds:g} s, the first without '
+    'load and the others with {count:d} calls'
+)
+def step_reports(context, reports, seconds, count):
+    controller = context.admission
+
+    async def send_reports():
+        _renew_lease(controller)
+        controller.add_loads(pb.Report())
+        for _ in range(count):
+            server = controller._servers[context.engines[0]]
+            server.running += 1
+        for _ in range(reports - 1):
+            await asyncio.sleep(seconds / reports)
+            controller.add_loads(pb.Report())
+
+    context.run(send_reports())
+
+
+@behave.when('{seconds:g} s pass after an answer')
+def step_pass_after_answer(context, seconds):
+    controller = context.admission
+
+    async def wait():
+        await asyncio.sleep(seconds)
+        _renew_lease(controller)
+        controller.add_loads(pb.Report())
+
+    context.run(wait())
+
+
+def _renew_lease(controller):
+    """Apply an answer to a report that was sent now."""
+    now = asyncio.get_running_loop().time()
+    controller._state.renew_lease(now, _LEASE_MS)
+
+
 @behave.then('each engine may run {count:d} calls')
 def step_may_run(context, count):
     controller = context.admission
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import contextlib
 import typing
@@ -20,6 +19,7 @@
 from honeyport.policy import hashing
 from honeyport.policy import rests
 from honeyport.router import fleetstate
+from honeyport.router import load_history
 from honeyport.router import prefix_transfer
 from honeyport.router import slots
 from honeyport.router import suspects
@@ -31,8 +31,9 @@
 
 _LIMIT_DECREASE_FACTOR = 0.7  # on each answer that reports overload
 _DURATION_EWMA_WEIGHT = 0.1
-_RECENT_REPORTS = 2  # the other routers' loads may be as old as these
-
+# How long own reports are kept, in report periods: one more than the age up to
+# which the loads of other routers count.
+_REPORTS_KEPT_PERIODS = 4
 
 Callback = collections.abc.Callable[[], None]
 
@@ -62,9 +63,7 @@
             self._check_connection, suspect_tracker.record_end
         )
         self._servers: dict[str, slots.BackendState] = {}
-        self._recent_loads: collections.deque[dict[str, int]] = (
-            collections.deque(maxlen=_RECENT_REPORTS)
-        )
+        self._load_history = load_history.LoadHistory()
         self._state_changed = asyncio.Event()
         self._lease_lapsed = False
         self._backoffs = rests.Backoffs()
@@ -134,11 +133,13 @@
             report.loads.add(
                 service=service, running=count, waiting=waiting[service]
             )
-        self._recent_loads.append(
+        self._load_history.record(
             {
                 loaded: count + waiting[loaded]
                 for loaded, count in running.items()
-            }
+            },
+            asyncio.get_running_loop().time(),
+            _REPORTS_KEPT_PERIODS * self._state.timing.report_ms / 1000,
         )
 
     async def answer(
@@ -428,8 +429,9 @@
 
         Reports of other routers are delayed, and a request may have moved
         here since. The own part is therefore the minimum of the current load
-        and the last reports. Queued requests count as well: otherwise a limit
-        that is too low would keep the total low, and thereby itself.
+        and the reports since the other routers' were written. Queued requests
+        count as well: otherwise a limit that is too low would keep the total
+        low, and thereby itself.
         """
         own_load = min(
             [self._own_load(service), *self._recent_service_loads(service)]
@@ -445,8 +447,15 @@
         )
 
     def _recent_service_loads(self, service: str) -> list[int]:
-        """Return the own loads of a service in the last reports."""
-        return [loads.get(service, 0) for loads in self._recent_loads]
+        """Return the own loads of a service since the others were reported.
+
+        A router's load is up to a report period old when control sends it.
+        """
+        age_s = (
+            self._state.control_silence_s + self._state.timing.report_ms / 1000
+        )
+        now = asyncio.get_running_loop().time()
+        return self._load_history.since(service, now - age_s)
 
     def _finish_request(
         self, server: slots.BackendState, duration_s: float
