--- a/src/honeyport/control/evacuations.py
+++ b/src/honeyport/control/evacuations.py
@@ -16,7 +16,6 @@
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
 
-
 # Longest wait for the routers. With the wait for a leader, it stays below the
 # second for which operators wait.
 _MAX_ROUTER_WAIT_S = 0.25
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -330,8 +330,10 @@
             observations, self._lists.domains, silent_domains, now
         )
 
-    def without_evacuations(self, domains: frozenset[str]) -> list[str]:
-        """Return the names of the routers that apply other evacuations.
+    def find_unconfirmed_evacuations(
+        self, domains: frozenset[str]
+    ) -> list[str]:
+        """Return the names of the routers that do not apply evacuations yet.
 
         Routers that stopped reporting are left out.
 
--- a/src/honeyport/control/operators.py
+++ b/src/honeyport/control/operators.py
@@ -33,7 +33,7 @@
         self._sessions = routers
         self._genesis = genesis
         self._evacuations = evacuations.Evacuations(
-            node, routers.find_without_evacuations
+            node, routers.find_unconfirmed_evacuations
         )
 
     async def Submit(
--- a/src/honeyport/control/sessions.py
+++ b/src/honeyport/control/sessions.py
@@ -129,13 +129,15 @@
             )
         return self._bundle
 
-    def find_without_evacuations(self, domains: frozenset[str]) -> list[str]:
-        """Return the attached routers that apply other evacuations.
+    def find_unconfirmed_evacuations(
+        self, domains: frozenset[str]
+    ) -> list[str]:
+        """Return the attached routers that do not apply evacuations yet.
 
         :param domains: the evacuated failure domains
         :returns: their names
         """
-        return self._fleet.without_evacuations(domains)
+        return self._fleet.find_unconfirmed_evacuations(domains)
 
     @property
     def in_force(self) -> bool:
--- a/src/honeyport/platform/replica.py
+++ b/src/honeyport/platform/replica.py
@@ -77,7 +77,8 @@
     return OperatorServices(
         configurations=replacement.Replacements(control_group.node),
         evacuations=evacuations.Evacuations(
-            control_group.node, control_group.routers.find_without_evacuations
+            control_group.node,
+            control_group.routers.find_unconfirmed_evacuations,
         ),
         node=control_group.node,
     )
