Introductions at the same moment do not raise in a router

What operators saw: nothing yet; the fault is of this work and was found when its diff was read. A leader's call to a router would have failed with an unexpected error.

Cause: an introduction ends the wait for the next message of a silent leader by moving its timeout to now. Until that wait has ended, the timeout cannot be changed, and a second introduction raised RuntimeError; so did one that arrived as the timeout expired by itself.

Evidence: the new scenario fails without the change.

Change: an expired timeout is left alone; the address is noted as before.

--- a/features/router/session.feature
+++ b/features/router/session.feature
@@ -10,6 +10,11 @@
     And leader B introduces itself
     Then the router is attached to leader B within 0.3 seconds
 
+  Scenario: several introductions arrive at the same moment
+    When leader A is silent for 0.9 seconds
+    And leader B introduces itself 10 times at once
+    Then the router is attached to leader B within 0.3 seconds
+
   Scenario: another leader introduces itself while the leader answers
     When leader B introduces itself
     Then the router is still attached to leader A after 0.5 seconds
--- a/features/steps/session_steps.py
+++ b/features/steps/session_steps.py
@@ -60,14 +60,12 @@
 
 @behave.when('leader {name} introduces itself')
 def step_introduce(context, name):
-    address = context.leaders[name].address
+    context.run(_introduce(context, name, 1))
 
-    async def introduce():
-        context.session.handle_introduction(
-            pb.Redirect(leader=address, replicas=[address])
-        )
 
-    context.run(introduce())
+@behave.when('leader {name} introduces itself {count:d} times at once')
+def step_introduce_often(context, name, count):
+    context.run(_introduce(context, name, count))
 
 
 @behave.then(
@@ -85,6 +83,15 @@
     assert context.session.leader == context.leaders[name].address
 
 
+async def _introduce(context, name, count):
+    address = context.leaders[name].address
+    for _ in range(count):
+        context.session.handle_introduction(
+            pb.Redirect(leader=address, replicas=[address])
+        )
+        await asyncio.sleep(0)
+
+
 async def _start(context):
     servers = [await leader.start() for leader in context.leaders.values()]
     counters = metrics.Metrics()
--- a/src/honeyport/router/session.py
+++ b/src/honeyport/router/session.py
@@ -124,8 +124,10 @@
         if self.attached and not self._is_leader_silent:
             return
         self._contacts.add_hint(introduction.leader, introduction.replicas)
-        if self._read_timeout is not None:
-            self._read_timeout.reschedule(asyncio.get_running_loop().time())
+        timeout = self._read_timeout
+        # A timeout that has just expired cannot be changed any more.
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
 
     def control_location(self) -> pb.Redirect:
         """Return the addresses of control, for another router that asks.
