--- a/features/platform/evacuation.feature
+++ b/features/platform/evacuation.feature
@@ -40,7 +40,7 @@
   Scenario: the leader is killed the moment it acknowledges the order
     Given a platform of three instances with disks and one without
     When an operator sends version 7 to any instance
-    And the leader is killed as it acknowledges to evacuate thu-duc
+    And the leader is killed as soon as it acknowledges the evacuation of thu-duc
     Then no remaining instance sends a request to thu-duc from then on
 
   Scenario: a frozen gateway does not hold up the acknowledgement
--- a/features/router/session.feature
+++ b/features/router/session.feature
@@ -10,6 +10,7 @@
     And leader B introduces itself
     Then the router is attached to leader B within 0.3 seconds
 
+  # Guards against an error while the wait for the silent leader ends.
   Scenario: several introductions arrive at the same moment
     When leader A is silent for 0.9 seconds
     And leader B introduces itself 10 times at once
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -66,7 +66,10 @@
     context.remaining = [node for node in platform.nodes if node is not leader]
 
 
-@behave.when('the leader is killed as it acknowledges to evacuate {domain}')
+@behave.when(
+    'the leader is killed as soon as it acknowledges the evacuation of '
+    '{domain}'
+)
 def step_kill_at_acknowledgement(context, domain):
     platform = context.platform
     leader = context.run(platform_steps.find_leader(platform))
