Log operators' requests whose body does not arrive

Callers saw a configuration without an acknowledgement. Lines 2106 to 2109 begin once the whole body is there, so an attempt that an operator gives up in the middle of the body left no line, and looked in the logs like an attempt at an instance that is down: the logs could not tell the first hypothesis from the third.

The servers of the platform's API get their own delegate, which reads requests as before and reports a connection that ends before the body: line 2110 with the bytes that were received, those expected, and the time.

Test: an operator that closes the connection in the middle of an order; before the change no line was written.

--- a/features/platform/operators.feature
+++ b/features/platform/operators.feature
@@ -52,6 +52,15 @@
     Then the order of version 9 is logged by instance 9 as operator_received, operator_redirected
     And it is logged by the leader as operator_received, replacement_proposed, bundle_accepted, operator_answered
 
+  # An attempt that ends in its body otherwise looks like one that reached no
+  # instance.
+  Scenario: an order whose body does not arrive completely is logged
+    Given a platform of three instances with disks and one without
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When an operator closes the connection to instance 9 in the middle of an order
+    Then instance 9 logs operator_incomplete with the bytes that it received
+
   # Guards against orders that are refused until an operator's pauses between
   # attempts exceed the time that an acknowledgement may take.
   Scenario: an order that arrives during an election is held for the next leader
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -18,6 +18,7 @@
 _REDIRECT = 307
 _UNAVAILABLE = 503
 _OK = 200
+_PART = b'{"version": 7'  # the beginning of a body
 _COMMIT_EVENTS = ('replacement_proposed', 'bundle_accepted')
 _LAST_EVENTS = ('operator_redirected', 'operator_answered')
 _OPERATOR_PORT = 2  # index among the ports of a node
@@ -83,6 +84,46 @@
         )
 
 
+@behave.when(
+    'an operator closes the connection to instance {number:d} in the middle '
+    'of an order'
+)
+def step_close(context, number):
+    context.run(_send_part(context.platform, context.platform.node(number)))
+
+
+async def _send_part(platform, node):
+    port = platform.ports[_OPERATOR_PORT]
+    _, writer = await asyncio.open_connection(node.ip, port)
+    writer.write(
+        f'POST {_REQUESTS[0][0]} HTTP/1.1\r\nHost: {node.ip}\r\n'
+        f'Content-Length: {2 * len(_PART)}\r\n\r\n'.encode()
+    )
+    writer.write(_PART)
+    await writer.drain()
+    writer.close()
+
+
+@behave.then(
+    'instance {number:d} logs operator_incomplete with the bytes that it '
+    'received'
+)
+def step_incomplete(context, number):
+    node = context.platform.node(number)
+
+    async def is_logged():
+        lines = map(json.loads, node.log.read_text().splitlines())
+        return any(
+            line['event'] == 'operator_incomplete'
+            and line['path'] == _REQUESTS[0][0]
+            and line['bytes'] == len(_PART)
+            and line['expected'] == str(2 * len(_PART))
+            for line in lines
+        )
+
+    context.run(platform_steps.wait_until(is_logged, _TIMEOUT_S))
+
+
 @behave.then(
     'the order of version {version:d} is logged by instance {number:d} as '
     '{names}'
--- a/src/honeyport/platform/operator_log.py
+++ b/src/honeyport/platform/operator_log.py
@@ -68,5 +68,22 @@
     return log
 
 
+def record_incomplete(
+    request: httputil.HTTPServerRequest, received_bytes: int
+) -> None:
+    """Record that a connection ended before the body of its request.
+
+    :param received_bytes: length of the part of the body that was received
+    """
+    logs.emit(
+        events.OPERATOR_INCOMPLETE,
+        path=request.path,
+        bytes=received_bytes,
+        expected=request.headers.get('Content-Length', ''),
+        body_ms=round(request.request_time() * 1000, 1),
+        peer=request.remote_ip,
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -24,6 +24,7 @@
 from honeyport.platform import boot
 from honeyport.platform import configuration
 from honeyport.platform import operator_log
+from honeyport.platform import request_reader
 from honeyport.settings import roles
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
@@ -189,11 +190,14 @@
         settings.operator_address,
         settings.metrics_address,
     }
+    readers = request_reader.RequestReaders(
+        lambda request: _start_handling(components, request), _log_incomplete
+    )
     servers = []
     for address in sorted(addresses):
         host, port = roles.split_address(address)
         server = httpserver.HTTPServer(
-            lambda request: _start_handling(components, request),
+            readers,
             max_body_size=_MAX_BODY_BYTES,
             max_buffer_size=_MAX_BODY_BYTES,
         )
@@ -213,8 +217,9 @@
 async def _handle(
     components: Components, request: httputil.HTTPServerRequest
 ) -> None:
-    is_operators = request.path.startswith(_OPERATOR_PATHS)
-    request_log = operator_log.start(request) if is_operators else None
+    request_log = None
+    if _is_operators(request):
+        request_log = operator_log.start(request)
     response = await respond(components, request)
     if request_log is not None:
         request_log.record_answer(
@@ -226,6 +231,17 @@
     _send(request, response)
 
 
+def _log_incomplete(
+    request: httputil.HTTPServerRequest, received_bytes: int
+) -> None:
+    if _is_operators(request):
+        operator_log.record_incomplete(request, received_bytes)
+
+
+def _is_operators(request: httputil.HTTPServerRequest) -> bool:
+    return request.path.startswith(_OPERATOR_PATHS)
+
+
 def _is_closed(request: httputil.HTTPServerRequest) -> bool:
     """Whether the client has closed the connection."""
     connection = typing.cast(
@@ -257,7 +273,7 @@
 
     :raises errors.ControlUnavailable: if no leader becomes known in time
     """
-    if not request.path.startswith(_OPERATOR_PATHS):
+    if not _is_operators(request):
         return await handler(components, request)
     wait = leader_wait.LeaderWait(lambda: _find_leader(components))
     while True:
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -220,6 +220,13 @@
     'The leader appends a submitted configuration to its log; line 2101 '
     'follows when it is committed.',
 )
+OPERATOR_INCOMPLETE = define(
+    2110,
+    'operator_incomplete',
+    'warning',
+    "The connection ended before an operator's request was received "
+    'completely.',
+)
 LIST_CHANGED = define(
     2401, 'list_changed', 'info', "The platform's list of instances changed."
 )
