An instance that is cut off from control does not hold orders

What callers saw: at an instance without a way to the leader each order was held for 0.7 s and then refused with 503. Operators wait for one second and pause longer after each failure, so orders that met several such instances were acknowledged late.

Cause: the wait for a leader did not depend on how long there has been none. A wait pays during an election, and where no leader can become known it only adds to the refusal. Class: a request that cannot be served is held.

Change: the wait ends 3 s after the last contact to a leader, which is longer than two rounds of votes and the introduction of the next leader take. A gateway counts from the last report that control answered, a replica from the last message of a leader, both from their start; the shorter silence holds.

--- a/features/platform/operators.feature
+++ b/features/platform/operators.feature
@@ -67,6 +67,11 @@
     When orders are sent to 8 instances 0.5 s before a leader is elected
     Then each of them is acknowledged by its first attempt
 
+  # Guards against orders that are held where no leader can become known.
+  Scenario: an instance that is cut off from control does not hold orders
+    When orders are sent to instances that are cut off from control for 10 s
+    Then each of them is refused at once
+
   Scenario: orders are acknowledged once the group is stable again
     When 25 random histories of orders and failures are run
     Then no order waits longer than 5 seconds while the group is stable
--- a/features/steps/operator_history_steps.py
+++ b/features/steps/operator_history_steps.py
@@ -14,6 +14,9 @@
 _BEFORE_ELECTION_S = 0.5
 _MAX_ELECTION_S = 10.0
 _POLL_S = 0.02
+# How long instances are cut off, and how soon they answer without a hold.
+_CUT_OFF_S = 10.0
+_AT_ONCE_S = 0.05
 # A history: its length, the part with failures, and the steps of both.
 _HISTORY_S = 20.0
 _FAILURES_S = 8.0
@@ -79,6 +82,34 @@
         assert [status for _, _, status in order.attempts] == [200], order
 
 
+@behave.when(
+    'orders are sent to instances that are cut off from control for 10 s'
+)
+def step_cut_off(context):
+    context.answers = simulation.run(_ask_cut_off(seed=1))
+
+
+async def _ask_cut_off(seed):
+    """Cut off an instance of each kind; return their answers."""
+    site = operators.Site(_GATEWAYS, seed)
+    await site.start()
+    follower = next(name for name in site.group.names if name != site.leader)
+    gateway = site.names[-1]
+    site.cut(follower)
+    site.cut_gateway(gateway)
+    await site.group.run_for(_CUT_OFF_S)
+    answers = [await site.ask(name) for name in (follower, gateway)]
+    await site.stop()
+    return answers
+
+
+@behave.then('each of them is refused at once')
+def step_refused_at_once(context):
+    for status, took_s in context.answers:
+        assert status == 503, status
+        assert took_s < _AT_ONCE_S, took_s
+
+
 @behave.when('{count:d} random histories of orders and failures are run')
 def step_histories(context, count):
     context.waits = []
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -64,6 +64,11 @@
             return ''
         return _internal_address(self._leader_name)
 
+    @property
+    def leader_silence_s(self) -> float:
+        """Seconds since a leader last answered."""
+        return self._silence_s
+
     @property
     def _silence_s(self) -> float:
         return _now() - self._answered_at
@@ -132,6 +137,7 @@
         self.names = self.group.names + names
         self.unreachable: set[str] = set()
         self._cut: set[str] = set()
+        self._cut_gateways: set[str] = set()
         self.orders: list[Order] = []
         self._replica_events: list[tuple[float, bool]] = []
         self._gateways = {name: Gateway(self, name) for name in self.names}
@@ -155,7 +161,9 @@
 
     def can_reach(self, source: str, target: str) -> bool:
         """Whether packets between two instances arrive."""
-        is_cut = (source, target) in self.group.cut_links
+        is_cut = (source, target) in self.group.cut_links or (
+            source in self._cut_gateways and target in self.group.names
+        )
         return not is_cut and not self.unreachable & {source, target}
 
     @property
@@ -202,6 +210,10 @@
         self._cut.discard(name)
         self._update_links([name])
 
+    def cut_gateway(self, name: str) -> None:
+        """Cut an instance without a replica off from all replicas."""
+        self._cut_gateways.add(name)
+
     def _update_links(self, names: collections.abc.Iterable[str]) -> None:
         self.group.heal()
         for name in self.group.names:
@@ -227,6 +239,15 @@
         """
         return self._start(_REPLACE_PATH, _document(version), first)
 
+    async def ask(self, name: str) -> tuple[int, float]:
+        """Send a configuration to one instance, and follow no redirect.
+
+        :returns: the status of its answer, and the seconds until then
+        """
+        order = Order(_REPLACE_PATH, _document(1), _now())
+        response = await self._request(name, order)
+        return response.status, _now() - order.sent_at
+
     def send_evacuation(self, path: str, first: str = '') -> Order:
         """Send an order to evacuate a domain until it is acknowledged.
 
--- a/src/honeyport/control/leader_wait.py
+++ b/src/honeyport/control/leader_wait.py
@@ -1,4 +1,4 @@
-"""Holds a request for the leader until a leader is known."""
+"""Holds a request for the leader while a leader may become known soon."""
 
 import asyncio
 import collections.abc
@@ -6,7 +6,10 @@
 from honeyport import errors
 
 # Operators wait one second for an answer, and longer after each refusal.
-MAX_WAIT_S = 0.7
+_MAX_WAIT_S = 0.7
+# Without a leader for longer, this instance rather than the group is at fault:
+# two rounds of votes and the introduction of the next leader take less.
+_MAX_ELECTION_S = 3.0
 _POLL_INTERVAL_S = 0.02
 _RETRY_AFTER_S = 0.5  # requested of operators while no leader is known
 
@@ -16,12 +19,16 @@
 class LeaderWait:
     """The wait of one request; its time counts from the creation.
 
+    It ends when an election would be over.
+
     :param find: returns the address of the leader, or ``''``
+    :param silence_s: seconds without a leader until now
     """
 
-    def __init__(self, find: Find) -> None:
+    def __init__(self, find: Find, silence_s: float) -> None:
         self._find = find
-        self._deadline = _now() + MAX_WAIT_S
+        wait_s = min(_MAX_WAIT_S, _MAX_ELECTION_S - silence_s)
+        self._deadline = _now() + wait_s
 
     async def leader(self) -> str:
         """Return the address of the leader, once it is known.
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -131,6 +131,11 @@
         leader = membership.find(self.members, self._leader)
         return leader.address if leader else ''
 
+    @property
+    def leader_silence_s(self) -> float:
+        """Seconds since the last message of a leader, or since the start."""
+        return self._timer.leader_silence_s
+
     @property
     def member_addresses(self) -> list[str]:
         """Listen addresses of the members."""
--- a/src/honeyport/control/timer.py
+++ b/src/honeyport/control/timer.py
@@ -29,6 +29,11 @@
         """Whether a leader sent a message within the election timeout."""
         return _now() - self._leader_contact_at < self._election_s
 
+    @property
+    def leader_silence_s(self) -> float:
+        """Seconds since a leader's last message, or since the start."""
+        return _now() - max(self._leader_contact_at, self._started_at)
+
     @property
     def recently_started(self) -> bool:
         """Whether the replica started within the last election timeout.
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -86,6 +86,7 @@
         )
         self._version = 0
         self._lifetime = addresses.ListLifetime()
+        self._started_at = float('-inf')
         self._register_gauges(counters)
 
     @property
@@ -101,6 +102,12 @@
         """
         return self._session.control_location().leader
 
+    @property
+    def leader_silence_s(self) -> float:
+        """Seconds since a leader last answered, or since the start."""
+        now = asyncio.get_running_loop().time()
+        return min(self._state.control_silence_s, now - self._started_at)
+
     @property
     def not_ready_reason(self) -> str:
         """Reason why callers should use another gateway, or ``''``."""
@@ -152,6 +159,7 @@
 
         :param listener: socket that listens already; ``None`` to open one
         """
+        self._started_at = asyncio.get_running_loop().time()
         if listener is None:
             host, port = roles.split_address(self._settings.listen)
             self._caller_server.listen(host, port)
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -275,7 +275,9 @@
     """
     if not _is_operators(request):
         return await handler(components, request)
-    wait = leader_wait.LeaderWait(lambda: _find_leader(components))
+    wait = leader_wait.LeaderWait(
+        lambda: _find_leader(components), _leader_silence_s(components)
+    )
     while True:
         # Before the handler, which decodes the request.
         leader = await wait.leader()
@@ -298,6 +300,16 @@
     return '' if leader == own_address else leader
 
 
+def _leader_silence_s(components: Components) -> float:
+    """Return the seconds since this instance had contact to a leader."""
+    silence_s = components.gateway.leader_silence_s
+    if components.operator_services is not None:
+        silence_s = min(
+            silence_s, components.operator_services.leader_silence_s
+        )
+    return silence_s
+
+
 def _find_handler(request: httputil.HTTPServerRequest) -> Handler:
     """Return the handler of a request, with its path parameters bound.
 
--- a/src/honeyport/platform/replica.py
+++ b/src/honeyport/platform/replica.py
@@ -36,6 +36,11 @@
         """Internal address of the leader that it follows, or ``''``."""
         return self.node.leader_address
 
+    @property
+    def leader_silence_s(self) -> float:
+        """Seconds since the last message of a leader."""
+        return self.node.leader_silence_s
+
 
 async def start(
     boot_settings: boot.Settings,
