Operators are redirected before the body of their request

What callers saw: an order at an instance that does not lead took as long as its body takes on that instance's link, before the redirect sent it to the leader with the body once more. With configurations of 340 kB on a link of 5 Mbit/s that is 0.6 s each, and since an operator sends one order after the other, those sent every 0.5 s waited for each other.

Cause: requests were handled once they were complete, although path and leader are known from the headers. Class: work that the answer does not depend on.

Change: where another instance leads, or none, the answer is sent as soon as the headers are there. The body is read and dropped behind it, and the connection stays in use: to close it with unread bytes would reset it, and the redirect could be lost. Requests with an invalid length, Transfer-Encoding or Expect take the former way, so that their answers stay the same.

Tests: a redirect that comes before the body, after which the connection serves another request (failed before: no answer in 5 s); a redirect is logged when the rest does not arrive; four invalid lengths get 400 alone, before as after.

--- a/features/platform/operators.feature
+++ b/features/platform/operators.feature
@@ -58,8 +58,37 @@
     Given a platform of three instances with disks and one without
     When an operator sends version 7 to any instance
     Then every instance is ready within 10 seconds
-    When an operator closes the connection to instance 9 in the middle of an order
-    Then instance 9 logs operator_incomplete with the bytes that it received
+    When an operator closes the connection to the leader in the middle of an order
+    Then the leader logs operator_incomplete with the bytes that it received
+
+  # Guards against large orders that an instance receives in full, over a slow
+  # link, before it redirects them.
+  Scenario: an order is redirected before its body
+    Given a platform of three instances with disks and one without
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When an operator sends the beginning of an order to instance 9
+    Then it is redirected to the leader
+    And the connection serves another request once the order is sent completely
+
+  Scenario: a redirect is logged even if the rest of the order does not arrive
+    Given a platform of three instances with disks and one without
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    When an operator sends the beginning of an order to instance 9
+    Then it is redirected to the leader
+    And instance 9 logs the redirect once the connection is closed
+
+  Scenario: orders with an invalid length are rejected, not redirected
+    Given a platform of three instances with disks and one without
+    When an operator sends version 7 to any instance
+    Then every instance is ready within 10 seconds
+    And instance 9 answers an order with these headers with 400 alone
+      | header                                                |
+      | Content-Length: 33554433                              |
+      | Content-Length: seven                                 |
+      | Content-Length: -1                                    |
+      | Transfer-Encoding: gzip                               |
 
   # Guards against orders that are refused until an operator's pauses between
   # attempts exceed the time that an acknowledgement may take.
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -85,41 +85,136 @@
 
 
 @behave.when(
-    'an operator closes the connection to instance {number:d} in the middle '
-    'of an order'
+    'an operator closes the connection to the leader in the middle of an order'
 )
-def step_close(context, number):
-    context.run(_send_part(context.platform, context.platform.node(number)))
+def step_close(context):
+    platform = context.platform
+    context.leader = context.run(platform_steps.find_leader(platform))
+    context.run(_send_part(platform, context.leader))
 
 
 async def _send_part(platform, node):
-    port = platform.ports[_OPERATOR_PORT]
-    _, writer = await asyncio.open_connection(node.ip, port)
+    _, writer = await _connect(platform, node)
+    _write_part(writer, node)
+    await writer.drain()
+    writer.close()
+
+
+async def _connect(platform, node):
+    return await asyncio.open_connection(
+        node.ip, platform.ports[_OPERATOR_PORT]
+    )
+
+
+def _write_part(writer, node):
+    """Write the headers and the first half of an order."""
+    _write_headers(writer, node, f'Content-Length: {2 * len(_PART)}')
+    writer.write(_PART)
+
+
+def _write_headers(writer, node, header):
     writer.write(
         f'POST {_REQUESTS[0][0]} HTTP/1.1\r\nHost: {node.ip}\r\n'
-        f'Content-Length: {2 * len(_PART)}\r\n\r\n'.encode()
+        f'{header}\r\n\r\n'.encode()
     )
+
+
+async def _read_headers(reader):
+    """Return the status and the headers of the next response."""
+    async with asyncio.timeout(_TIMEOUT_S):
+        text = (await reader.readuntil(b'\r\n\r\n')).decode()
+    status_line, _, lines = text.partition('\r\n')
+    headers = dict(line.split(': ', 1) for line in lines.splitlines() if line)
+    return int(status_line.split()[1]), headers
+
+
+@behave.when(
+    'an operator sends the beginning of an order to instance {number:d}'
+)
+def step_part(context, number):
+    context.node = context.platform.node(number)
+    context.streams = context.run(_connect(context.platform, context.node))
+    _write_part(context.streams[1], context.node)
+
+
+@behave.then('it is redirected to the leader')
+def step_redirected(context):
+    status, headers = context.run(_read_headers(context.streams[0]))
+    assert status == _REDIRECT, status
+    leader = context.run(platform_steps.find_leader(context.platform))
+    location = urllib.parse.urlsplit(headers['Location'])
+    assert location.hostname == leader.ip, (headers, leader.ip)
+    assert location.path == _REQUESTS[0][0], headers
+
+
+@behave.then(
+    'the connection serves another request once the order is sent completely'
+)
+def step_connection_serves(context):
+    reader, writer = context.streams
     writer.write(_PART)
-    await writer.drain()
+    _write_headers(writer, context.node, 'Content-Length: 0')
+    status, _ = context.run(_read_headers(reader))
+    assert status == _REDIRECT, status
     writer.close()
 
 
 @behave.then(
-    'instance {number:d} logs operator_incomplete with the bytes that it '
-    'received'
+    'instance {number:d} answers an order with these headers with 400 alone'
 )
-def step_incomplete(context, number):
+def step_bad_request(context, number):
     node = context.platform.node(number)
+    for row in context.table:
+        answer = context.run(
+            _read_to_end(context.platform, node, row['header'])
+        )
+        assert answer == b'HTTP/1.1 400 Bad Request\r\n\r\n', (row, answer)
+
+
+async def _read_to_end(platform, node, header):
+    reader, writer = await _connect(platform, node)
+    _write_headers(writer, node, header)
+    async with asyncio.timeout(_TIMEOUT_S):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@behave.then(
+    'the leader logs operator_incomplete with the bytes that it received'
+)
+def step_incomplete(context):
+    _wait_for_line(
+        context,
+        context.leader,
+        event='operator_incomplete',
+        path=_REQUESTS[0][0],
+        bytes=len(_PART),
+        expected=str(2 * len(_PART)),
+    )
+
+
+@behave.then(
+    'instance {number:d} logs the redirect once the connection is closed'
+)
+def step_redirect_logged(context, number):
+    context.streams[1].close()
+    _wait_for_line(
+        context,
+        context.platform.node(number),
+        event='operator_redirected',
+        path=_REQUESTS[0][0],
+        order='',
+        before_body=True,
+    )
+
+
+def _wait_for_line(context, node, **fields):
+    """Wait until a node has logged a line with these fields."""
 
     async def is_logged():
         lines = map(json.loads, node.log.read_text().splitlines())
-        return any(
-            line['event'] == 'operator_incomplete'
-            and line['path'] == _REQUESTS[0][0]
-            and line['bytes'] == len(_PART)
-            and line['expected'] == str(2 * len(_PART))
-            for line in lines
-        )
+        return any(fields.items() <= line.items() for line in lines)
 
     context.run(platform_steps.wait_until(is_logged, _TIMEOUT_S))
 
--- a/src/honeyport/platform/operator_log.py
+++ b/src/honeyport/platform/operator_log.py
@@ -1,6 +1,7 @@
 """Log lines that follow an operator's request through this process."""
 
 import asyncio
+import typing
 import zlib
 
 import attrs
@@ -11,78 +12,99 @@
 
 
 @attrs.frozen(kw_only=True)
-class RequestLog:
-    """Logs the progress of one request.
+class Answer:
+    """The answer to a request.
 
-    :ivar path: the request's path
-    :ivar checksum: of the body, the same wherever the order is sent again
-    :ivar received_at: loop time at which the whole request was there, in
-        seconds
+    :ivar status: its HTTP status
+    :ivar code: the code of its error, or ``''``
+    :ivar location: the address that it redirects to, or ``''``
     """
 
-    path: str
-    checksum: str
-    received_at: float
+    status: int
+    code: str
+    location: str
+
+
+class RequestLog:
+    """Logs the progress of one request, whose headers were just received."""
+
+    def __init__(self, request: httputil.HTTPServerRequest) -> None:
+        self._request = request
+        self._checksum = ''
+        self._started_at = _now()
+        self._early_answer: dict[str, typing.Any] | None = None
 
-    def record_answer(
-        self, status: int, code: str, *, location: str, disconnected: bool
-    ) -> None:
-        """Record the answer.
+    def record_early_answer(self, answer: Answer) -> None:
+        """Record an answer that was sent before the body was received.
+
+        It is logged after the body, which identifies the order.
+        """
+        self._early_answer = self._fields(answer) | {'before_body': True}
+
+    def record_received(self) -> None:
+        """Record that the request was received completely."""
+        body = self._request.body
+        # The same wherever the order is sent again.
+        self._checksum = f'{zlib.crc32(body):08x}'
+        self._started_at = _now()
+        logs.emit(
+            events.OPERATOR_RECEIVED,
+            path=self._request.path,
+            order=self._checksum,
+            bytes=len(body),
+            body_ms=self._request_ms(),
+            peer=self._request.remote_ip,
+        )
+        self._log_early_answer()
+
+    def record_incomplete(self, received_bytes: int) -> None:
+        """Record that the connection ended before the body.
+
+        :param received_bytes: length of the part of the body that was received
+        """
+        if self._early_answer is not None:
+            self._log_early_answer()
+            return
+        logs.emit(
+            events.OPERATOR_INCOMPLETE,
+            path=self._request.path,
+            bytes=received_bytes,
+            expected=self._request.headers.get('Content-Length', ''),
+            body_ms=self._request_ms(),
+            peer=self._request.remote_ip,
+        )
+
+    def record_answer(self, answer: Answer, *, disconnected: bool) -> None:
+        """Record the answer to the complete request.
 
-        :param status: its HTTP status
-        :param code: the code of its error, or ``''``
-        :param location: the address that it redirects to, or ``''``
         :param disconnected: whether the operator has closed the connection
         """
-        event = events.OPERATOR_ANSWERED
+        event = _event(answer.location)
         if disconnected:
             event = events.OPERATOR_DISCONNECTED
-        elif location:
-            event = events.OPERATOR_REDIRECTED
-        logs.emit(
-            event,
-            path=self.path,
-            order=self.checksum,
-            status=status,
-            code=code,
-            location=location,
-            took_ms=round((_now() - self.received_at) * 1000, 1),
-        )
+        logs.emit(event, order=self._checksum, **self._fields(answer))
 
+    def _log_early_answer(self) -> None:
+        fields = self._early_answer
+        if fields is not None:
+            event = _event(fields['location'])
+            logs.emit(event, order=self._checksum, **fields)
 
-def start(request: httputil.HTTPServerRequest) -> RequestLog:
-    """Record that a request was received completely."""
-    log = RequestLog(
-        path=request.path,
-        checksum=f'{zlib.crc32(request.body):08x}',
-        received_at=_now(),
-    )
-    logs.emit(
-        events.OPERATOR_RECEIVED,
-        path=log.path,
-        order=log.checksum,
-        bytes=len(request.body),
-        body_ms=round(request.request_time() * 1000, 1),
-        peer=request.remote_ip,
-    )
-    return log
-
-
-def record_incomplete(
-    request: httputil.HTTPServerRequest, received_bytes: int
-) -> None:
-    """Record that a connection ended before the body of its request.
-
-    :param received_bytes: length of the part of the body that was received
-    """
-    logs.emit(
-        events.OPERATOR_INCOMPLETE,
-        path=request.path,
-        bytes=received_bytes,
-        expected=request.headers.get('Content-Length', ''),
-        body_ms=round(request.request_time() * 1000, 1),
-        peer=request.remote_ip,
-    )
+    def _fields(self, answer: Answer) -> dict[str, typing.Any]:
+        took_ms = round((_now() - self._started_at) * 1000, 1)
+        return {
+            'path': self._request.path,
+            **attrs.asdict(answer),
+            'took_ms': took_ms,
+        }
+
+    def _request_ms(self) -> float:
+        """Return the time since the headers were received."""
+        return round(self._request.request_time() * 1000, 1)
+
+
+def _event(location: str) -> events.Event:
+    return events.OPERATOR_REDIRECTED if location else events.OPERATOR_ANSWERED
 
 
 def _now() -> float:
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -69,6 +69,7 @@
 _ENDPOINTS: dict[re.Pattern[str], dict[str, Handler]] = {}
 # A parameter in the path of an endpoint.
 _PARAMETER = re.compile(r'{(\w+)}')
+_DIGITS = re.compile(r'[0-9]{1,18}')
 
 
 def endpoint(
@@ -191,7 +192,7 @@
         settings.metrics_address,
     }
     readers = request_reader.RequestReaders(
-        lambda request: _start_handling(components, request), _log_incomplete
+        lambda request: _Exchange(components, request)
     )
     servers = []
     for address in sorted(addresses):
@@ -206,36 +207,63 @@
     return servers
 
 
-def _start_handling(
-    components: Components, request: httputil.HTTPServerRequest
-) -> None:
-    task = asyncio.create_task(_handle(components, request))
-    _TASKS.add(task)
-    task.add_done_callback(_TASKS.discard)
-
-
-async def _handle(
-    components: Components, request: httputil.HTTPServerRequest
-) -> None:
-    request_log = None
-    if _is_operators(request):
-        request_log = operator_log.start(request)
-    response = await respond(components, request)
-    if request_log is not None:
-        request_log.record_answer(
-            response.status,
-            response.code,
-            location=response.headers.get('Location', ''),
-            disconnected=_is_closed(request),
-        )
-    _send(request, response)
+class _Exchange:
+    """One request and its response."""
+
+    def __init__(
+        self, components: Components, request: httputil.HTTPServerRequest
+    ) -> None:
+        self._components = components
+        self._request = request
+        self._log: operator_log.RequestLog | None = None
+        if _is_operators(request):
+            self._log = operator_log.RequestLog(request)
+        self._has_responded = False
+
+    async def on_headers(self) -> None:
+        """Send the response now if it does not depend on the body."""
+        response = await respond_early(self._components, self._request)
+        if response is None:
+            return
+        self._has_responded = True
+        if self._log is not None:
+            self._log.record_early_answer(_to_answer(response))
+        _write(self._request, response)
+
+    def on_request(self) -> None:
+        """Start to handle the complete request."""
+        if self._log is not None:
+            self._log.record_received()
+        if self._has_responded:
+            # Not earlier: the part of the body that is not read would reset
+            # the connection, and the response could be lost.
+            _connection(self._request).finish()
+            return
+        task = asyncio.create_task(self._handle())
+        _TASKS.add(task)
+        task.add_done_callback(_TASKS.discard)
+
+    def on_incomplete(self, received_bytes: int) -> None:
+        """Record that the request was not received completely."""
+        if self._log is not None:
+            self._log.record_incomplete(received_bytes)
+
+    async def _handle(self) -> None:
+        response = await respond(self._components, self._request)
+        if self._log is not None:
+            self._log.record_answer(
+                _to_answer(response), disconnected=_is_closed(self._request)
+            )
+        _write(self._request, response)
+        _connection(self._request).finish()
 
 
-def _log_incomplete(
-    request: httputil.HTTPServerRequest, received_bytes: int
-) -> None:
-    if _is_operators(request):
-        operator_log.record_incomplete(request, received_bytes)
+def _to_answer(response: Response) -> operator_log.Answer:
+    return operator_log.Answer(
+        status=response.status,
+        code=response.code,
+        location=response.headers.get('Location', ''),
+    )
 
 
 def _is_operators(request: httputil.HTTPServerRequest) -> bool:
@@ -244,12 +272,51 @@
 
 def _is_closed(request: httputil.HTTPServerRequest) -> bool:
     """Whether the client has closed the connection."""
-    connection = typing.cast(
-        http1connection.HTTP1Connection, request.connection
-    )
+    connection = _connection(request)
     return connection.stream is None or connection.stream.closed()
 
 
+def _connection(
+    request: httputil.HTTPServerRequest,
+) -> http1connection.HTTP1Connection:
+    return typing.cast(http1connection.HTTP1Connection, request.connection)
+
+
+async def respond_early(
+    components: Components, request: httputil.HTTPServerRequest
+) -> Response | None:
+    """Return the response to a request whose body does not matter, if any.
+
+    Where another instance leads, or none, operators do not have to send the
+    body of their request first.
+
+    :param request: the request, without its body
+    """
+    if not _is_operators(request) or not _has_valid_length(request):
+        return None
+    # An unknown path is answered after the body.
+    with contextlib.suppress(errors.UnknownRoute, errors.WrongMethod):
+        _find_handler(request)
+        try:
+            leader = await _start_wait(components).leader()
+        except errors.ControlUnavailable as error:
+            return _error_response(error)
+        if leader != components.settings.internal_address:
+            return _redirect(components, request, leader)
+    return None
+
+
+def _has_valid_length(request: httputil.HTTPServerRequest) -> bool:
+    """Whether the server will read the body, and without a response."""
+    if 'Transfer-Encoding' in request.headers or 'Expect' in request.headers:
+        return False
+    length = request.headers.get('Content-Length', '0')
+    return (
+        _DIGITS.fullmatch(length) is not None
+        and int(length) <= _MAX_BODY_BYTES
+    )
+
+
 async def respond(
     components: Components, request: httputil.HTTPServerRequest
 ) -> Response:
@@ -275,9 +342,7 @@
     """
     if not _is_operators(request):
         return await handler(components, request)
-    wait = leader_wait.LeaderWait(
-        lambda: _find_leader(components), _leader_silence_s(components)
-    )
+    wait = _start_wait(components)
     while True:
         # Before the handler, which decodes the request.
         leader = await wait.leader()
@@ -288,6 +353,12 @@
             return await handler(components, request)
 
 
+def _start_wait(components: Components) -> leader_wait.LeaderWait:
+    return leader_wait.LeaderWait(
+        lambda: _find_leader(components), _leader_silence_s(components)
+    )
+
+
 def _find_leader(components: Components) -> str:
     """Return the internal address of the leader, or ``''``."""
     own_address = components.settings.internal_address
@@ -333,8 +404,8 @@
     raise errors.UnknownRoute(f'no endpoint {request.path}')
 
 
-def _send(request: httputil.HTTPServerRequest, response: Response) -> None:
-    connection = typing.cast(httputil.HTTPConnection, request.connection)
+def _write(request: httputil.HTTPServerRequest, response: Response) -> None:
+    connection = _connection(request)
     headers = httputil.HTTPHeaders(response.headers)
     headers['Content-Length'] = str(len(response.body))
     start_line = httputil.ResponseStartLine(
@@ -344,7 +415,6 @@
         start_line, headers, response.body or None
     )
     future.add_done_callback(_ignore_error)
-    connection.finish()
 
 
 def _ignore_error(future: 'asyncio.Future[None]') -> None:
--- a/src/honeyport/platform/request_reader.py
+++ b/src/honeyport/platform/request_reader.py
@@ -1,54 +1,56 @@
-"""Reads HTTP requests, and reports those that end before their body."""
+"""Reads HTTP requests, some of which are answered before their body."""
 
 import collections.abc
 import typing
 
 from tornado import httputil
 
-OnRequest = collections.abc.Callable[[httputil.HTTPServerRequest], None]
-# Takes the request and the number of bytes of its body that were received.
-OnIncomplete = collections.abc.Callable[
-    [httputil.HTTPServerRequest, int], None
-]
 
+class Exchange(typing.Protocol):
+    """Handles one request."""
 
-class RequestReaders(httputil.HTTPServerConnectionDelegate):
-    """Creates a reader for each request.
+    async def on_headers(self) -> None:
+        """Handle the headers; the body is not read until this returns."""
 
-    :param on_request: called with each complete request
-    :param on_incomplete: called if the connection ends before the body
-    """
+    def on_request(self) -> None:
+        """Handle the complete request."""
 
-    def __init__(
-        self, on_request: OnRequest, on_incomplete: OnIncomplete
-    ) -> None:
-        self._on_request = on_request
-        self._on_incomplete = on_incomplete
+    def on_incomplete(self, received_bytes: int) -> None:
+        """Handle the end of the connection before that of the body.
+
+        :param received_bytes: length of the received part of the body
+        """
+
+
+# Creates the handling of a request whose body is not read yet.
+Start = collections.abc.Callable[[httputil.HTTPServerRequest], Exchange]
+
+
+class RequestReaders(httputil.HTTPServerConnectionDelegate):
+    """Creates a reader for each request of a server's connections."""
+
+    def __init__(self, start: Start) -> None:
+        self._start = start
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
-        return _RequestReader(
-            request_conn, self._on_request, self._on_incomplete
-        )
+        return _RequestReader(request_conn, self._start)
 
 
 class _RequestReader(httputil.HTTPMessageDelegate):
     """Reads one request."""
 
     def __init__(
-        self,
-        connection: httputil.HTTPConnection,
-        on_request: OnRequest,
-        on_incomplete: OnIncomplete,
+        self, connection: httputil.HTTPConnection, start: Start
     ) -> None:
         self._connection = connection
-        self._on_request = on_request
-        self._on_incomplete = on_incomplete
+        self._start = start
         self._request: httputil.HTTPServerRequest | None = None
+        self._exchange: Exchange | None = None
         self._body = bytearray()
 
-    def headers_received(
+    async def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
@@ -58,15 +60,17 @@
             start_line=typing.cast(httputil.RequestStartLine, start_line),
             headers=headers,
         )
+        self._exchange = self._start(self._request)
+        await self._exchange.on_headers()
 
     def data_received(self, chunk: bytes) -> None:
         self._body += chunk
 
     def finish(self) -> None:
-        if self._request is not None:
+        if self._request is not None and self._exchange is not None:
             self._request.body = bytes(self._body)
-            self._on_request(self._request)
+            self._exchange.on_request()
 
     def on_connection_close(self) -> None:
-        if self._request is not None:
-            self._on_incomplete(self._request, len(self._body))
+        if self._exchange is not None:
+            self._exchange.on_incomplete(len(self._body))
