A scenario of orders beside silent instances, known to fail

What callers saw: a valid configuration without an acknowledgement in time while the control group was stable.

--- a/features/platform/operators.feature
+++ b/features/platform/operators.feature
@@ -105,3 +105,9 @@
     When 25 random histories of orders and failures are run
     Then no order waits longer than 5 seconds while the group is stable
     And every attempt at a running instance succeeds while the group is stable
+
+  # An operator chooses among all instances, and chooses one again that did not
+  # answer.
+  Scenario: orders are acknowledged in time while a quarter of the instances is silent
+    When 1000 orders are sent while 20 of 79 instances are silent
+    Then each of them is acknowledged within 5.7 seconds
--- a/features/steps/operator_history_steps.py
+++ b/features/steps/operator_history_steps.py
@@ -8,6 +8,7 @@
 from features.support import simulation
 
 _GATEWAYS = 4
+_REPLICAS = 5
 _LOSSES = 2  # replicas that may be down at once
 _ACK_TIMEOUT_S = 5.0
 # An order that is sent this long before the next leader is elected.
@@ -110,6 +111,39 @@
         assert took_s < _AT_ONCE_S, took_s
 
 
+@behave.when(
+    '{count:d} orders are sent while {silent:d} of {total:d} instances are '
+    'silent'
+)
+def step_silent(context, count, silent, total):
+    context.orders = simulation.run(
+        _orders_beside_silent(1, count, silent, total)
+    )
+
+
+async def _orders_beside_silent(seed, count, silent, total):
+    """Send orders while instances without a replica are silent."""
+    site = operators.Site(total - _REPLICAS, seed)
+    await site.start()
+    site.disconnect(*site.names[-silent:])
+    orders = [
+        site.send_configuration(version) for version in range(2, count + 2)
+    ]
+    await site.group.run_for(_HISTORY_S)
+    await site.stop()
+    return orders
+
+
+@behave.then('each of them is acknowledged within {limit_s:g} seconds')
+def step_acknowledged_within(context, limit_s):
+    late = [
+        [(name, status) for _, name, status in order.attempts]
+        for order in context.orders
+        if order.acknowledged_at - order.sent_at > limit_s
+    ]
+    assert not late, f'{len(late)} of {len(context.orders)}: {late}'
+
+
 @behave.when('{count:d} random histories of orders and failures are run')
 def step_histories(context, count):
     context.waits = []
