--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -25,7 +25,7 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 # Pause between two readings; shorter than the notice that a platform gives
-# before an instance stops.
+# before an instance stops (3 s at least): a third of it.
 READ_INTERVAL_S = 0.9
 # Upper limit of a pause that the list's server requests: without the list,
 # requests still go to instances that are leaving.
--- a/src/honeyport/control/instance_lists.py
+++ b/src/honeyport/control/instance_lists.py
@@ -5,7 +5,8 @@
 from honeyport.wire import listing
 
 # Lists that are kept as the base of a change; routers with an older one get
-# the whole list.
+# the whole list. Lists change at most once a reading (0.9 s), so a router may
+# be 14 s behind.
 _MAX_KEPT_LISTS = 16
 
 
--- a/src/honeyport/control/loads.py
+++ b/src/honeyport/control/loads.py
@@ -13,7 +13,7 @@
 from honeyport.wire import instance_load
 
 # Totals that are kept as the base of a change; routers with older ones get
-# all loads.
+# all loads. At a tick of 50 ms they cover three report periods.
 _MAX_KEPT_TOTALS = 16
 
 
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -176,7 +176,8 @@
             return False
         previous = self._accepted
         entries = packed.unpack_snapshot(command.entries)
-        # A delta shares unchanged entries with earlier versions in memory.
+        # A delta shares unchanged entries with earlier versions in memory: the
+        # leader keeps several, and a large one takes a megabyte.
         contents = previous.contents.apply(
             bundle_entries.diff(
                 previous.version, previous.entries, command.version, entries
--- a/src/honeyport/control/membership_manager.py
+++ b/src/honeyport/control/membership_manager.py
@@ -17,7 +17,9 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _PERIOD_S = 0.5
-_UNREACHABLE_AFTER_S = 2.5  # exceeds the time of a restart
+# Longer than a restart, and short enough that a replacement votes within the
+# time that platforms grant it (4 s after its start).
+_UNREACHABLE_AFTER_S = 2.5
 
 
 class MembershipManager:
--- a/src/honeyport/control/router_updates.py
+++ b/src/honeyport/control/router_updates.py
@@ -20,11 +20,12 @@
 # Delay of the first list of routers in a term, until the routers have found
 # the new leader.
 _REATTACH_S = 0.4
-# Minimum interval between two lists of routers.
+# Minimum interval between two lists of routers. Hundreds of them that return
+# within a second change it at each tick, and callers keep theirs for longer.
 _PRESENCE_INTERVAL_S = 0.2
 # Up to this size, an update is sent without rate limit.
 _MAX_UNPACED_BYTES = 2048
-# Lists of routers that are kept as the base of a change.
+# Lists of routers that are kept as the base of a change: those of 6 s.
 _MAX_KEPT_PRESENCES = 32
 
 
--- a/src/honeyport/control/suspects.py
+++ b/src/honeyport/control/suspects.py
@@ -19,7 +19,8 @@
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
-# Pause between two checks for uncommitted changes.
+# Pause between two checks for uncommitted changes, far below the time after
+# which a crashed instance is back.
 _PERSIST_INTERVAL_S = 0.1
 # How long a message to the gateways is reused: one tick. The remaining times
 # in it are inaccurate by up to as much.
--- a/src/honeyport/control/versions.py
+++ b/src/honeyport/control/versions.py
@@ -10,7 +10,7 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 # Versions that are kept as the base of a delta; routers with an older one get
-# a snapshot.
+# a snapshot. They cover a second of changes in quick succession.
 _MAX_KEPT_VERSIONS = 16
 
 
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -23,9 +23,10 @@
 from honeyport.telemetry import log as logs
 from honeyport.wire import honeyport_pb2 as pb
 
-# Retry-After if there is no instance to try.
+# Retry-After if there is no instance to try: the first pause after a failure.
 _NO_INSTANCE_RETRY_S = 0.5
 # Retry-After if only cold instances are left and all are at their quota.
+# Another gateway may have a quota left: about the way there.
 _ALL_COLD_RETRY_S = 0.1
 
 NameSet = collections.abc.Set[str]
@@ -193,6 +194,7 @@
             )
         not_in_backoff = self._signals.not_in_backoff(eligible)
         if not not_in_backoff:
+            # They would turn requests away, which costs the retry budget.
             raise errors.NoInstance(
                 f'all remaining instances of {service} are resting',
                 retry_after=self._signals.retry_after_s(eligible),
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -117,6 +117,7 @@
             self._state.check_lease()
         except errors.NotReady as error:
             return error.detail
+        # Without the list, requests would be refused for want of instances.
         if not self._state.instances.number:
             return 'no list of instances yet'
         return ''
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -330,7 +330,7 @@
         self._metrics.count('attempts_failed', code=error.code)
         self._notify_end_detector(exchange, error)
         # Misdirected: another instance has this address and the list is
-        # outdated.
+        # outdated. Offered again and again, requests would use up the budget.
         not_connected = isinstance(error, (errors.NotSent, errors.Misdirected))
         if not_connected or isinstance(error, errors.BackendLost):
             self._balancer.record_failure(
--- a/src/honeyport/gateway/instance_signals.py
+++ b/src/honeyport/gateway/instance_signals.py
@@ -22,7 +22,8 @@
 # backoff.
 _RETRY_JITTER_MAX_S = 0.5
 # Time after its first leaving header in which an instance still gets requests
-# if no other is available.
+# if no other is available: its replacement is listed a little later. Well
+# under the time for which a leaving instance goes on serving.
 _RECENTLY_LEAVING_S = 1.0
 # Values of the leaving header that mean "not leaving".
 _FALSE_VALUES = frozenset(('', '0', 'false'))
--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -12,6 +12,7 @@
 from honeyport.backend import connection_errors
 from honeyport.policy import placement
 
+# Longer than a round trip between failure domains and a SYN in a busy queue.
 _CONNECT_TIMEOUT_S = 0.3
 # TCP_USER_TIMEOUT: closes a connection whose data is not acknowledged.
 _TCP_USER_TIMEOUT_MS = 1000
@@ -21,6 +22,7 @@
 # For a peer that names no timeout, in seconds.
 _IDLE_TIMEOUT_S = 2.0
 _PEER_TIMEOUT_RATIO = 0.5  # share of the timeout that the peer names
+# Instances limit the connections of all callers together.
 _MAX_IDLE_PER_INSTANCE = 4
 _MAX_BUFFER_BYTES = 1024 * 1024
 # Retry-After if no connection can be made.
--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -16,14 +16,15 @@
 _REVOCATION_S = 5.0
 _GRACE_S = 8.0
 _RETRY_RATIO = 0.2  # retries for each request
-_RETRY_EXTRA = 50.0  # retries in a window
+_RETRY_EXTRA = 50.0  # retries in a window; platforms allow 58 or more
 _RETRY_WINDOW_S = 10.0
 _TTL_S = 5.0
 _BANDWIDTH_MBPS = 1000.0
 _COLD_MULTIPLE = 1.0  # of the rate that a cold instance is designed for
 _COLD_EXTRA = 0.0  # requests in a second
 _ZONE_PREFIX = 'zones.'  # the field zones.DOMAIN names that domain's region
-# TCP port of the metrics endpoint; `deploy/system.toml` names it, too.
+# TCP port of the metrics endpoint; `deploy/system.toml` names it, too. All
+# other ports are assigned by the platform and change.
 _METRICS_PORT = 9464
 
 T = typing.TypeVar('T')
--- a/src/honeyport/platform/configuration.py
+++ b/src/honeyport/platform/configuration.py
@@ -9,7 +9,8 @@
 from honeyport import errors
 
 # Lease duration as a fraction of the revocation time. A gateway without
-# contact must serve for 0.6 of that time and stop before its end.
+# contact must serve for 0.6 of that time and stop before its end. It counts
+# 0.9 of the lease, from the sending of its report.
 _LEASE_FRACTION = 0.8
 _SEMANTICS = {
     'streaming': model.STREAMING,
--- a/src/honeyport/platform/early.py
+++ b/src/honeyport/platform/early.py
@@ -9,7 +9,9 @@
 
 PATH_VARIABLE = 'HONEYPORT_BOOT'  # holds the path of the settings file
 _ADDRESS_KEY = 'listen.frontend='
-_BACKLOG = 256  # connections that may wait during the imports
+# Connections that may wait during the imports: 0.4 s at 100 new ones a second,
+# and room for a burst.
+_BACKLOG = 256
 
 _SOCKETS: dict[str, socket.socket] = {}
 
--- a/src/honeyport/platform/listing.py
+++ b/src/honeyport/platform/listing.py
@@ -16,7 +16,8 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _TIMEOUT_S = 0.8  # for each page
-_MAX_PAGES = 200  # limit on the pages of a whole list, or of a zone
+# Limit on the pages of a whole list, or of a zone; a page has 50 instances.
+_MAX_PAGES = 200
 # Longer lists are read by zone. Shorter ones are read in sequence, because a
 # read by zone takes at least one call for each zone.
 _MAX_SEQUENTIAL_PAGES = 4
--- a/src/honeyport/policy/addresses.py
+++ b/src/honeyport/policy/addresses.py
@@ -12,15 +12,17 @@
 
 MAX_ADDRESSES = 64
 # With fewer gateways in the caller's failure domain, those of its region are
-# listed.
+# listed: if one more were lost, the rest could not take the callers' load.
 _MIN_LOCAL_GATEWAYS = 2
 # Lifetime of a list, and while gateways drain.
 _LIFETIME_S = 5.0
 _LIFETIME_WHILE_DRAINING_S = 1.0
 # Time after a gateway was last draining until the normal lifetime applies.
+# Gateways are stopped one after the other, a few seconds apart.
 _DRAINING_ENDS_AFTER_S = 6.0
 # Without contact to control for this long, a gateway is no longer listed by
-# the others, and so not by itself.
+# the others, and so not by itself: three report periods and a tick. It may be
+# cut off, and then refuses all requests once its lease has ended.
 _ISOLATED_AFTER_S = 0.8
 
 
--- a/src/honeyport/policy/admission.py
+++ b/src/honeyport/policy/admission.py
@@ -12,15 +12,16 @@
 import attrs
 
 # Time from the start of a gateway to its first lease when all processes
-# start together: expected and maximum.
+# start together: expected and maximum, with the start of the last replica.
 _FIRST_LEASE_EXPECTED_S = 0.4
 _FIRST_LEASE_MAX_S = 0.7
 # How long before its deadline a waiting request is refused, and the shortest
 # retry delay while the first lease is due.
 _REFUSAL_MARGIN_S = 0.1
-# Retry delay while control has no quorum.
+# Retry delay while control has no quorum: about the time in which replicas
+# return one after the other.
 _NO_QUORUM_RETRY_S = 1.0
-# Retry delay if other gateways serve.
+# Retry delay if other gateways serve: a round trip.
 _OTHER_GATEWAY_RETRY_S = 0.02
 
 
--- a/src/honeyport/policy/cold.py
+++ b/src/honeyport/policy/cold.py
@@ -20,11 +20,15 @@
 
 # The window of the rate limit, in seconds.
 _WINDOW_S = 1.0
-# Share of the limit that the quotas add up to.
+# Share of the limit that the quotas add up to. Two sets of gateways without a
+# common member still keep to the limit.
 _QUOTA_SHARE = 0.5
-# The same while all usable instances are cold.
+# The same while all usable instances are cold, so that fewer requests are
+# refused then.
 _QUOTA_SHARE_ALL_COLD = 0.8
 # How long an unlisted gateway still counts when the quotas are divided.
+# A new leader lists few gateways at first; if these alone counted, others than
+# before would be selected, each with a larger quota.
 _REMEMBER_GATEWAY_S = 5.0
 
 GatewayNames = collections.abc.Collection[str]
--- a/src/honeyport/policy/contacts.py
+++ b/src/honeyport/policy/contacts.py
@@ -6,7 +6,8 @@
 
 import collections.abc
 
-# Maximum number of addresses that no leader confirmed.
+# Maximum number of addresses that no leader confirmed: two groups of six, the
+# largest that is usual, one after the other.
 _MAX_HINTS = 12
 
 
--- a/src/honeyport/policy/draining.py
+++ b/src/honeyport/policy/draining.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-# Time after the signal from which new requests are refused.
+# Time after the signal from which new requests are refused. Platforms excuse
+# a cut request only if it was sent within 3 s of the signal; the difference is
+# for a signal that is handled late.
 _REFUSE_AFTER_S = 2.5
 # Time before SIGKILL to close files and connections.
 _EXIT_S = 1.0
--- a/src/honeyport/policy/fingerprints.py
+++ b/src/honeyport/policy/fingerprints.py
@@ -7,7 +7,8 @@
 
 import hashlib
 
-# Length of the truncated hash.
+# Length of the truncated hash. A collision takes 2**64 tries to find, and its
+# requests are of one client account, which is part of what is hashed.
 LENGTH_BYTES = 16
 
 
--- a/src/honeyport/policy/health.py
+++ b/src/honeyport/policy/health.py
@@ -5,10 +5,12 @@
 
 import attrs
 
-# Pause after the first failure, and the longest one.
+# Pause after the first failure, about the restart of a process, and the
+# longest one, which is what callers lose at most after an instance is back.
 _FIRST_PAUSE_S = 0.5
 _MAX_PAUSE_S = 8.0
 # How long an instance is reported as unreachable after a failed connection.
+# In a large fleet the next gateway that tries does so about a second later.
 _REPORT_UNREACHABLE_S = 1.5
 
 
--- a/src/honeyport/policy/pacing.py
+++ b/src/honeyport/policy/pacing.py
@@ -9,6 +9,7 @@
 # for heartbeats, leases and callers.
 _LINK_SHARE = 0.5
 # Time in which an empty bucket is refilled, which sets its capacity.
+# Two ticks of the leader, and well under an election timeout.
 _BURST_S = 0.1
 _BITS_PER_BYTE = 8
 
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -16,10 +16,12 @@
 from honeyport.policy import prefixes
 from honeyport.policy import stale
 
-# Load bound: this multiple of the mean, plus a number of requests.
+# Load bound: this multiple of the mean, plus a number of requests. It is below
+# the limit of platforms (2 and 3), since the other gateways' counts are late.
 _BOUND_MEAN_MULTIPLE = 1.8
 _BOUND_EXTRA_REQUESTS = 1
-# How long a leaving instance may be a cache source.
+# How long a leaving instance may be a cache source. Later it may be gone, and
+# an instance that copies from it would wait in vain.
 _LEAVING_SOURCE_MAX_S = 3.0
 
 
--- a/src/honeyport/policy/places.py
+++ b/src/honeyport/policy/places.py
@@ -14,6 +14,7 @@
 # replacement may start before the instance that it replaces leaves.
 _FREE_PLACE_WAIT_S = 3.0
 # Free places that are kept, as a multiple of the number of instances.
+# All of them may be gone at once and return under other ids.
 _FREE_PLACES_PER_INSTANCE = 1.0
 
 
--- a/src/honeyport/policy/prefixes.py
+++ b/src/honeyport/policy/prefixes.py
@@ -13,6 +13,7 @@
 
 from honeyport.policy import hashing
 
+# Each takes about 200 bytes; 20 instances share up to 1,800 parts.
 _MAX_PARTS = 2048
 _MAX_HOLDERS_PER_PART = 3
 
--- a/src/honeyport/policy/reach.py
+++ b/src/honeyport/policy/reach.py
@@ -16,13 +16,16 @@
 import attrs
 
 _AGREEING_DOMAINS_NEEDED = 2
-# Duration of the first and of the longest exclusion.
+# Duration of the first and of the longest exclusion. The first is longer than
+# a failure is reported, so that only new failures extend it; the longest is
+# what an instance that is back waits at most for its first request.
 _FIRST_EXCLUSION_S = 2.0
 _MAX_EXCLUSION_S = 8.0
 # If an instance is reported again within this time after an exclusion, the
 # duration doubles.
 _SAME_OUTAGE_S = 5.0
 # Unreachable instances from which on a domain with silent gateways is lost.
+# Two crashes while all gateways of the domain are killed are less likely.
 _LOSS_MIN_INSTANCES = 2
 # The same for a domain without known gateways: minimum number, and minimum
 # share of its instances.
--- a/src/honeyport/policy/repeats.py
+++ b/src/honeyport/policy/repeats.py
@@ -11,7 +11,9 @@
 import attrs
 
 # Shares of the allowance's ratio and of its extra retries that the budgets of
-# all gateways add up to.
+# all gateways add up to. A restarted gateway has forgotten its retries and may
+# make them twice within a window: that is three times the extra ones, and at
+# most twice what the requests of a window earn.
 _RATIO_SHARE = 0.5
 _EXTRA_SHARE = 1 / 3
 # Assumed number of gateways while it is unknown.
--- a/src/honeyport/policy/rests.py
+++ b/src/honeyport/policy/rests.py
@@ -4,14 +4,17 @@
 
 import attrs
 
-# The longest backoff that is granted.
+# The longest backoff that is granted, so that an instance that requests days
+# by mistake is tried again.
 MAX_BACKOFF_S = 60.0
 # Maximum random delay after a backoff, as a share of it and in seconds.
+# Many gateways were asked for the same backoff at the same time.
 _JITTER_SHARE = 0.2
 _MAX_JITTER_S = 1.0
 # Slow start after a backoff: the first and the largest limit of concurrent
 # requests from this gateway. The limit doubles with each answer; once it would
 # exceed the largest, the slow start ends and there is no limit.
+# All the requests that were kept from it at once would make it refuse again.
 _SLOW_START_REQUESTS = 1
 _SLOW_START_MAX_REQUESTS = 16
 
--- a/src/honeyport/policy/retries.py
+++ b/src/honeyport/policy/retries.py
@@ -1,5 +1,6 @@
 """A local retry budget, so that retries do not overload a failing service."""
 
+# Covers a failure of a few seconds.
 _DEFAULT_MAX_RETRIES = 20.0
 
 
--- a/src/honeyport/router/dispatch.py
+++ b/src/honeyport/router/dispatch.py
@@ -30,7 +30,8 @@
 _HANDOVER_TIMEOUT_LEASES = 3  # longest wait for a new owner, in lease periods
 _MAX_ATTEMPTS = 5
 # Delay before the retry of a call during which several servers crashed, so
-# that the reports of the crashes reach all routers.
+# that the reports of the crashes reach all routers: the first probe, a tick of
+# the leader, and a round trip.
 _SUSPECT_DELAY_S = 0.2
 
 _NEXT_SERVER_ERRORS = (errors.BackendFull, errors.NotSent, errors.NotReady)
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -16,7 +16,9 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _FIRST_CONFIG_RETRY_S = 2.0
-_MAX_LOAD_AGE_PERIODS = 2  # report periods after which loads are out of date
+# Report periods after which loads are out of date. Together with the leader's
+# limit, this bounds the age of a load that raises the mean.
+_MAX_LOAD_AGE_PERIODS = 2
 _CLOCK_DRIFT_FACTOR = (
     0.9  # of the lease period, since the local clock may be slow
 )
--- a/src/honeyport/router/leader_search.py
+++ b/src/honeyport/router/leader_search.py
@@ -6,7 +6,8 @@
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
 
-# Attempts with the same address and reason between two log lines.
+# Attempts with the same address and reason between two log lines: about five
+# seconds of a router that finds no leader.
 _ATTEMPTS_PER_LOG_LINE = 50
 
 SILENT = 'silent'
--- a/src/honeyport/router/suspects.py
+++ b/src/honeyport/router/suspects.py
@@ -19,9 +19,11 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 # After this time the request is refused, since another router may be running
-# it.
+# it. It covers a round trip between regions and two ticks of the leader.
 _PERMIT_TIMEOUT_S = 0.5
-_RETRY_AFTER_S = 1.0  # after a refusal without an answer of the leader
+# After a refusal without an answer of the leader: until there is a leader
+# again.
+_RETRY_AFTER_S = 1.0
 # Crashes that are reported again to each new leader, and the requests in them.
 _MAX_REPORTED_ENDS = 64
 _MAX_LOCAL_SUSPECTS = 2048
--- a/src/honeyport/router/witness.py
+++ b/src/honeyport/router/witness.py
@@ -18,7 +18,8 @@
 # Times of the probes after a connection broke. There are two because a process
 # that ends may still accept connections, and may soon be running again.
 _PROBE_TIMES_S = (0.05, 0.4)
-# How long a broken request counts as affected by a later crash.
+# How long a broken request counts as affected by a later crash. The
+# platform's list drops a crashed instance after about 5 s.
 _CRASH_WINDOW_S = 15.0
 # The same after successful probes: a proxy may have accepted them for a
 # crashed instance, and then only the platform's list shows the crash.
--- a/src/honeyport/wire/listing.py
+++ b/src/honeyport/wire/listing.py
@@ -12,6 +12,7 @@
 from honeyport import errors
 from honeyport.wire import honeyport_pb2 as pb
 
+# Partitions with a digest each: what another leader has read differs in few.
 _PARTITION_COUNT = 256
 _DIGEST_BYTES = 4  # a differing partition goes unnoticed once in 2**32
 
