A failing test of a broken stream that is passed on as complete

An instance answers with an event stream that has neither a length nor chunks, and closes the connection inside its third event. The caller gets all bytes, those of the third event included, and the end of the chunks.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -24,6 +24,14 @@
     Then it gets 200, and 1 requests arrived
     And the caller sees that the answer is incomplete
 
+  # Guards against streams passed on as complete whose connection broke.
+  Scenario: a stream that ends inside an event is not passed on as complete
+    Given a gateway for streaming requests whose instances unframed stream ended in an event
+    When a caller sends a request
+    Then it gets 200, and 1 requests arrived
+    And the caller sees that the answer is incomplete
+    And the caller has only whole events
+
   Scenario: a stream that outlasts its route's timeout is cut
     Given a gateway for streaming requests whose instances stream and wait
     When a caller sends a request
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import time
 
@@ -140,7 +141,7 @@
     writer.write(_answer_bytes(step, arrival))
     await writer.drain()
     arrival.answered_at = time.monotonic()
-    return step not in ('cut', 'unframed', 'stream cut', 'garbage')
+    return step not in _CLOSING_STEPS and not step.startswith('unframed ')
 
 
 def _answer_bytes(step: str, arrival: Arrival) -> bytes:
@@ -162,6 +163,8 @@
             _REJECTIONS[name],
             **{NAMES.not_run: '1', 'Retry_After': retry_after},
         )
+    if name.partition(' ')[0] in _FRAMINGS and ' stream ' in step:
+        return _framed_stream(step, arrival)
     return _ANSWERS[step](arrival)
 
 
@@ -218,6 +221,41 @@
     )
 
 
+def _framed_stream(step: str, arrival: Arrival) -> bytes:
+    """Return a stream for a step ``FRAMING stream ENDING``.
+
+    The framing itself is complete, also if the stream is not.
+    """
+    framing, _, ending = step.split(' ', 2)
+    first = int(arrival.headers.get(NAMES.last_event, 0)) + 1
+    events = [_event(number) for number in range(first, EVENTS + 1)]
+    body = _ENDINGS[ending](events)
+    headers = [
+        'HTTP/1.1 200 OK',
+        f'{NAMES.request_id}: {arrival.headers[NAMES.request_id]}',
+        f'{NAMES.digest}: d1',
+        'Content-Type: text/event-stream',
+    ]
+    if framing == 'chunked':
+        headers.append('Transfer-Encoding: chunked')
+        body = (_chunk(body) if body else b'') + b'0\r\n\r\n'
+    elif framing == 'sized':
+        headers.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join(headers).encode() + b'\r\n\r\n' + body
+
+
+_CLOSING_STEPS = ('cut', 'unframed', 'stream cut', 'garbage')
+_FRAMINGS = ('unframed', 'chunked', 'sized')
+# Endings of a stream, by their name in a step.
+_ENDINGS: dict[str, collections.abc.Callable[[list[bytes]], bytes]] = {
+    'whole': b''.join,
+    'ended in an event': lambda events: b''.join(events[:2]) + events[2][:9],
+    'ended in a separator': lambda events: b''.join(events[:3])[:-1],
+    'ended in a comment': lambda events: b''.join(events[:3]) + b': keep',
+    'ended after its last event': lambda events: b''.join(events) + b'id: ',
+    'with a last comment': lambda events: b''.join(events) + b': bye\n',
+    'without events': lambda events: b'',
+}
 # Headers that announce a state of the instance, by the prefix of a step.
 _SIGNAL_HEADERS = {'leaves': NAMES.leaving, 'brittle': NAMES.brittle}
 _REJECTIONS = {
