The log line of a stream says how its end was marked

Broken streams were passed on as complete, logged like whole ones. The log did not tell whether only responses without a length or chunks are affected (they end with their connection), or framed ones, too. The line of each stream now has the field framing.

--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -53,6 +53,17 @@
         content_type = self.headers.get('Content-Type', '')
         return content_type.startswith(_EVENT_STREAM)
 
+    @property
+    def framing(self) -> str:
+        """What marks the end of the body.
+
+        :returns: ``'chunked'``, ``'length'`` or ``'close'``, for the end of
+            the connection (RFC 9112, section 6.3)
+        """
+        if 'Transfer-Encoding' in self.headers:
+            return 'chunked'
+        return 'length' if 'Content-Length' in self.headers else 'close'
+
 
 @attrs.define
 class Response:
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -62,6 +62,8 @@
         ``''``
     :ivar failed_gateways: names of the gateways that did not forward it
     :ivar refusal: the error of the last of them
+    :ivar framing: what marks the end of the last stream (``Head.framing``), or
+        ``''``
     :ivar remote_instance_id: id of the instance that answered through one
     :ivar waited_s: wait for the lease, in seconds
     :ivar connect_s: total time spent on connecting, in seconds
@@ -88,6 +90,7 @@
     via: str = ''
     failed_gateways: set[str] = attrs.field(factory=set)
     refusal: errors.HoneyportError | None = None
+    framing: str = ''
     remote_instance_id: str = ''
     waited_s: float = 0.0
     connect_s: float = 0.0
@@ -154,6 +157,7 @@
 
     async def begin(self, head: attempt.Head) -> None:
         """Pass on the head of a stream, unless the stream is resumed."""
+        self.framing = head.framing
         if not self.reply.is_started:
             await self.reply.begin(head)
 
--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -68,6 +68,8 @@
                 'offers': exchange.offers,
                 'fingerprint': exchange.fingerprint,
             } | exchange.timing_fields()
+            if exchange.framing:
+                fields['framing'] = exchange.framing
             if exchange.via:
                 fields['via'] = exchange.via
                 fields['backend'] = exchange.remote_instance_id
