A stream that ends inside an event counts as broken

Callers got streams as complete whose instance had broken them off: status 200, the end of the chunks, the last events missing or cut.

Cause: a response without a length or chunks ends with its connection, and tornado takes each regular close for the end of the body. The attempt was complete, and what was left of an event in the splitter was written before the response was ended. Ruled out: a failure that is dropped after the events (no attempt of such a stream failed in the log of the incident).

Change: when an attempt, or the answer of another gateway, is complete, the exchange checks that the stream may end there: all lines of its events were ended by a blank one, and there was an event, in this response or before it was resumed. Else the instance counts as lost, as if a response with a length was cut: resumed where the route allows it, else the caller's connection is closed; the rest of the event is not passed on, and the retry budget, the balancer and the end detector get the same failure.

Event ends are found for LF, CRLF, CR and mixed ones, as whole streams with other line ends than two equal ones would be taken for broken ones now.

What a stream without framing lost after a whole event cannot be seen.

--- a/features/gateway/detours.feature
+++ b/features/gateway/detours.feature
@@ -59,11 +59,21 @@
       | kind                | steps              |
       | streaming           | stream             |
       | streaming resumable | stream cut; stream |
+      | streaming           | unframed stream whole |
+      | streaming resumable | unframed stream ended in an event; stream |
+      | streaming resumable | chunked stream ended in an event; stream |
 
-  Scenario: a stream that may not be resumed breaks visibly
-    Given a gateway for streaming requests that reaches no instance, and another one whose instances stream cut; stream
+  Scenario Outline: a stream that may not be resumed breaks visibly
+    Given a gateway for streaming requests that reaches no instance, and another one whose instances <steps>
     When a caller sends a request
     Then the caller sees that the answer is incomplete
+    And the caller has only whole events
+
+    Examples:
+      | steps                                     |
+      | stream cut; stream                        |
+      | unframed stream ended in an event; stream |
+      | chunked stream ended in an event; stream  |
 
   Scenario Outline: a caller disconnects
     Given a gateway for <kind> requests that reaches no instance, and another one whose instances <steps>
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -25,13 +25,93 @@
     And the caller sees that the answer is incomplete
 
   # Guards against streams passed on as complete whose connection broke.
-  Scenario: a stream that ends inside an event is not passed on as complete
-    Given a gateway for streaming requests whose instances unframed stream ended in an event
+  Scenario Outline: a stream that ends inside an event is not passed on as complete
+    Given a gateway for streaming requests whose instances <framing> stream <ending>
     When a caller sends a request
     Then it gets 200, and 1 requests arrived
     And the caller sees that the answer is incomplete
     And the caller has only whole events
 
+    Examples:
+      | framing  | ending               |
+      | unframed | ended in an event    |
+      | chunked  | ended in an event    |
+      | sized    | ended in an event    |
+      | unframed | ended in a separator |
+      | chunked  | ended in a separator |
+      | unframed | ended in a comment   |
+      | unframed | without events       |
+      | chunked  | without events       |
+
+  Scenario Outline: a stream that ends inside an event is resumed after its last whole event
+    Given a gateway for streaming resumable requests whose instances <framing> stream <ending>; stream
+    When a caller sends a request
+    Then it gets 200, and 2 requests arrived
+    And the caller has every event once, in order
+
+    Examples:
+      | framing  | ending               |
+      | unframed | ended in an event    |
+      | chunked  | ended in an event    |
+      | sized    | ended in an event    |
+      | unframed | ended in a separator |
+      | unframed | without events       |
+      | chunked  | without events       |
+
+  Scenario: the second instance breaks off the stream, too
+    Given a gateway for streaming resumable requests whose instances unframed stream ended in an event
+    When a caller sends a request
+    Then it gets 200, and 2 requests arrived
+    And the caller sees that the answer is incomplete
+    And the caller has only whole events
+
+  Scenario Outline: a whole stream is served as complete
+    Given a gateway for streaming requests whose instances <framing> stream <ending>
+    When a caller sends a request
+    Then the caller has every event once, in order
+    And it is answered within 500 ms
+
+    Examples:
+      | framing  | ending              |
+      | unframed | whole               |
+      | chunked  | whole               |
+      | sized    | whole               |
+      | unframed | with a last comment |
+
+  # An instance has nothing left to send if only the end of its stream was lost.
+  Scenario: a stream that is resumed after its last event is complete without more events
+    Given a gateway for streaming resumable requests whose instances unframed stream ended after its last event; chunked stream whole
+    When a caller sends a request
+    Then it gets 200, and 2 requests arrived
+    And the caller has every event once, in order
+
+  Scenario: an instance that ends its stream inside an event counts as lost
+    Given a gateway for streaming requests whose instances unframed stream ended in an event
+    When a caller sends a request
+    Then the failed attempt is logged as HP-3008
+
+  Scenario Outline: the connection of a stream without an end is not kept
+    Given a gateway for streaming requests whose instances <step>
+    When a caller sends 6 requests in sequence
+    Then every request came on its own connection
+
+    Examples:
+      | step                             |
+      | unframed stream whole            |
+      | chunked stream ended in an event |
+
+  Scenario Outline: events are found with any line ends, wherever reads split them
+    Given a stream of events whose lines end with <ends>
+    When it is split at random places
+    Then all events are whole, and no cut stream is taken for a whole one
+
+    Examples:
+      | ends         |
+      | LF           |
+      | CRLF         |
+      | CR           |
+      | LF and CRLF  |
+
   Scenario: a stream that outlasts its route's timeout is cut
     Given a gateway for streaming requests whose instances stream and wait
     When a caller sends a request
--- a/features/steps/whole_stream_steps.py
+++ b/features/steps/whole_stream_steps.py
@@ -10,8 +10,8 @@
 from features.steps import gateway_steps
 from features.support import caller
 from features.support import log_capture
-from honeyport.gateway import sse
 from honeyport.settings import roles
+from honeyport import sse
 
 _TIMEOUT_S = 3.0
 _EVENT = re.compile(rb'id: (\d+)\ndata: token \1\n\n')
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -86,6 +86,12 @@
     async def write_events(self, chunk: bytes) -> None:
         """Handle bytes of the body."""
 
+    def check_end(self) -> None:
+        """Check that the stream may end here.
+
+        :raises errors.BackendLost: if it is not whole
+        """
+
     def on_activity(self) -> None:
         """Handle the arrival of any bytes."""
 
@@ -214,7 +220,8 @@
         """Return the response if it is complete.
 
         A response without a length ends with its connection; tornado treats
-        a reset as a regular end, so the stream's error is checked, too.
+        a reset as a regular end, so the stream's error is checked, too. The
+        end of an event stream must also be the end of an event.
 
         :raises errors.BackendLost: if it is incomplete
         :raises errors.ForeignAnswer: if a success has no digest
@@ -228,6 +235,8 @@
             )
         if head.is_success and self._header_names.digest not in head.headers:
             raise errors.ForeignAnswer('a success response without a digest')
+        if reader.is_relayed:
+            self._relay.check_end()
         return Response(head, bytes(reader.body), reader.is_relayed)
 
 
--- a/src/honeyport/gateway/detours.py
+++ b/src/honeyport/gateway/detours.py
@@ -191,6 +191,7 @@
         """Read an answer, and pass on events while they arrive.
 
         :raises errors.AnswerCut: if it is incomplete
+        :raises errors.BackendLost: if it is a stream that is not whole
         """
         head: attempt.Head | None = None
         body = bytearray()
@@ -213,6 +214,8 @@
                 else:
                     body += frame.payload
             elif head is not None and frame.length == length:
+                if is_relayed:
+                    exchange.check_end()
                 return attempt.Response(head, bytes(body), is_relayed)
         raise errors.AnswerCut(f'{gateway} sent an incomplete answer')
 
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -11,9 +11,9 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import routes
 from honeyport.gateway import silence_timeout
-from honeyport.gateway import sse
 from honeyport.policy import placement
 from honeyport.policy import prefixes
+from honeyport import sse
 
 _LOWEST_PRIORITY = 9
 _WITH_BODY = ('POST', 'PUT', 'PATCH')
@@ -167,6 +167,19 @@
         if complete:
             await self.reply.write(complete)
 
+    def check_end(self) -> None:
+        """Check that a stream that ends here is whole.
+
+        After its last event, a resumed stream may have none left.
+
+        :raises errors.BackendLost: if it ends inside an event, or before the
+            first one
+        """
+        if self.splitter.is_within_event:
+            raise errors.BackendLost('the stream ended inside an event')
+        if not (self.request.last_event_id or self.splitter.has_events):
+            raise errors.BackendLost('the stream ended before its first event')
+
     def on_activity(self) -> None:
         """Record the time to first byte and restart the silence timeout."""
         if self.first_byte_s is None:
--- a/src/honeyport/gateway/headers.py
+++ b/src/honeyport/gateway/headers.py
@@ -70,6 +70,8 @@
     :ivar target: path and query, as sent
     :ivar headers: headers to forward to an instance
     :ivar parts: prompt parts in order; the last one is not shared
+    :ivar last_event_id: id of the last event that the caller has of a stream
+        that it resumes, or ``''``
     :ivar received: loop time of its arrival
     :ivar deadline: loop time after which the caller waits no longer
     """
@@ -82,6 +84,7 @@
     body: bytes
     api_key: str
     parts: tuple[prefixes.Part, ...]
+    last_event_id: str
     received: float
     deadline: float
 
@@ -117,6 +120,7 @@
         body=body,
         api_key=_parse_api_key(headers),
         parts=_parse_parts(headers.get(names.prompt_parts, '')),
+        last_event_id=headers.get(names.last_event, ''),
         received=now,
         deadline=now + remaining_s,
     )
@@ -138,6 +142,7 @@
         body=call.body,
         api_key='',
         parts=_parse_parts(headers.get(names.prompt_parts, '')),
+        last_event_id=headers.get(names.last_event, ''),
         received=asyncio.get_running_loop().time(),
         deadline=call.deadline,
     )
--- /dev/null
+++ b/src/honeyport/sse.py
@@ -0,0 +1,82 @@
+"""Splitting of server-sent event streams at event boundaries."""
+
+import re
+
+# A line and the blank line that ends its event, each ended by LF, CRLF or CR
+# (WHATWG HTML, section 9.2.5). A CR at the end of the data may be the first
+# half of a CRLF, unless the line before ended with a CR, too.
+_EVENT_END = re.compile(
+    rb'(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))'
+)
+_ID_FIELD = b'id:'
+_COMMENT = b':'
+
+
+class EventSplitter:
+    """Buffers a partial event until it is complete.
+
+    Callers only get complete events; a broken stream is resumed on another
+    instance after the last one.
+    """
+
+    def __init__(self) -> None:
+        self._partial = b''
+        self._last_event_id = ''
+        self._has_events = False
+
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last complete event, or ``''``."""
+        return self._last_event_id
+
+    @property
+    def has_events(self) -> bool:
+        """Whether any event was complete."""
+        return self._has_events
+
+    @property
+    def is_within_event(self) -> bool:
+        """Whether a stream that ends here is incomplete.
+
+        Blank lines and comments may follow the last event.
+        """
+        if not self._partial:
+            return False
+        lines = self._partial.splitlines()
+        return self._partial[-1:] not in b'\r\n' or any(
+            _is_field(line) for line in lines
+        )
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Add a chunk and return the events that are now complete."""
+        data = self._partial + chunk
+        end = 0
+        for match in _EVENT_END.finditer(data):
+            end = match.end()
+        self._partial = data[end:]
+        complete = data[:end]
+        lines = complete.splitlines()
+        self._has_events = self._has_events or any(map(_is_field, lines))
+        self._last_event_id = _last_event_id(lines) or self._last_event_id
+        return complete
+
+    def partial(self) -> bytes:
+        """Return the bytes after the last complete event."""
+        return self._partial
+
+    def discard_partial(self) -> None:
+        """Discard the partial event; another instance sends it again."""
+        self._partial = b''
+
+
+def _is_field(line: bytes) -> bool:
+    """Whether a line belongs to an event."""
+    return bool(line) and not line.startswith(_COMMENT)
+
+
+def _last_event_id(lines: list[bytes]) -> str:
+    """Return the last event id in the lines of events, or ``''``."""
+    for line in reversed(lines):
+        if line.startswith(_ID_FIELD):
+            return line[len(_ID_FIELD) :].strip().decode('ascii', 'replace')
+    return ''
