A broken stream to a caller of HTTP/1.0 ends with a reset

A caller of HTTP/1.0 gets no chunks. A stream that broke looked like a whole one, as its connection was closed regularly; a whole stream never ended if the caller had asked to keep the connection.

Cause: tornado leaves out the chunks for HTTP/1.0, and the gateway relied on their end.

Change: from its first byte to its last, the connection of such a stream is set to be reset when it is closed, which also holds if the process is killed; it is closed regularly after a whole stream and not kept.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -100,6 +100,20 @@
       | unframed stream whole            |
       | chunked stream ended in an event |
 
+  # Without chunks, only a reset differs from the end of a whole stream.
+  Scenario Outline: a caller of HTTP/1.0 can tell whether its stream is whole
+    Given a gateway for streaming requests whose instances <step>
+    When a caller of HTTP/1.0 that <habit> connections sends a request
+    Then its connection is <ended> after <count> events
+
+    Examples:
+      | step                             | habit  | ended  | count |
+      | stream                           | closes | closed | 6     |
+      | stream                           | keeps  | closed | 6     |
+      | unframed stream whole            | closes | closed | 6     |
+      | stream cut                       | closes | reset  | 2     |
+      | unframed stream ended in an event | keeps  | reset  | 2     |
+
   Scenario Outline: events are found with any line ends, wherever reads split them
     Given a stream of events whose lines end with <ends>
     When it is split at random places
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -4,6 +4,7 @@
 import http
 import json
 import socket
+import struct
 import typing
 
 from tornado import http1connection
@@ -22,6 +23,10 @@
 # Deadline for callers that name none.
 _DEFAULT_DEADLINE_S = 600.0
 _CHUNK_BYTES = 64 * 1024
+# Values of SO_LINGER: closing resets the connection, or ends it regularly.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_END_ON_CLOSE = struct.pack('ii', 0, 0)
+_CHUNKS_VERSION = 'HTTP/1.1'
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
@@ -177,12 +182,21 @@
 
     async def begin(self, head: attempt.Head) -> None:
         headers = self._forwarded_headers(head)
+        if self._ends_with_connection:
+            # Only a reset tells a broken stream from a whole one, also if
+            # this process is killed.
+            self._set_linger(_RESET_ON_CLOSE)
+            self._headers.pop('Connection', None)  # it cannot be kept
         await self._write_head(head.status, head.reason, headers)
 
     async def write(self, chunk: bytes) -> None:
         await self._connection.write(chunk)
 
     async def end(self) -> None:
+        if self._ends_with_connection:
+            self._set_linger(_END_ON_CLOSE)
+            self._stream.close()
+            return
         self._connection.finish()
 
     async def send_response(self, head: attempt.Head, body: bytes) -> None:
@@ -211,6 +225,20 @@
         await self._write_head(error.status, reason, headers, body)
         self._connection.finish()
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether a stream to this caller has no chunks."""
+        return (
+            self._start_line is not None
+            and self._start_line.version != _CHUNKS_VERSION
+        )
+
+    def _set_linger(self, value: bytes) -> None:
+        if not self._stream.closed():
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, value
+            )
+
     def _forwarded_headers(self, head: attempt.Head) -> httputil.HTTPHeaders:
         return gateway_headers.forwarded_response_headers(
             head.headers, self._caller_server.names
