Routers: a response that was reset is not complete

The same cause as in the gateways, in the routers' client of backend servers: tornado takes a reset for the end of a body without a length, and nothing asked whether an event stream of a service ends with an event. Such answers got the marker of a whole stream. Streams of engines were not affected, as those end with an event of their own.

One place decides for both: the splitter says why a stream that ends there is incomplete.

Looked at and not affected: the client library (it wants the markers at the end of a stream), the reader of the platform's list (a page that is cut off has no token of the next page), and replies of control (JSON documents).

--- a/src/honeyport/backend/http.py
+++ b/src/honeyport/backend/http.py
@@ -53,11 +53,14 @@
 class Response(httputil.HTTPMessageDelegate):
     """Buffers a response; pauses reading while the buffer is full.
 
+    :param stream: the connection that it is read from
     :ivar complete: whether the whole response arrived
     :ivar closed: whether no more data will arrive
     """
 
-    def __init__(self) -> None:
+    def __init__(self, stream: iostream.IOStream) -> None:
+        self._stream = stream
+        self._ends_with_connection = False
         self._parts: collections.deque[Part] = collections.deque()
         self._data_added = asyncio.Event()
         self._buffer_drained = asyncio.Event()
@@ -71,6 +74,9 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
+        self._ends_with_connection = not (
+            'Content-Length' in headers or 'Transfer-Encoding' in headers
+        )
         if start_line.code != 100:
             self._add(ResponseHead(start_line.code, headers))
 
@@ -84,7 +90,9 @@
         return self._wait_until_drained()
 
     def finish(self) -> None:
-        self.complete = True
+        # Tornado also takes a reset for the end of a body without a length.
+        is_reset = self._stream.error is not None
+        self.complete = not (self._ends_with_connection and is_reset)
         self.close()
 
     def on_connection_close(self) -> None:
@@ -162,7 +170,7 @@
             response was complete; the request may have been received
         """
         stream = await self._connect(request.new_connection)
-        response = Response()
+        response = Response(stream)
         reader = asyncio.create_task(self._exchange(stream, request, response))
         try:
             while (part := await response.next_part()) is not None:
--- a/src/honeyport/backend/plain.py
+++ b/src/honeyport/backend/plain.py
@@ -6,6 +6,7 @@
 from honeyport.backend import registry
 from honeyport import errors
 from honeyport import exchange
+from honeyport import sse
 
 _PROBE_TIMEOUT_S = 1.0
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -38,7 +39,15 @@
             new_connection=not call.repeatable,
         )
         parts = self._pool.fetch(request)
+        is_event_stream = False
+        splitter = sse.EventSplitter()
         async for frame in to_frames(self._name, parts):
+            if isinstance(frame, exchange.Head):
+                is_event_stream = frame.is_event_stream
+            elif isinstance(frame, exchange.Data) and is_event_stream:
+                splitter.feed(frame.payload)
+            elif isinstance(frame, exchange.End) and is_event_stream:
+                self._check_end(splitter, is_resumed=call.is_resumption)
             yield frame
 
     async def cancel(self, request_id: str) -> None:
@@ -52,6 +61,13 @@
     def close(self) -> None:
         self._pool.close()
 
+    def _check_end(
+        self, splitter: sse.EventSplitter, *, is_resumed: bool
+    ) -> None:
+        reason = splitter.describe_cut(is_resumed=is_resumed)
+        if reason:
+            raise errors.AnswerCut(f'{self._name}: {reason}')
+
 
 def identity_headers(call: exchange.Call) -> list[tuple[str, str]]:
     """Return the headers that identify a call to a backend server."""
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -170,15 +170,13 @@
     def check_end(self) -> None:
         """Check that a stream that ends here is whole.
 
-        After its last event, a resumed stream may have none left.
-
-        :raises errors.BackendLost: if it ends inside an event, or before the
-            first one
+        :raises errors.BackendLost: if it is not
         """
-        if self.splitter.is_within_event:
-            raise errors.BackendLost('the stream ended inside an event')
-        if not (self.request.last_event_id or self.splitter.has_events):
-            raise errors.BackendLost('the stream ended before its first event')
+        reason = self.splitter.describe_cut(
+            is_resumed=bool(self.request.last_event_id)
+        )
+        if reason:
+            raise errors.BackendLost(reason)
 
     def on_activity(self) -> None:
         """Record the time to first byte and restart the silence timeout."""
--- a/src/honeyport/sse.py
+++ b/src/honeyport/sse.py
@@ -29,14 +29,9 @@
         """Id of the last complete event, or ``''``."""
         return self._last_event_id
 
-    @property
-    def has_events(self) -> bool:
-        """Whether any event was complete."""
-        return self._has_events
-
     @property
     def is_within_event(self) -> bool:
-        """Whether a stream that ends here is incomplete.
+        """Whether an event is incomplete.
 
         Blank lines and comments may follow the last event.
         """
@@ -47,6 +42,18 @@
             _is_field(line) for line in lines
         )
 
+    def describe_cut(self, *, is_resumed: bool) -> str:
+        """Return why a stream that ends here is incomplete, or ``''``.
+
+        :param is_resumed: whether the stream goes on after an event that was
+            received before; there may be none left
+        """
+        if self.is_within_event:
+            return 'the stream ended inside an event'
+        if not self._has_events and not is_resumed:
+            return 'the stream ended before its first event'
+        return ''
+
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the events that are now complete."""
         data = self._partial + chunk
