A failing test of a stream that is resumed at another software version

Of three instances two have one software version and one has another; each breaks its streams off after two events. Some of 20 callers get events of both versions in one response.

--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,6 +1,7 @@
 """Steps for a gateway with scripted instances."""
 
 import asyncio
+import collections.abc
 import json
 import time
 import zlib
@@ -21,6 +22,7 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _NAMES = instances.NAMES
+_NO_HEADERS: dict[str, str] = {}
 _TIMEOUT_MS = 1500
 _OBJECTIVE_MS = 200
 _GAP_MS = 100
@@ -155,6 +157,7 @@
                 leaving=instance.name in leaving,
                 slots=8,
                 place=instance.name,
+                version=instance.version,
             )
         self.gateway.state.apply_instances(instance_list)
         self.gateway.apply_state()
@@ -395,12 +398,23 @@
     path: str = '/r/x?a=1',
     host: str = caller.HOST,
     deadline_ms: int = 5000,
+    request_id: str = 'q-1',
+    headers: collections.abc.Mapping[str, str] = _NO_HEADERS,
 ) -> caller.Response:
     reader, writer = await asyncio.open_connection(
         *roles.split_address(fixture.address)
     )
     try:
-        writer.write(caller.request(key, path, host, deadline_ms=deadline_ms))
+        writer.write(
+            caller.request(
+                key,
+                path,
+                host,
+                request_id,
+                deadline_ms=deadline_ms,
+                headers=headers,
+            )
+        )
         return await caller.read(reader)
     finally:
         writer.close()
--- /dev/null
+++ b/features/steps/software_version_steps.py
@@ -0,0 +1,40 @@
+"""Steps about streams while instances of several software versions serve."""
+
+import re
+
+import behave
+
+from features.steps import gateway_steps
+
+_EVENT = re.compile(rb'id: (\d+)\ndata: token \1 of (\S+)\n\n')
+
+
+@behave.given('its instances have the versions {versions}')
+def step_versions(context, versions):
+    fixture = context.fixture
+    for instance, version in zip(
+        fixture.instances, versions.split(', '), strict=True
+    ):
+        instance.version = version
+
+    async def apply():
+        fixture.apply_instances()
+
+    context.run(apply())
+
+
+@behave.when('{count:d} callers send a request one after the other')
+def step_send_in_turn(context, count):
+    context.responses = [
+        context.run(gateway_steps.send_request(context.fixture))
+        for _ in range(count)
+    ]
+
+
+@behave.then('no stream holds events of two versions')
+def step_one_version(context):
+    for response in context.responses:
+        events = _EVENT.findall(response.body)
+        numbers = [int(number) for number, _ in events]
+        assert numbers == list(range(1, len(events) + 1)), response
+        assert len({version for _, version in events}) <= 1, response
--- a/features/steps/whole_stream_steps.py
+++ b/features/steps/whole_stream_steps.py
@@ -14,7 +14,7 @@
 from honeyport import sse
 
 _TIMEOUT_S = 3.0
-_EVENT = re.compile(rb'id: (\d+)\ndata: token \1\n\n')
+_EVENT = re.compile(rb'id: (\d+)\ndata: token \1 of v1\n\n')
 _LINE_ENDS = {'LF': b'\n', 'CRLF': b'\r\n', 'CR': b'\r'}
 
 
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -1,6 +1,7 @@
 """A raw HTTP caller of a gateway."""
 
 import asyncio
+import collections.abc
 
 import attrs
 
@@ -9,6 +10,7 @@
 HOST = 'yard.example'
 KEY = 'key-of-district'
 _NAMES = instances.NAMES
+_NO_HEADERS: dict[str, str] = {}
 
 
 @attrs.define
@@ -30,14 +32,20 @@
     host: str = HOST,
     request_id: str = 'q-1',
     deadline_ms: int = 5000,
+    headers: collections.abc.Mapping[str, str] = _NO_HEADERS,
 ) -> bytes:
-    """Return a request as bytes."""
+    """Return a request as bytes.
+
+    :param headers: additional headers
+    """
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
     return (
         f'POST {path} HTTP/1.1\r\nHost: {host}\r\n'
         f'Authorization: Bearer {key}\r\n'
         f'{_NAMES.request_id}: {request_id}\r\n'
         f'{_NAMES.deadline_ms}: {deadline_ms}\r\n'
         f'{_NAMES.account}: forged\r\n'
+        f'{lines}'
         'Content-Length: 4\r\n\r\nbody'
     ).encode()
 
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -15,6 +15,8 @@
 NAMES = gateway_headers.HeaderNames()
 BODY = b'the whole answer'
 EVENTS = 6
+# Time for the events to be relayed.
+_CUT_AFTER_S = 0.02
 
 
 @attrs.define
@@ -26,6 +28,7 @@
     :ivar arrived_at: time of arrival on the monotonic clock, in seconds
     :ivar answered_at: time of the answer on the same clock; 0 until then
     :ivar step: script step that the instance runs for it
+    :ivar version: software version of the instance
     """
 
     instance: str
@@ -37,6 +40,7 @@
     arrived_at: float = attrs.field(factory=time.monotonic)
     answered_at: float = 0.0
     step: str = ''
+    version: str = ''
 
 
 class Script:
@@ -62,10 +66,14 @@
 
 
 class Instance:
-    """An instance on a loopback address."""
+    """An instance on a loopback address.
 
-    def __init__(self, name: str, script: Script) -> None:
+    :ivar version: software version, which its events name
+    """
+
+    def __init__(self, name: str, script: Script, version: str = 'v1') -> None:
         self.name = name
+        self.version = version
         self.address = local.free_address()
         self._script = script
         self._connections = 0
@@ -117,7 +125,14 @@
         headers = dict(line.split(': ', 1) for line in header_lines)
         length = int(headers.get('Content-Length', 0))
         body = await reader.readexactly(length)
-        return Arrival(self.name, request_line, headers, body, connection)
+        return Arrival(
+            self.name,
+            request_line,
+            headers,
+            body,
+            connection,
+            version=self.version,
+        )
 
 
 async def _run_step(
@@ -134,10 +149,17 @@
         return False
     if step in ('silent', 'stream and wait'):
         if step == 'stream and wait':
-            writer.write(_stream_head(arrival) + _chunk(_event(1)))
+            writer.write(
+                _stream_head(arrival) + _chunk(_event(1, arrival.version))
+            )
         await reader.read(1)
         arrival.disconnected.set()
         return False
+    if step == 'stream cut later':
+        events = b''.join(_events(arrival)[:2])
+        writer.write(_stream_head(arrival) + _chunk(events))
+        await asyncio.sleep(_CUT_AFTER_S)
+        return False
     writer.write(_answer_bytes(step, arrival))
     await writer.drain()
     arrival.answered_at = time.monotonic()
@@ -188,8 +210,16 @@
     return _answer(arrival, **{NAMES.request_id: 'of-another'})
 
 
-def _event(number: int) -> bytes:
-    return f'id: {number}\ndata: token {number}\n\n'.encode()
+def _event(number: int, version: str) -> bytes:
+    return f'id: {number}\ndata: token {number} of {version}\n\n'.encode()
+
+
+def _events(arrival: Arrival) -> list[bytes]:
+    """Return the events of a stream after the one that the request names."""
+    first = int(arrival.headers.get(NAMES.last_event, 0)) + 1
+    return [
+        _event(number, arrival.version) for number in range(first, EVENTS + 1)
+    ]
 
 
 def _chunk(data: bytes) -> bytes:
@@ -207,15 +237,14 @@
 
 
 def _stream(arrival: Arrival) -> bytes:
-    first = int(arrival.headers.get(NAMES.last_event, 0)) + 1
-    events = [_event(number) for number in range(first, EVENTS + 1)]
-    chunks = b''.join(_chunk(event) for event in events)
+    chunks = b''.join(_chunk(event) for event in _events(arrival))
     return _stream_head(arrival) + chunks + b'0\r\n\r\n'
 
 
 def _truncated_stream(arrival: Arrival) -> bytes:
-    complete_events = _event(1) + _event(2)
-    partial_event = _event(3)[:9]
+    events = _events(arrival)
+    complete_events = b''.join(events[:2])
+    partial_event = events[2][:9]
     return (
         _stream_head(arrival) + _chunk(complete_events) + _chunk(partial_event)
     )
@@ -227,9 +256,7 @@
     The framing itself is complete, also if the stream is not.
     """
     framing, _, ending = step.split(' ', 2)
-    first = int(arrival.headers.get(NAMES.last_event, 0)) + 1
-    events = [_event(number) for number in range(first, EVENTS + 1)]
-    body = _ENDINGS[ending](events)
+    body = _ENDINGS[ending](_events(arrival))
     headers = [
         'HTTP/1.1 200 OK',
         f'{NAMES.request_id}: {arrival.headers[NAMES.request_id]}',
