A stream is resumed only at the software version that began it

Callers got streams in one response whose events come from two software versions of a backend server, which do not fit together.

Cause: the platform's list names the version of each instance; its reader checked the field and dropped it, so that the choice of the next instance for a broken stream could not honour it. Ruled out: a list that is late, since an instance has a new id at each start and never changes its version.

Evidence: three instances of two versions, each of which breaks its streams off after two events; of 20 callers some got events of both. With another instance of the version the stream goes on there, else it breaks off at once.

Change: the version goes the way of all fields of an instance: list, leader, change messages (and the digests of their parts), gateway. The version of a stream is fixed by the instance whose event was first passed on to the caller; later attempts choose among that version only. An attempt that brought no event fixes nothing.

Not yet: a stream that its caller takes up with another request, and detours.

--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from features.steps import gateway_steps
+from features.support import instances
 
 _EVENT = re.compile(rb'id: (\d+)\ndata: token \1 of (\S+)\n\n')
 
@@ -25,16 +26,42 @@
 
 @behave.when('{count:d} callers send a request one after the other')
 def step_send_in_turn(context, count):
+    context.response = None
     context.responses = [
         context.run(gateway_steps.send_request(context.fixture))
         for _ in range(count)
     ]
 
 
+@behave.then('the stream is whole')
+def step_whole(context):
+    assert _is_whole(context.response), context.response
+
+
+@behave.then('the streams that began at {version} are {state}')
+def step_streams(context, version, state):
+    streams = [
+        response
+        for response in context.responses
+        if _EVENT.findall(response.body)[0][1] == version.encode()
+    ]
+    for response in streams:
+        assert _is_whole(response) == (state == 'whole'), response
+
+
+def _is_whole(response):
+    events = _EVENT.findall(response.body)
+    return response.is_complete and len(events) == instances.EVENTS
+
+
 @behave.then('no stream holds events of two versions')
 def step_one_version(context):
-    for response in context.responses:
+    for response in _responses(context):
         events = _EVENT.findall(response.body)
         numbers = [int(number) for number, _ in events]
         assert numbers == list(range(1, len(events) + 1)), response
         assert len({version for _, version in events}) <= 1, response
+
+
+def _responses(context):
+    return [context.response] if context.response else context.responses
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -155,6 +155,9 @@
         await reader.read(1)
         arrival.disconnected.set()
         return False
+    if step == 'stream cut unless resumed':
+        is_resumed = NAMES.last_event in arrival.headers
+        step = 'stream' if is_resumed else 'stream cut later'
     if step == 'stream cut later':
         events = b''.join(_events(arrival)[:2])
         writer.write(_stream_head(arrival) + _chunk(events))
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -171,6 +171,7 @@
                 listed.leaving,
                 listed.slots,
                 listed.place,
+                listed.version,
             )
             self._instances_by_service.setdefault(listed.service, []).append(
                 instance
@@ -206,6 +207,7 @@
         parts: prefixes.Parts,
         tried: collections.abc.Container[str],
         regions: NameSet | None = None,
+        version: str | None = None,
     ) -> placement.Choice:
         """Choose an instance for a request.
 
@@ -213,19 +215,23 @@
         :param parts: prompt parts, if the instances cache prefixes
         :param tried: ids of instances that already failed this request
         :param regions: regions in which it may run; ``None`` for any
+        :param version: software version that began its stream; ``None`` for
+            any
         :raises errors.NoInstance: if no instance can take it now
         """
         listed = self._instances_by_service.get(service, ())
         peers = self._signals.not_leaving(
             [instance for instance in listed if not instance.leaving]
         )
-        eligible = self._eligible(peers, tried, regions)
+        eligible = self._eligible(peers, tried, regions, version)
         if not eligible:
             fallback = self._signals.recently_leaving(listed)
-            peers = eligible = self._eligible(fallback, tried, regions)
+            peers = eligible = self._eligible(
+                fallback, tried, regions, version
+            )
         if not eligible:
             raise errors.NoInstance(
-                f'no instance of {service} left to try',
+                f'no instance of {_describe(service, version)} left to try',
                 retry_after=_NO_INSTANCE_RETRY_S,
             )
         not_in_backoff = self._signals.not_in_backoff(eligible)
@@ -272,6 +278,7 @@
         instances: Instances,
         tried: collections.abc.Container[str],
         regions: NameSet | None,
+        version: str | None,
     ) -> list[placement.Instance]:
         """Return the instances that a request may be sent to."""
         return [
@@ -280,6 +287,7 @@
             if instance.id not in tried
             and instance.domain not in self._evacuated
             and self._is_allowed(instance, regions)
+            and version in (None, instance.version)
         ]
 
     def _is_leaving(self, instance: placement.Instance) -> bool:
@@ -292,6 +300,7 @@
         service: str,
         tried: collections.abc.Container[str],
         regions: NameSet | None,
+        version: str | None,
     ) -> dict[str, int]:
         """Count the instances that are excluded from choice, by reason."""
         now = _now()
@@ -304,6 +313,10 @@
         }
         reasons: tuple[tuple[str, Predicate], ...] = (
             ('tried', lambda instance: instance.id in tried),
+            (
+                'version',
+                lambda instance: version not in (None, instance.version),
+            ),
             ('leaving', self._is_leaving),
             ('evacuated', lambda instance: instance.domain in self._evacuated),
             (
@@ -525,10 +538,15 @@
         return attrs.evolve(choice, source=source)
 
 
+def _describe(service: str, version: str | None) -> str:
+    return service if version is None else f'{service} {version}'
+
+
 def log_fields(choice: placement.Choice) -> dict[str, typing.Any]:
     """Return the log fields that explain a choice."""
     return {
         'backend': choice.instance.id,
+        'version': choice.instance.version,
         'rank': choice.rank,
         'load': choice.load,
         'bound': round(choice.bound, 1),
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -62,6 +62,10 @@
         ``''``
     :ivar failed_gateways: names of the gateways that did not forward it
     :ivar refusal: the error of the last of them
+    :ivar attempt_version: software version of the instance of the last attempt
+    :ivar stream_version: that of the instance that brought the first event;
+        only instances of this version may go on with the stream. ``None``
+        before the first event
     :ivar framing: what marks the end of the last stream (``Head.framing``), or
         ``''``
     :ivar remote_instance_id: id of the instance that answered through one
@@ -90,6 +94,8 @@
     via: str = ''
     failed_gateways: set[str] = attrs.field(factory=set)
     refusal: errors.HoneyportError | None = None
+    attempt_version: str = ''
+    stream_version: str | None = None
     framing: str = ''
     remote_instance_id: str = ''
     waited_s: float = 0.0
@@ -164,6 +170,8 @@
     async def write_events(self, chunk: bytes) -> None:
         """Pass on complete events."""
         complete = self.splitter.feed(chunk)
+        if self.splitter.has_events and self.stream_version is None:
+            self.stream_version = self.attempt_version
         if complete:
             await self.reply.write(complete)
 
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -311,6 +311,7 @@
             exchange.parts,
             exchange.tried,
             exchange.match.regions,
+            exchange.stream_version,
         )
 
     async def _try_other_gateway(self, exchange: exchanges.Exchange) -> None:
@@ -400,6 +401,7 @@
         self._check_admitted(exchange)
         exchange.choice = choice or self._choose(exchange)
         instance = exchange.choice.instance
+        exchange.attempt_version = instance.version
         with self._balancer.count_in_flight(instance):
             try:
                 response = await self._send(exchange, instance)
@@ -530,7 +532,10 @@
             backend=instance.id,
             address=instance.address,
             left_out=self._balancer.count_excluded(
-                exchange.service, exchange.tried, exchange.match.regions
+                exchange.service,
+                exchange.tried,
+                exchange.match.regions,
+                exchange.stream_version,
             ),
         )
         self._notify_end_detector(exchange, error)
--- a/src/honeyport/platform/entries.py
+++ b/src/honeyport/platform/entries.py
@@ -87,6 +87,7 @@
         domain=entry['zone'],
         leaving=entry['state'] == _DRAINING,
         slots=entry['slots'],
+        version=entry['version'],
         cold_ms=min(math.ceil(entry['cold_remaining_ms']), _MAX_COLD_MS),
     )
 
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -33,6 +33,7 @@
     :ivar slots: how many requests it runs at the same time
     :ivar place: the hash position that it holds, or ``''``
         (:mod:`honeyport.policy.places`)
+    :ivar version: version of its software, which never changes
     """
 
     id: str
@@ -42,6 +43,7 @@
     leaving: bool
     slots: int
     place: str
+    version: str = ''
 
 
 @attrs.frozen
--- a/src/honeyport/sse.py
+++ b/src/honeyport/sse.py
@@ -29,6 +29,11 @@
         """Id of the last complete event, or ``''``."""
         return self._last_event_id
 
+    @property
+    def has_events(self) -> bool:
+        """Whether any event was complete."""
+        return self._has_events
+
     @property
     def is_within_event(self) -> bool:
         """Whether an event is incomplete.
--- a/src/honeyport/wire/listing.py
+++ b/src/honeyport/wire/listing.py
@@ -91,6 +91,7 @@
             instance.leaving,
             instance.slots,
             instance.place,
+            instance.version,
         )
         hashers[part(instance.id)].update(repr(fields).encode())
     return b''.join(hasher.digest()[:_DIGEST_BYTES] for hasher in hashers)
