Detours carry the software version that a stream needs

A stream that passes through another gateway could hold events of two versions: the gateway that forwards chose any instance, and did not say which version it used.

The call names the version that began the stream, and the head of the answer the version of its instance. A stream of another version, or of one that is not named (an older gateway knows neither field), is not passed on; the attempt counts as one that may have run.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -35,3 +35,23 @@
     And its instances have the versions v1, v1.1, v1.2
     When a caller sends a request
     Then it gets 200, and 2 requests arrived
+
+  Scenario: a stream through another gateway is resumed only at its version
+    Given a gateway for streaming resumable requests that reaches no instance, and another one whose instances stream cut unless resumed
+    And its instances have the versions v1, v1, v1.1
+    When 20 callers send a request one after the other
+    Then no stream holds events of two versions
+
+  Scenario: a stream through another gateway goes on at its version
+    Given a gateway for streaming resumable requests that reaches no instance, and another one whose instances stream cut unless resumed
+    And its instances have the versions v1, v1, v1.1
+    When 3 callers send a request one after the other
+    Then the streams that began at v1 are whole
+
+  # Guards against an older gateway in the fleet, which chooses any instance.
+  Scenario: the other gateway does not choose by version
+    Given a gateway for streaming resumable requests that reaches no instance, and another one whose instances stream cut unless resumed
+    And its instances have the versions v1, v1, v1.1
+    And the other gateway knows no versions
+    When 20 callers send a request one after the other
+    Then no stream holds events of two versions
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -1,11 +1,15 @@
 """Steps about streams while instances of several software versions serve."""
 
 import re
+from unittest import mock
 
+import attrs
 import behave
 
 from features.steps import gateway_steps
 from features.support import instances
+from honeyport import exchange
+from honeyport.router import frames
 
 _EVENT = re.compile(rb'id: (\d+)\ndata: token \1 of (\S+)\n\n')
 
@@ -19,11 +23,34 @@
         instance.version = version
 
     async def apply():
-        fixture.apply_instances()
+        for gateway in (fixture, getattr(fixture, 'other', fixture)):
+            gateway.apply_instances()
 
     context.run(apply())
 
 
+@behave.given('the other gateway knows no versions')
+def step_no_versions(context):
+    decode_call = frames.decode_call
+    decode_frame = frames.decode_frame
+
+    def forget_in_call(message):
+        return attrs.evolve(decode_call(message), version=None)
+
+    def forget_in_frame(message):
+        frame = decode_frame(message)
+        if isinstance(frame, exchange.Head):
+            return attrs.evolve(frame, version='')
+        return frame
+
+    for patch in (
+        mock.patch.object(frames, 'decode_call', forget_in_call),
+        mock.patch.object(frames, 'decode_frame', forget_in_frame),
+    ):
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
 @behave.when('{count:d} callers send a request one after the other')
 def step_send_in_turn(context, count):
     context.response = None
--- a/src/honeyport/exchange.py
+++ b/src/honeyport/exchange.py
@@ -37,6 +37,8 @@
     :param config_version: version of the configuration that has this route
     :param offers: number of instances that it was offered to before
     :param tried: ids of these instances
+    :param version: the only software version whose instances may run it;
+        ``None`` for any
     """
 
     request_id: str
@@ -60,6 +62,7 @@
     config_version: int = 0
     offers: int = 0
     tried: tuple[str, ...] = ()
+    version: str | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -84,6 +87,7 @@
     :param recorded: whether it is the stored outcome of an earlier run
     :param running: number of requests in flight at the gateway that forwarded
         the request
+    :param version: software version of the instance that answered it
     """
 
     status: int
@@ -91,6 +95,7 @@
     backend: str
     recorded: bool = False
     running: int = 0
+    version: str = ''
 
     @property
     def retry_after_s(self) -> float | None:
--- a/src/honeyport/gateway/detours.py
+++ b/src/honeyport/gateway/detours.py
@@ -192,6 +192,8 @@
 
         :raises errors.AnswerCut: if it is incomplete
         :raises errors.BackendLost: if it is a stream that is not whole
+        :raises errors.ForeignAnswer: if it is a stream of another software
+            version than the one that began it
         """
         head: attempt.Head | None = None
         body = bytearray()
@@ -205,7 +207,9 @@
                 self._reported[gateway] = _ReportedLoad(frame.running, _now())
                 has_digest = self._names.digest in head.headers
                 is_relayed = head.is_success and head.is_stream and has_digest
+                exchange.attempt_version = frame.version
                 if is_relayed:
+                    _check_version(exchange, gateway)
                     await exchange.begin(head)
             elif isinstance(frame, messages.Data):
                 length += len(frame.payload)
@@ -238,6 +242,7 @@
             config_version=exchange.version,
             offers=exchange.offers,
             tried=tuple(exchange.arrived),
+            version=exchange.stream_version,
         )
 
     def _load(self, member: pb.Member) -> tuple[int, bool, float]:
@@ -262,6 +267,22 @@
             await self._links.close_idle(_LINK_IDLE_S)
 
 
+def _check_version(exchange: exchanges.Exchange, gateway: str) -> None:
+    """Check the version of a stream that goes on.
+
+    Older gateways neither choose by it nor name it.
+
+    :raises errors.ForeignAnswer: if it is not the one that began the stream
+    """
+    version = exchange.attempt_version
+    began_at = exchange.stream_version
+    if began_at is not None and (not version or version != began_at):
+        raise errors.ForeignAnswer(
+            f'{gateway} sent a stream of version {version!r}, but '
+            f'{began_at!r} began it'
+        )
+
+
 def _to_head(frame: messages.Head) -> attempt.Head:
     headers = httputil.HTTPHeaders()
     for name, value in frame.headers:
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -229,6 +229,7 @@
             origin=call.origin,
             tried=set(call.tried),
             offers=call.offers,
+            stream_version=call.version,
             # The caller's gateway has counted the attempt that follows.
             possible_runs=call.attempt - 1,
         )
--- a/src/honeyport/gateway/forwarded.py
+++ b/src/honeyport/gateway/forwarded.py
@@ -67,13 +67,14 @@
 
     async def begin(self, head: attempt.Head) -> None:
         self._is_started = True
-        instance_id = self.exchange.instance_id if self.exchange else ''
+        exchange = self.exchange
         await self._queue.put(
             messages.Head(
                 head.status,
                 tuple(head.headers.get_all()),
-                instance_id,
+                exchange.instance_id if exchange else '',
                 running=self._running(),
+                version=exchange.attempt_version if exchange else '',
             )
         )
 
--- a/src/honeyport/router/frames.py
+++ b/src/honeyport/router/frames.py
@@ -32,6 +32,7 @@
         config_version=call.config_version,
         offers=call.offers,
         tried=call.tried,
+        version=call.version,
     )
 
 
@@ -63,6 +64,7 @@
         config_version=message.config_version,
         offers=message.offers,
         tried=tuple(message.tried),
+        version=message.version if message.HasField('version') else None,
     )
 
 
@@ -77,6 +79,7 @@
             headers=_encode_headers(frame.headers),
             backend=frame.backend,
             running=frame.running,
+            version=frame.version,
         )
         return pb.Frame(stream=stream, head=head)
     end = pb.End(frames=frame.frames, length=frame.length)
@@ -98,6 +101,7 @@
             _decode_headers(head.headers),
             head.backend,
             running=head.running,
+            version=head.version,
         )
     if body_type == 'end':
         return exchange.End(message.end.frames, message.end.length)
