A caller takes a stream up at its software version, at any gateway

Callers that took a broken stream up with another request got events of another version than before: the header that names the first request was not read, and no gateway knew which version had begun the stream.

Change: the gateway that passes on a first event records the version. While several versions of the service may have streams, it also tells two gateways of different failure domains, chosen by rendezvous hashing of the request's id. The gateway that takes the stream up asks the first four of this order, then up to twelve more, in 0.12 s each. Without a record the stream goes on if the lists have shown one version for as long as a stream lasts, else the request is refused at once as not run. A gateway tells its streams when a second version comes, and all that it knows when it stops.

Records are not shared while there is one version, as the lists answer the question then; in a calm fleet no message is sent.

Evidence: five gateways, streams that begin at one of them and are taken up at another after it was killed, after two were stopped, and while a version comes.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -55,3 +55,88 @@
     And the other gateway knows no versions
     When 20 callers send a request one after the other
     Then no stream holds events of two versions
+
+  # Guards against streams that their callers took up at another version.
+  Scenario Outline: a caller takes a stream up at another gateway
+    Given a fleet of 5 gateways for streaming resumable requests whose instances stream cut later
+    And the instances have the versions v1, v1, v1.1
+    When 6 streams begin at g-1 and break
+    And <event>
+    And their callers take them up at <gateway>
+    Then all streams are whole, each of one version
+
+    Examples:
+      | event                                   | gateway |
+      | nothing else happens                    | g-1     |
+      | nothing else happens                    | g-3     |
+      | g-1 is killed                           | g-3     |
+      | g-1, g-2 are stopped one after the other | g-4    |
+
+  Scenario: streams that are under way when another version comes
+    Given a fleet of 5 gateways for streaming resumable requests whose instances stream cut later
+    And the lists have shown one version for as long as a stream lasts
+    When 6 streams begin at g-1 and break
+    And the instances have the versions v1, v1, v1.1
+    And g-1 is killed
+    And their callers take them up at g-2
+    Then all streams are whole, each of one version
+
+  Scenario: a gateway that stops hands over what it knows
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
+    And the lists have shown one version for as long as a stream lasts
+    When 3 streams begin at g-1 and break
+    And g-1 are stopped one after the other
+    And the instances have the versions v1, v1, v1.1
+    And their callers take them up at g-3
+    Then all streams are whole, each of one version
+
+  Scenario: nobody knows a stream, and there has been one version
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    When a caller takes up a stream that no gateway knows at g-2
+    Then the stream goes on
+
+  Scenario: nobody knows a stream, and there are two versions
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And the instances have the versions v1, v1, v1.1
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+    And the log says which versions there are
+
+  Scenario: nobody knows a stream, and there were two versions
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And the instances have the versions v1, v1, v1.1
+    And the instances have the versions v1, v1, v1
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+
+  Scenario: a gateway that has just started asks the others
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And g-2 has just started
+    When a caller takes up a stream that no gateway knows at g-2
+    Then the stream goes on
+
+  Scenario: a gateway that hears neither control nor other gateways knows nothing
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And g-2 hears neither control nor the other gateways
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+
+  Scenario: a gateway that does not hear control asks the others
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And g-2 does not hear control
+    When a caller takes up a stream that no gateway knows at g-2
+    Then the stream goes on
+
+  Scenario: the version that began a stream has no instance left
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
+    And the instances have the versions v1, v1, v1
+    When 3 streams begin at g-1 and break
+    And the instances have the versions v1.1, v1.1, v1.1
+    And their callers take them up at g-2
+    Then they are refused as not run, and no request arrived
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -1,6 +1,9 @@
 """Steps about streams while instances of several software versions serve."""
 
+import asyncio
+import json
 import re
+import time
 from unittest import mock
 
 import attrs
@@ -8,9 +11,21 @@
 
 from features.steps import gateway_steps
 from features.support import instances
+from features.support import log_capture
 from honeyport import exchange
+from honeyport import local
+from honeyport.policy import versions
 from honeyport.router import frames
+from honeyport.wire import honeyport_pb2 as pb
 
+_DOMAINS = ('thu-duc', 'tan-binh', 'binh-chanh')
+# Stands for the longest time in which a stream is taken up again.
+_WINDOW_S = 0.2
+# Longer than a gateway trusts its list without hearing control.
+_SILENCE_S = 0.8
+# Time for records to arrive at other gateways.
+_TOLD_S = 0.1
+_UNKNOWN_ID = 'never-seen'
 _EVENT = re.compile(rb'id: (\d+)\ndata: token \1 of (\S+)\n\n')
 
 
@@ -92,3 +107,242 @@
 
 def _responses(context):
     return [context.response] if context.response else context.responses
+
+
+class _Fleet:
+    """Gateways that know each other and have the same instances."""
+
+    def __init__(self, count, steps):
+        self.gateways = {
+            f'g-{number}': gateway_steps.GatewayFixture(
+                steps, name=f'g-{number}'
+            )
+            for number in range(1, count + 1)
+        }
+        self.first = self.gateways['g-1']
+        self.script = self.first.script
+        self.stopped = set()
+
+    async def start(self, kind):
+        await self.first.start(kind)
+        for fixture in self._others():
+            fixture.instances = self.first.instances
+            fixture.address_by_instance = self.first.address_by_instance
+            await fixture.gateway.start(fixture.tree)
+            fixture.make_ready(kind)
+        self.list_gateways()
+
+    def list_gateways(self):
+        presence = pb.Presence()
+        for number, fixture in enumerate(self.gateways.values()):
+            presence.members.add(
+                router=fixture.name,
+                domain=_DOMAINS[number % len(_DOMAINS)],
+                address=fixture.address,
+                peer_address=fixture.peer_address,
+            )
+        for fixture in self.gateways.values():
+            fixture.gateway.state.apply_presence(presence)
+
+    def _others(self):
+        return [
+            fixture
+            for fixture in self.gateways.values()
+            if fixture is not self.first
+        ]
+
+    async def apply_versions(self, names):
+        for instance, version in zip(self.first.instances, names, strict=True):
+            instance.version = version
+        for fixture in self.gateways.values():
+            fixture.apply_instances()
+
+    async def shorten_history(self):
+        """Let the lists have shown one version for the whole window."""
+        for fixture in self.gateways.values():
+            streams = fixture.gateway._streams
+            streams._history = versions.VersionHistory(_WINDOW_S)
+            fixture.gateway.apply_state()
+        await asyncio.sleep(_WINDOW_S)
+        for fixture in self.gateways.values():
+            fixture.gateway.apply_state()
+
+    async def stop_gateway(self, name):
+        self.stopped.add(name)
+        await self.gateways[name].tree.stop()
+
+    async def kill(self, name):
+        """Stop a gateway that can do nothing before its end."""
+        self.gateways[name].gateway._streams.hand_over = lambda: None
+        await self.stop_gateway(name)
+
+    async def stop(self):
+        for name, fixture in self.gateways.items():
+            if name not in self.stopped:
+                await fixture.tree.stop()
+        for instance in self.first.instances:
+            await instance.stop()
+
+
+@behave.given(
+    'a fleet of {count:d} gateways for {kind} requests whose instances {steps}'
+)
+def step_fleet(context, count, kind, steps):
+    context.fleet = _Fleet(count, [steps])
+    context.run(context.fleet.start(kind))
+    context.to_stop.append(context.fleet.stop)
+
+
+@behave.given('the instances have the versions {names}')
+@behave.when('the instances have the versions {names}')
+def step_fleet_versions(context, names):
+    context.run(context.fleet.apply_versions(names.split(', ')))
+
+
+@behave.given('the lists have shown one version for as long as a stream lasts')
+def step_one_version_long(context):
+    context.run(context.fleet.shorten_history())
+
+
+@behave.given('{name} has just started')
+def step_just_started(context, name):
+    gateway = context.fleet.gateways[name].gateway
+    gateway._streams._history = versions.VersionHistory(_WINDOW_S)
+
+    async def apply():
+        gateway.apply_state()
+
+    context.run(apply())
+
+
+@behave.given('{name} does not hear control')
+def step_silent(context, name):
+    async def hear():
+        await asyncio.sleep(_SILENCE_S)
+        for other, fixture in context.fleet.gateways.items():
+            if other != name:
+                fixture.gateway.apply_state()
+
+    context.run(hear())
+
+
+@behave.given('{name} hears neither control nor the other gateways')
+def step_alone(context, name):
+    step_silent(context, name)
+    for other, fixture in context.fleet.gateways.items():
+        if other != name:
+            fixture.peer_address = local.free_address()
+    context.fleet.list_gateways()
+
+
+@behave.when('{count:d} streams begin at {name} and break')
+def step_begin(context, count, name):
+    context.run(_begin(context, count, context.fleet.gateways[name]))
+
+
+async def _begin(context, count, fixture):
+    context.parts = {}
+    for number in range(count):
+        request_id = f'begun-{number}'
+        response = await gateway_steps.send_request(
+            fixture, request_id=request_id
+        )
+        assert not response.is_complete and response.body, response
+        context.parts[request_id] = [response.body]
+    await asyncio.sleep(_TOLD_S)
+
+
+@behave.when('nothing else happens')
+def step_nothing(context):
+    """Go on."""
+
+
+@behave.when('{name} is killed')
+def step_kill(context, name):
+    context.run(context.fleet.kill(name))
+
+
+@behave.when('{names} are stopped one after the other')
+def step_stop_in_turn(context, names):
+    for name in names.split(', '):
+        context.run(context.fleet.stop_gateway(name))
+
+
+@behave.when('their callers take them up at {name}')
+def step_take_up(context, name):
+    context.fleet.script.replace(['stream'])
+    context.fleet.script.arrivals.clear()
+    fixture = context.fleet.gateways[name]
+    context.responses = []
+    for request_id, parts in context.parts.items():
+        response = context.run(_take_up(fixture, request_id, parts[0]))
+        context.responses.append(response)
+        parts.append(response.body)
+
+
+async def _take_up(fixture, request_id, received):
+    numbers = [int(number) for number, _ in _EVENT.findall(received)]
+    return await gateway_steps.send_request(
+        fixture,
+        request_id=f'{request_id}-again',
+        headers={
+            instances.NAMES.resumes: request_id,
+            instances.NAMES.last_event: str(numbers[-1]),
+        },
+    )
+
+
+@behave.then('all streams are whole, each of one version')
+def step_all_whole(context):
+    for response, parts in zip(
+        context.responses, context.parts.values(), strict=True
+    ):
+        events = _EVENT.findall(b''.join(parts))
+        numbers = [int(number) for number, _ in events]
+        assert response.is_complete, (response, parts)
+        assert numbers == list(range(1, instances.EVENTS + 1)), parts
+        assert len({version for _, version in events}) == 1, parts
+
+
+@behave.when('a caller takes up a stream that no gateway knows at {name}')
+def step_take_up_unknown(context, name):
+    fixture = context.fleet.gateways[name]
+    event = b'id: 2\ndata: token 2 of v1\n\n'
+    started_at = time.monotonic()
+    with log_capture.captured_events() as context.lines:
+        context.response = context.run(_take_up(fixture, _UNKNOWN_ID, event))
+    context.took_s = time.monotonic() - started_at
+
+
+@behave.then('the stream goes on')
+def step_goes_on(context):
+    events = _EVENT.findall(context.response.body)
+    numbers = [int(number) for number, _ in events]
+    assert numbers == list(range(3, instances.EVENTS + 1)), context.response
+
+
+@behave.then(
+    'it is refused as not run within {limit_ms:d} ms, with a time to come back'
+)
+def step_refused(context, limit_ms):
+    _check_refused(context, context.response)
+    assert context.took_s * 1000 <= limit_ms, context.took_s
+
+
+@behave.then('they are refused as not run, and no request arrived')
+def step_all_refused(context):
+    for response in context.responses:
+        _check_refused(context, response)
+
+
+def _check_refused(context, response):
+    assert response.status == 503, response
+    assert json.loads(response.body)['error']['ran'] is False, response
+    assert float(response.headers['Retry-After']) > 0, response
+    assert not context.fleet.script.arrivals, context.fleet.script.arrivals
+
+
+@behave.then('the log says which versions there are')
+def step_logged_versions(context):
+    fields = dict(context.lines)['stream_unknown']
+    assert fields['versions'] == ['v1', 'v1.1'], context.lines
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -56,6 +56,10 @@
         self.arrivals: list[Arrival] = []
         self.step_by_instance: dict[str, str] = {}
 
+    def replace(self, steps: list[str]) -> None:
+        """Set the steps for the next requests."""
+        self._steps = collections.deque(steps)
+
     def next(self, instance: str) -> str:
         """Return the step for a request that arrived at an instance."""
         if instance in self.step_by_instance:
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -366,6 +366,16 @@
     )
 
 
+@register('HP-3212')
+class StreamUnknown(HoneyportError):
+    status = 503
+    ran = False
+    hint = (
+        'It is not known which software version began the stream, so that it '
+        'cannot go on here; it was not run. Retry later.'
+    )
+
+
 @register('HP-3208')
 class WrongMethod(HoneyportError):
     status = 405
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -60,6 +60,7 @@
         self._slot_limits = slot_limits.SlotLimits(name, signals)
         self._list_number = 0
         self._instances_by_service: dict[str, list[placement.Instance]] = {}
+        self._versions: dict[str, set[str]] = {}
         self._running: collections.Counter[str] = collections.Counter()
         self._health = health.FailureTracker()
         self._fleet_unreachable: collections.abc.Set[str] = frozenset()
@@ -74,6 +75,11 @@
         """In-flight requests of this gateway, by instance id."""
         return self._running
 
+    @property
+    def versions(self) -> collections.abc.Mapping[str, NameSet]:
+        """Listed software versions by service; replaced with each list."""
+        return self._versions
+
     def set_cold_limits(self, limits: warmth.ColdLimits) -> None:
         """Set the limits of cold instances, by service."""
         self._cold_start.set_limits(limits)
@@ -178,6 +184,10 @@
             )
             if listed.cold_ms:
                 self._cold_start.mark_cold(listed.id, listed.cold_ms / 1000)
+        self._versions = {
+            service: {instance.version for instance in group}
+            for service, group in self._instances_by_service.items()
+        }
         self._cold_start.drop_expired()
         not_leaving_ids = {
             instance.id
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -17,6 +17,7 @@
 from honeyport.gateway import lease_gate
 from honeyport.gateway import pool
 from honeyport.gateway import server
+from honeyport.gateway import stream_directory
 from honeyport.policy import addresses
 from honeyport.policy import cold
 from honeyport.policy import draining
@@ -39,6 +40,10 @@
 # report it. Those without requests learn it from the first that they forward.
 _OTHERS_REPORT_S = 2.0
 _REPORT_POLL_S = 0.1
+# Timeout for opening a link to another gateway.
+_LINK_CONNECT_TIMEOUT_S = 0.3
+# A link is closed after this time without use.
+_LINK_IDLE_S = 10.0
 # Maximum number of instances in backoff that one report lists.
 _MAX_BACKOFFS_REPORTED = 64
 
@@ -70,14 +75,21 @@
         self._end_detector = witness.EndDetector(
             self._pool.probe, self._on_end, self._has_ended
         )
+        self._links = relay.PeerLinks(
+            0.0, _LINK_CONNECT_TIMEOUT_S, _LINK_IDLE_S
+        )
         self._detours = detours.Detours(
             settings.name,
             settings.domain,
             settings.regions,
             self._state,
             names,
+            self._links,
             counters,
         )
+        self._streams = stream_directory.StreamDirectory(
+            settings.name, self._state, self._links, counters
+        )
         self._connectivity = connectivity.ConnectivityMonitor(
             self._pool,
             self._balancer.expected_reachable,
@@ -100,6 +112,7 @@
             self._suspects,
             self._connectivity,
             self._detours,
+            self._streams,
             counters,
         )
         self._caller_server = server.CallerServer(self._forwarder, names)
@@ -221,6 +234,7 @@
         started_at = loop.time()
         self._caller_server.start_closing()
         self._session.announce_leaving()
+        self._streams.hand_over()
         await asyncio.sleep(self._drain_times.refuse_after_s)
         self._caller_server.start_refusing()
         while loop.time() - started_at < self._drain_times.stop_after_s:
@@ -231,7 +245,8 @@
     async def _close(self) -> None:
         await self._caller_server.stop()
         self._connectivity.close()
-        await self._detours.close()
+        self._streams.close()
+        await self._links.close()
         self._end_detector.close()
         self._pool.close()
 
@@ -271,10 +286,15 @@
             self._pool.retain(not_leaving_ids)
             self._connectivity.on_list_changed()
             self._update_end_detector()
+        if self._state.instances.number:
+            self._streams.observe(self._balancer.versions)
 
     def _register_peer_service(self, server: grpc.aio.Server) -> None:
         rpc.add_PeerServicer_to_server(
-            relay.PeerServicer(self._forwarded.answer, coalesce_s=0.0), server
+            relay.PeerServicer(
+                self._forwarded.answer, coalesce_s=0.0, records=self._streams
+            ),
+            server,
         )
 
     def _on_connectivity_changed(self, service: str) -> None:
@@ -335,3 +355,4 @@
         counters.gauge('view', lambda: self._state.view)
         counters.gauge('lease_left_seconds', lambda: self._state.lease_left)
         counters.gauge('requests_running', lambda: self._forwarder.running)
+        counters.gauge('peer_links', lambda: len(self._links))
--- a/src/honeyport/gateway/detours.py
+++ b/src/honeyport/gateway/detours.py
@@ -45,10 +45,6 @@
 )
 # Gateways that are asked to forward one request.
 MAX_GATEWAYS = 3
-# Timeout for opening a link.
-_CONNECT_TIMEOUT_S = 0.3
-# A link is closed after this time without a request.
-_LINK_IDLE_S = 10.0
 # Pause of a gateway that could not forward a request. Then its own report says
 # whether it is cut off.
 _GATEWAY_PAUSE_S = 0.5
@@ -74,6 +70,7 @@
     :param regions: region of each failure domain
     :param state: this instance's view of the fleet
     :param names: header names
+    :param links: links to the other gateways
     """
 
     def __init__(
@@ -83,6 +80,7 @@
         regions: collections.abc.Mapping[str, str],
         state: fleetstate.FleetState,
         names: gateway_headers.HeaderNames,
+        links: relay.PeerLinks,
         counters: metrics.Metrics,
     ) -> None:
         self._name = name
@@ -91,19 +89,11 @@
         self._state = state
         self._names = names
         self._metrics = counters
-        self._links = relay.PeerLinks(0.0, _CONNECT_TIMEOUT_S)
-        self._closer: asyncio.Task[None] | None = None
+        self._links = links
         self._paused_until: dict[tuple[str, str], float] = {}
         self._reported: dict[str, _ReportedLoad] = {}
         self._outstanding: collections.Counter[str] = collections.Counter()
         counters.gauge('detours_running', lambda: self._outstanding.total())
-        counters.gauge('detour_links', lambda: len(self._links))
-
-    async def close(self) -> None:
-        """Close all links."""
-        if self._closer is not None:
-            self._closer.cancel()
-        await self._links.close()
 
     def reached_by(self, service: str) -> list[str]:
         """Return the names of the other gateways that reach a service.
@@ -165,8 +155,6 @@
             whether the request may have run
         """
         self._metrics.count('detours', service=exchange.service)
-        if self._closer is None or self._closer.done():
-            self._closer = asyncio.create_task(self._close_idle_links())
         link = self._links.get(member.peer_address)
         answer = link.answer(self._to_call(exchange), '')
         self._outstanding[member.router] += 1
@@ -261,11 +249,6 @@
         """Return the loop time until which a gateway is not asked."""
         return self._paused_until.get((member.router, service), 0.0)
 
-    async def _close_idle_links(self) -> None:
-        while len(self._links):
-            await asyncio.sleep(_LINK_IDLE_S)
-            await self._links.close_idle(_LINK_IDLE_S)
-
 
 def _check_version(exchange: exchanges.Exchange, gateway: str) -> None:
     """Check the version of a stream that goes on.
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -1,6 +1,7 @@
 """State of a request while it is served."""
 
 import asyncio
+import collections.abc
 import typing
 
 import attrs
@@ -66,6 +67,7 @@
     :ivar stream_version: that of the instance that brought the first event;
         only instances of this version may go on with the stream. ``None``
         before the first event
+    :ivar on_begun: called when the first event of a new stream is passed on
     :ivar framing: what marks the end of the last stream (``Head.framing``), or
         ``''``
     :ivar remote_instance_id: id of the instance that answered through one
@@ -96,6 +98,7 @@
     refusal: errors.HoneyportError | None = None
     attempt_version: str = ''
     stream_version: str | None = None
+    on_begun: 'Callback' = attrs.field(default=lambda exchange: None)
     framing: str = ''
     remote_instance_id: str = ''
     waited_s: float = 0.0
@@ -172,6 +175,7 @@
         complete = self.splitter.feed(chunk)
         if self.splitter.has_events and self.stream_version is None:
             self.stream_version = self.attempt_version
+            self.on_begun(self)
         if complete:
             await self.reply.write(complete)
 
@@ -195,5 +199,8 @@
             self.idle_timer.reset()
 
 
+Callback = collections.abc.Callable[[Exchange], None]
+
+
 def _to_ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -11,6 +11,7 @@
 import functools
 import typing
 
+from honeyport.bundle import model
 from honeyport import errors
 from honeyport.gateway import attempt
 from honeyport.gateway import balancer
@@ -25,6 +26,8 @@
 from honeyport.gateway import request_log
 from honeyport.gateway import routes
 from honeyport.gateway import silence_timeout
+from honeyport.gateway import stream_directory
+from honeyport.policy import begun_streams
 from honeyport.policy import fingerprints
 from honeyport.policy import placement
 from honeyport.policy import repeats
@@ -68,6 +71,7 @@
     :param suspect_tracker: permits for requests that may crash instances
     :param monitor: the services that this gateway is cut off from
     :param peer_detours: sends requests through other gateways
+    :param streams: knows which software versions began streams
     """
 
     def __init__(
@@ -83,6 +87,7 @@
         suspect_tracker: suspects.SuspectTracker,
         monitor: connectivity.ConnectivityMonitor,
         peer_detours: detours.Detours,
+        streams: stream_directory.StreamDirectory,
         counters: metrics.Metrics,
     ) -> None:
         self._state = state
@@ -98,6 +103,7 @@
         self._suspects = suspect_tracker
         self._connectivity = monitor
         self._detours = peer_detours
+        self._streams = streams
         self._request_log = request_log.RequestLog(state, counters)
         self._running = 0
 
@@ -113,7 +119,7 @@
 
         async def admit() -> exchanges.Exchange:
             waited_s = await self._gate.wait_until_open(request.deadline)
-            exchange = self._create_exchange(request, reply)
+            exchange = await self._create_exchange(request, reply)
             exchange.waited_s = waited_s
             return exchange
 
@@ -169,13 +175,16 @@
             self._table = routes.Table(bundle)
         return self._table
 
-    def _create_exchange(
+    async def _create_exchange(
         self, request: gateway_headers.Request, reply: exchanges.Reply
     ) -> exchanges.Exchange:
         table = self.table()
         match = table.find(request.host, request.path, request.api_key)
         timeout_s = match.route.timeout_ms / 1000
-        service = routes.pick_service(match.route)
+        origin = await self._find_origin(request, match)
+        service = (
+            origin.service if origin else routes.pick_service(match.route)
+        )
         self._budgets.record_request(service, request.received)
         return exchanges.Exchange(
             request,
@@ -187,6 +196,43 @@
             fingerprints.compute(
                 match.account, request.host, request.target, request.body
             ),
+            stream_version=origin.version if origin else None,
+            on_begun=self._record_stream,
+        )
+
+    async def _find_origin(
+        self, request: gateway_headers.Request, match: routes.Match
+    ) -> stream_directory.Origin | None:
+        """Return what began the stream that a request takes up, if any.
+
+        :raises errors.StreamUnknown: if that is not known, or if the route no
+            longer leads there
+        """
+        if not request.resumes or match.route.semantics != model.STREAMING:
+            return None
+        origin = await self._streams.find(
+            request.resumes, match, request.deadline
+        )
+        if origin.service not in match.route.weights:
+            raise errors.StreamUnknown(
+                f'the stream began at {origin.service}, which {match.name} no '
+                'longer leads to',
+                retry_after=_RETRY_AFTER_S,
+            )
+        return origin
+
+    def _record_stream(self, exchange: exchanges.Exchange) -> None:
+        """Record the version of a stream that its caller may resume."""
+        request = exchange.request
+        if not exchange.match.route.resumable or not request.request_id:
+            return
+        self._streams.record(
+            begun_streams.BegunStream(
+                request.request_id,
+                exchange.service,
+                exchange.attempt_version,
+                request.deadline,
+            )
         )
 
     def _create_forwarded(
--- a/src/honeyport/gateway/headers.py
+++ b/src/honeyport/gateway/headers.py
@@ -57,6 +57,8 @@
     prompt_parts: str = 'Honeyport-Prompt-Parts'
     priority: str = 'Honeyport-Priority'
     last_event: str = 'Last-Event-Id'
+    # Id of the request that brought the first event of a resumed stream.
+    resumes: str = 'Honeyport-Resumes'
     # Address of an instance to copy the cached prefix from.
     copy_from: str = 'Honeyport-Copy-From'
     # Removed from requests of callers; only the gateway may set them.
@@ -72,6 +74,8 @@
     :ivar parts: prompt parts in order; the last one is not shared
     :ivar last_event_id: id of the last event that the caller has of a stream
         that it resumes, or ``''``
+    :ivar resumes: id of the request that brought the first event of this
+        stream, or ``''``
     :ivar received: loop time of its arrival
     :ivar deadline: loop time after which the caller waits no longer
     """
@@ -85,6 +89,7 @@
     api_key: str
     parts: tuple[prefixes.Part, ...]
     last_event_id: str
+    resumes: str
     received: float
     deadline: float
 
@@ -121,6 +126,7 @@
         api_key=_parse_api_key(headers),
         parts=_parse_parts(headers.get(names.prompt_parts, '')),
         last_event_id=headers.get(names.last_event, ''),
+        resumes=headers.get(names.resumes, ''),
         received=now,
         deadline=now + remaining_s,
     )
@@ -143,6 +149,7 @@
         api_key='',
         parts=_parse_parts(headers.get(names.prompt_parts, '')),
         last_event_id=headers.get(names.last_event, ''),
+        resumes=headers.get(names.resumes, ''),
         received=asyncio.get_running_loop().time(),
         deadline=call.deadline,
     )
--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -68,11 +68,14 @@
                 'offers': exchange.offers,
                 'fingerprint': exchange.fingerprint,
             } | exchange.timing_fields()
+            if exchange.stream_version is not None:
+                fields['stream_version'] = exchange.stream_version
             if exchange.framing:
                 fields['framing'] = exchange.framing
             if exchange.via:
                 fields['via'] = exchange.via
                 fields['backend'] = exchange.remote_instance_id
+                fields['version'] = exchange.attempt_version
             elif exchange.choice is not None:
                 fields |= balancer.log_fields(exchange.choice)
         if origin:
--- /dev/null
+++ b/src/honeyport/gateway/stream_directory.py
@@ -0,0 +1,398 @@
+"""Which software version began a stream, known to several gateways.
+
+A caller takes a broken stream up at any gateway, often since the first one is
+gone. While several versions of a service may have streams, the gateway that
+passes on a first event tells two others, which are chosen by rendezvous
+hashing of the request's id. The gateway that takes a stream up asks these
+first. Without a record, the only version that the list has shown for as long
+as a stream lasts began it (:mod:`honeyport.policy.versions`); else the request
+is refused.
+"""
+
+import asyncio
+import typing
+
+import attrs
+
+from honeyport import errors
+from honeyport.gateway import routes
+from honeyport.policy import begun_streams
+from honeyport.policy import hashing
+from honeyport.policy import versions
+from honeyport.router import fleetstate
+from honeyport.router import relay
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
+from honeyport.wire import honeyport_pb2 as pb
+
+# Callers with a longer time limit are not covered by the version history.
+_MAX_STREAM_S = 30.0
+# Other gateways that get a record.
+_COPIES = 2
+# Gateways asked first: those with copies, also if the ranking has changed by
+# the one that told them or by one that is gone.
+_FIRST_ASKED = 4
+# All that are asked.
+_MAX_ASKED = 16
+# Timeout of each of the two rounds of questions.
+_ASK_TIMEOUT_S = 0.12
+# Records for the same gateway are collected for this time.
+_BATCH_S = 0.02
+# A gateway that could not be told gets no records for this time.
+_PAUSE_S = 1.0
+# Control silent for longer may have sent newer lists to others.
+_MAX_SILENCE_S = 0.6
+# Retry-After of a stream whose version is not known, in seconds.
+_RETRY_AFTER_S = 0.3
+
+
+@attrs.frozen
+class Origin:
+    """What began a stream.
+
+    :ivar known_by: name of the gateway that knew it, ``'list'`` if the list
+        of instances has shown no other version
+    """
+
+    service: str
+    version: str
+    known_by: str
+
+
+class StreamDirectory:
+    """Records the versions of streams and finds those of other gateways.
+
+    :param name: name of this gateway
+    :param state: this instance's view of the fleet
+    :param links: links to the other gateways
+    """
+
+    def __init__(
+        self,
+        name: str,
+        state: fleetstate.FleetState,
+        links: relay.PeerLinks,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._name = name
+        self._state = state
+        self._links = links
+        self._metrics = counters
+        self._history = versions.VersionHistory(_MAX_STREAM_S)
+        self._own = begun_streams.Records()
+        self._held = begun_streams.Records()
+        self._shared_services: set[str] = set()
+        self._is_leaving = False
+        self._waiting: dict[str, list[begun_streams.BegunStream]] = {}
+        self._sender: asyncio.Task[None] | None = None
+        self._paused_until: dict[str, float] = {}
+        counters.gauge('streams_recorded', lambda: len(self._own))
+        counters.gauge('streams_held', lambda: len(self._held))
+
+    def close(self) -> None:
+        """Send no more records."""
+        if self._sender is not None:
+            self._sender.cancel()
+
+    def observe(self, listed: versions.Versions) -> None:
+        """Record that control was heard, and the versions of each service.
+
+        Once a service may have streams of several versions, its streams that
+        are under way are told, too.
+        """
+        now = _now()
+        self._history.observe(now, listed)
+        shared = {
+            service
+            for service in self._history.services
+            if self._history.only_version(service, now) is None
+        }
+        newly_shared = shared - self._shared_services
+        self._shared_services = shared
+        if newly_shared:
+            for stream in self._own.live(now):
+                if stream.service in newly_shared:
+                    self._tell(stream)
+
+    def hand_over(self) -> None:
+        """Tell other gateways all that is known here, before the end."""
+        self._is_leaving = True
+        for records in (self._own, self._held):
+            for stream in records.live(_now()):
+                self._tell(stream)
+
+    def record(self, stream: begun_streams.BegunStream) -> None:
+        """Record a stream whose first event is passed on."""
+        now = _now()
+        self._own.add(stream, now)
+        lifetime_s = stream.expires_at - now
+        only_version = self._only_version(stream.service, lifetime_s)
+        if self._is_leaving or only_version is None:
+            self._tell(stream)
+
+    async def find(
+        self, request_id: str, route: routes.Match, deadline: float
+    ) -> Origin:
+        """Return what began the stream that a request takes up.
+
+        :param request_id: id of the request that brought its first event
+        :param deadline: loop time at which the caller gives up
+        :raises errors.StreamUnknown: if it is not known
+        """
+        started_at = _now()
+        services = list(route.route.weights)
+        service = services[0] if len(services) == 1 else ''
+        search = _Search(
+            pb.StreamLookup(request_id=request_id, service=service)
+        )
+        origin = await self._search(search, deadline - started_at)
+        fields: dict[str, typing.Any] = {
+            'began_as': request_id,
+            'route': route.name,
+            'asked': search.asked,
+            'unanswered': search.unanswered,
+            'took_ms': round((_now() - started_at) * 1000, 1),
+        }
+        outcome = 'unknown' if origin is None else 'found'
+        self._metrics.count('streams_taken_up', outcome=outcome)
+        if origin is None:
+            logs.emit(
+                events.STREAM_UNKNOWN,
+                versions=sorted(self._history.versions(service)),
+                **fields,
+            )
+            raise errors.StreamUnknown(
+                f'none of {search.asked} gateways knows the version of the '
+                f'stream that {request_id} began',
+                retry_after=_RETRY_AFTER_S,
+            )
+        logs.emit(
+            events.STREAM_TAKEN_UP,
+            service=origin.service,
+            version=origin.version,
+            known_by=origin.known_by,
+            **fields,
+        )
+        self.record(
+            begun_streams.BegunStream(
+                request_id, origin.service, origin.version, deadline
+            )
+        )
+        return origin
+
+    async def _search(
+        self, search: '_Search', lifetime_s: float
+    ) -> Origin | None:
+        lookup = search.lookup
+        stream = self._find(lookup.request_id)
+        if stream is not None:
+            return Origin(stream.service, stream.version, self._name)
+        only_version = self._only_version(lookup.service, lifetime_s)
+        ranked = self._rank(lookup.request_id)
+        origin = await self._ask(
+            search, ranked[:_FIRST_ASKED], is_one_enough=bool(only_version)
+        )
+        if origin is not None:
+            return origin
+        # Others may have newer lists, but then one of them has a record.
+        is_current = self._history.silence_s(_now()) <= _MAX_SILENCE_S
+        if only_version and (is_current or search.answered):
+            return Origin(lookup.service, only_version, 'list')
+        origin = await self._ask(search, ranked[_FIRST_ASKED:_MAX_ASKED])
+        if origin is not None or lifetime_s > _MAX_STREAM_S:
+            return origin
+        return search.only_origin
+
+    async def _ask(
+        self,
+        search: '_Search',
+        members: list[pb.Member],
+        *,
+        is_one_enough: bool = False,
+    ) -> Origin | None:
+        """Ask gateways at once; return the first record of the stream.
+
+        :param is_one_enough: whether to wait for one answer only
+        """
+        if not members:
+            return None
+        tasks = [
+            asyncio.create_task(self._ask_one(search, member))
+            for member in members
+        ]
+        search.asked += len(tasks)
+        try:
+            async with asyncio.timeout(_ASK_TIMEOUT_S):
+                for task in asyncio.as_completed(tasks):
+                    origin = await task
+                    if origin or (is_one_enough and search.answered):
+                        return origin
+        except TimeoutError:
+            # The line about the whole search has this number.
+            search.unanswered += sum(not task.done() for task in tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None
+
+    async def _ask_one(
+        self, search: '_Search', member: pb.Member
+    ) -> Origin | None:
+        link = self._links.get(member.peer_address)
+        try:
+            found = await link.look_up(search.lookup)
+        except (errors.NotSent, errors.PeerLost):
+            search.unanswered += 1
+            return None
+        search.answered += 1
+        if found.HasField('stream'):
+            stream = found.stream
+            return Origin(stream.service, stream.version, member.router)
+        if found.HasField('only_version'):
+            search.only_origin = Origin(
+                search.lookup.service, found.only_version, member.router
+            )
+        return None
+
+    def _only_version(self, service: str, lifetime_s: float) -> str | None:
+        """Return the only version that can have begun a stream."""
+        if lifetime_s > _MAX_STREAM_S:
+            return None
+        return self._history.only_version(service, _now())
+
+    def _rank(self, request_id: str) -> list[pb.Member]:
+        """Return the other gateways, those that get a record first.
+
+        The first two are of different failure domains, if there are any.
+        """
+        members = {
+            member.router: member
+            for member in self._state.serving_routers
+            if member.router != self._name and member.peer_address
+        }
+        ranked = [
+            members[name]
+            for name in hashing.rank(request_id, members, _MAX_ASKED)
+        ]
+        for index, member in enumerate(ranked):
+            if member.domain != ranked[0].domain:
+                ranked.insert(1, ranked.pop(index))
+                break
+        return ranked
+
+    def _find(self, request_id: str) -> begun_streams.BegunStream | None:
+        now = _now()
+        own = self._own.find(request_id, now)
+        return own or self._held.find(request_id, now)
+
+    def _tell(self, stream: begun_streams.BegunStream) -> None:
+        """Put a stream into the next messages to the gateways for it."""
+        now = _now()
+        ranked = [
+            member
+            for member in self._rank(stream.request_id)
+            if self._paused_until.get(member.router, 0.0) <= now
+        ]
+        for member in ranked[:_COPIES]:
+            self._waiting.setdefault(member.router, []).append(stream)
+        if self._waiting and (self._sender is None or self._sender.done()):
+            self._sender = asyncio.create_task(self._send_waiting())
+
+    async def _send_waiting(self) -> None:
+        while self._waiting:
+            await asyncio.sleep(_BATCH_S)
+            waiting, self._waiting = self._waiting, {}
+            addresses = {
+                member.router: member.peer_address
+                for member in self._state.serving_routers
+            }
+            await asyncio.gather(
+                *(
+                    self._send(name, addresses[name], streams)
+                    for name, streams in waiting.items()
+                    if name in addresses
+                )
+            )
+
+    async def _send(
+        self,
+        gateway: str,
+        address: str,
+        streams: list[begun_streams.BegunStream],
+    ) -> None:
+        """Send records to a gateway; if it is gone, to the next ones."""
+        begun = pb.BegunStreams(streams=map(_encode, streams))
+        try:
+            await self._links.get(address).tell(begun)
+        except errors.NotSent as error:
+            logs.emit(
+                events.STREAMS_NOT_TOLD,
+                peer=gateway,
+                streams=len(streams),
+                detail=error.detail,
+            )
+            self._paused_until[gateway] = _now() + _PAUSE_S
+            for stream in streams:
+                self._tell(stream)
+            return
+        self._metrics.count('streams_told', len(streams))
+        self._metrics.count('stream_messages')
+
+    # -- relay.StreamRecords ---------------------------------------------
+
+    def add(self, begun: pb.BegunStreams) -> None:
+        """Record streams that another gateway told."""
+        now = _now()
+        for stream in begun.streams:
+            self._held.add(
+                begun_streams.BegunStream(
+                    stream.request_id,
+                    stream.service,
+                    stream.version,
+                    now + stream.lifetime_ms / 1000,
+                ),
+                now,
+            )
+
+    def look_up(self, lookup: pb.StreamLookup) -> pb.StreamFound:
+        """Answer another gateway what is known here."""
+        stream = self._find(lookup.request_id)
+        if stream is not None:
+            return pb.StreamFound(stream=_encode(stream))
+        now = _now()
+        version = None
+        if self._history.silence_s(now) <= _MAX_SILENCE_S:
+            version = self._history.only_version(lookup.service, now)
+        return pb.StreamFound(only_version=version)
+
+
+@attrs.define
+class _Search:
+    """The search for a stream.
+
+    :ivar asked: number of gateways that were asked
+    :ivar answered: number of those that answered
+    :ivar unanswered: number of those that did not
+    :ivar only_origin: the only version that another gateway's list has shown
+    """
+
+    lookup: pb.StreamLookup
+    asked: int = 0
+    answered: int = 0
+    unanswered: int = 0
+    only_origin: Origin | None = None
+
+
+def _encode(stream: begun_streams.BegunStream) -> pb.BegunStream:
+    lifetime_s = max(0.0, stream.expires_at - _now())
+    return pb.BegunStream(
+        request_id=stream.request_id,
+        service=stream.service,
+        version=stream.version,
+        lifetime_ms=int(lifetime_s * 1000),
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/honeyport/platform/names.py
+++ b/src/honeyport/platform/names.py
@@ -17,6 +17,7 @@
     prompt_parts='Prompt-Prefix',
     priority='Request-Priority',
     last_event='Last-Event-Id',
+    resumes='Resumes',
     copy_from='Kv-Fetch',
     reserved=(
         'Expected-Version',
--- a/src/honeyport/router/relay.py
+++ b/src/honeyport/router/relay.py
@@ -48,6 +48,16 @@
     credited_bytes: int = 0
 
 
+class StreamRecords(typing.Protocol):
+    """What a router knows about begun streams."""
+
+    def add(self, begun: pb.BegunStreams) -> None:
+        """Record streams of other routers."""
+
+    def look_up(self, lookup: pb.StreamLookup) -> pb.StreamFound:
+        """Return what is known about a stream."""
+
+
 class PeerLink:
     """The client side of the stream to one peer, opened at its first use.
 
@@ -129,6 +139,34 @@
             if not is_ended:
                 box.put(pb.Frame(stream=number, cancel=pb.Cancel()))
 
+    async def tell(self, begun: pb.BegunStreams) -> None:
+        """Tell the peer about begun streams; there is no answer.
+
+        :raises errors.NotSent: if the peer cannot be reached
+        """
+        self._last_used_at = asyncio.get_running_loop().time()
+        box = await self._open()
+        box.put(pb.Frame(begun=begun))
+
+    async def look_up(self, lookup: pb.StreamLookup) -> pb.StreamFound:
+        """Ask the peer about a stream; an older one never answers.
+
+        :raises errors.NotSent: if the peer cannot be reached
+        :raises errors.PeerLost: if the link was lost
+        """
+        self._last_used_at = asyncio.get_running_loop().time()
+        box = await self._open()
+        number = next(self._stream_numbers)
+        stream = self._streams[number] = _ClientStream()
+        box.put(pb.Frame(stream=number, lookup=lookup))
+        try:
+            message = await stream.inbox.get()
+        finally:
+            self._streams.pop(number, None)
+        if message is None:
+            raise errors.PeerLost(f'the stream to {self._address} ended')
+        return message.found
+
     async def _next_frame(self, stream: _ClientStream) -> exchange.Frame:
         message = await stream.inbox.get()
         if message is None:
@@ -188,16 +226,21 @@
 
     :param coalesce_s: delay of each message, to collect more frames
     :param connect_timeout_s: timeout for opening a stream, in seconds
+    :param idle_timeout_s: a link that was not used for longer is closed;
+        ``None`` keeps all
     """
 
     def __init__(
         self,
         coalesce_s: float = _COALESCE_S,
         connect_timeout_s: float = _CONNECT_TIMEOUT_S,
+        idle_timeout_s: float | None = None,
     ) -> None:
         self._coalesce_s = coalesce_s
         self._connect_timeout_s = connect_timeout_s
+        self._idle_timeout_s = idle_timeout_s
         self._links: dict[str, PeerLink] = {}
+        self._closer: asyncio.Task[None] | None = None
 
     def __len__(self) -> int:
         return len(self._links)
@@ -209,17 +252,23 @@
             link = self._links[address] = PeerLink(
                 address, self._coalesce_s, self._connect_timeout_s
             )
+        is_closing = self._closer is not None and not self._closer.done()
+        if self._idle_timeout_s is not None and not is_closing:
+            self._closer = asyncio.create_task(
+                self._close_idle(self._idle_timeout_s)
+            )
         return link
 
-    async def close_idle(self, idle_s: float) -> None:
-        """Close the links that were not used for some seconds."""
-        await self.retain(
-            {
-                address
-                for address, link in self._links.items()
-                if link.idle_s < idle_s
-            }
-        )
+    async def _close_idle(self, idle_timeout_s: float) -> None:
+        while self._links:
+            await asyncio.sleep(idle_timeout_s)
+            await self.retain(
+                {
+                    address
+                    for address, link in self._links.items()
+                    if link.idle_s < idle_timeout_s
+                }
+            )
 
     async def retain(self, addresses: set[str]) -> None:
         """Close the links to all peers but these.
@@ -236,6 +285,8 @@
 
     async def close(self) -> None:
         """Close all links."""
+        if self._closer is not None:
+            self._closer.cancel()
         await self.retain(set())
 
 
@@ -259,11 +310,19 @@
 
     :param serve: runs a call on a backend server
     :param coalesce_s: delay of each message, to collect more frames
+    :param records: answers questions about streams; ``None`` if this router
+        keeps no records
     """
 
-    def __init__(self, serve: Serve, coalesce_s: float = _COALESCE_S) -> None:
+    def __init__(
+        self,
+        serve: Serve,
+        coalesce_s: float = _COALESCE_S,
+        records: StreamRecords | None = None,
+    ) -> None:
         self._serve = serve
         self._coalesce_s = coalesce_s
+        self._records = records
 
     async def Exchange(
         self,
@@ -306,6 +365,13 @@
             )
             streams[number] = _ServerStream(task)
             return
+        if frame_type == 'begun' and self._records is not None:
+            self._records.add(frame.begun)
+            return
+        if frame_type == 'lookup' and self._records is not None:
+            found = self._records.look_up(frame.lookup)
+            box.put(pb.Frame(stream=number, found=found))
+            return
         stream = streams.get(number)
         if stream is None:
             return
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -583,6 +583,27 @@
     'The instances of a service do not announce that they are brittle any '
     'more.',
 )
+STREAM_TAKEN_UP = define(
+    3222,
+    'stream_taken_up',
+    'info',
+    'A caller takes up a stream that another request began; it goes on at the '
+    'software version that began it.',
+)
+STREAM_UNKNOWN = define(
+    3223,
+    'stream_unknown',
+    'warning',
+    'A caller takes up a stream whose software version no gateway knows; the '
+    'request is refused.',
+)
+STREAMS_NOT_TOLD = define(
+    3224,
+    'streams_not_told',
+    'warning',
+    'Another gateway could not be told which software versions began streams; '
+    'the next ones are.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
