Soak: streams that break off, several software versions, callers that resume

Engines of a soak have a software version, which their events name; a fault releases a new one, another makes engines break off each stream, with or without framing. Callers take broken streams up at other gateways. Checked are events of two versions in a stream, incomplete events, and the share of streams that go on beside that of new ones.

--- a/features/promises/soak.feature
+++ b/features/promises/soak.feature
@@ -10,3 +10,4 @@
       | 11   |
       | 13   |
       | 1018 |
+      | 9001 |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -85,8 +85,10 @@
         await site.stop()
     violations = checks.violations(records)
     served = sum(result.status == 200 for result in records.results)
+    went_on = sum(stream.went_on for stream in records.streams)
     print(
         f'seed {seed}: {len(records.results)} requests, {served} served, '
+        f'{went_on} of {len(records.streams)} streams taken up went on, '
         f'{len(records.accepted)} changes, {len(violations)} violations',
         flush=True,
     )
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -9,7 +9,7 @@
 from honeyport.settings import roles
 from soak import records as soak_records
 
-EVENTS = 8  # in a complete stream
+EVENTS = 16  # in a complete stream
 FATAL_BODY = b'what no instance survives'  # crashes an instance
 _EVENT_INTERVAL_S = 0.03
 _SERVICE_TIME_S = 0.03
@@ -26,16 +26,16 @@
     return f'{request_id} by {instance};'.encode() * 20
 
 
-def event_of(request_id: str, number: int) -> bytes:
-    """Return one server-sent event; the last has the data ``end``."""
-    data = 'end' if number == EVENTS else f'{request_id} {number}'
-    return f'id: {number}\ndata: {data}\n\n'.encode()
+def event_of(request_id: str, number: int, version: str) -> bytes:
+    """Return one server-sent event of a software version."""
+    return f'id: {number}\ndata: {request_id} {number} {version}\n\n'.encode()
 
 
 class Instance:
     """An instance behind a relay that can cut and delay its connections.
 
     :param records: receives the arrivals and executions
+    :param version: software version, which its events name
     """
 
     def __init__(
@@ -44,9 +44,11 @@
         service: str,
         records: soak_records.Records,
         rng: random.Random,
+        version: str,
     ) -> None:
         self.name = name
         self.service = service
+        self.version = version
         self.state = 'ready'
         self.failure_mode = ''
         self.retry_after_s = 0.0  # if not 0, rejects all requests with it
@@ -66,7 +68,7 @@
             'service': self.service,
             'address': self.relay.address,
             'zone': 'thu-duc',
-            'version': 'v1',
+            'version': self.version,
             'slots': 64,
             'state': self.state,
             'cold_remaining_ms': 0,
@@ -198,6 +200,8 @@
         slowdown: float,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        is_unframed = self.failure_mode == 'unframed'
+        framing = '' if is_unframed else 'Transfer-Encoding: chunked\r\n'
         writer.write(
             (
                 'HTTP/1.1 200 OK\r\n'
@@ -205,24 +209,27 @@
                 f'Response-Signature: {self.name}.{request_id}\r\n'
                 f'{_SHUTDOWN_HEADER if self.announces_shutdown else ""}'
                 'Content-Type: text/event-stream\r\n'
-                'Transfer-Encoding: chunked\r\n\r\n'
+                f'{framing}\r\n'
             ).encode()
         )
-        cut_event = (
-            self._random.randint(1, EVENTS)
-            if self.failure_mode == 'cut'
-            else 0
-        )
+        cut_event = 0
+        if self.failure_mode in ('cut', 'unframed'):
+            cut_event = self._random.randint(1, EVENTS)
         for number in range(first_event, EVENTS + 1):
-            event = event_of(request_id, number)
+            event = event_of(request_id, number, self.version)
+            size = 5 if number == cut_event else len(event)
+            if is_unframed:
+                writer.write(event[:size])
+            else:
+                writer.write(f'{len(event):x}\r\n'.encode() + event[:size])
             if number == cut_event:
-                writer.write(f'{len(event):x}\r\n'.encode() + event[:5])
                 return False
-            writer.write(f'{len(event):x}\r\n'.encode() + event + b'\r\n')
+            writer.write(b'' if is_unframed else b'\r\n')
             await writer.drain()
             await asyncio.sleep(_EVENT_INTERVAL_S * slowdown)
-        writer.write(b'0\r\n\r\n')
-        return True
+        if not is_unframed:
+            writer.write(b'0\r\n\r\n')
+        return not is_unframed
 
     def _format_response(
         self, request_id: str, status: str, executed: bool
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import re
 
 import attrs
 
@@ -19,6 +20,11 @@
 # Beyond the deadline; covers the longest suspension of a process.
 _RESPONSE_GRACE_S = 6.0
 _RECONNECT_SHARE = 0.2  # of the requests
+# Requests with which a caller takes up one stream.
+_MAX_TAKE_UPS = 3
+_MAX_PAUSE_S = 0.5  # between them
+# Request id, number and software version of an event.
+_EVENT = re.compile(rb'id: \d+\ndata: (\S+) (\d+) (\S+)\n\n')
 _VERSION_KEY_SHARE = 0.2  # of the requests, with the newest version's key
 
 
@@ -82,11 +88,62 @@
         self._streams = None
 
     async def _request(self) -> None:
-        rng = self._site.rng
-        kind = rng.choice(soak_site.KINDS)
-        deadline_ms = rng.choice(_DEADLINES_MS)
-        request_id = f'{kind}-{next(self._request_numbers)}-{deadline_ms}'
+        kind = self._site.rng.choice(soak_site.KINDS)
         key = self._choose_key()
+        request_id, response = await self._send(kind, key, {})
+        if kind == 'chat' and response.status == 200:
+            await self._take_up(request_id, key, response)
+
+    async def _take_up(
+        self, first_id: str, key: str, response: _Response
+    ) -> None:
+        """Take up a broken stream at other gateways, until it is whole."""
+        versions: set[str] = set()
+        last_event = 0
+        loop = asyncio.get_running_loop()
+        for _ in range(_MAX_TAKE_UPS):
+            for _, number, version in _EVENT.findall(response.body):
+                versions.add(version.decode())
+                last_event = int(number)
+            if response.complete or not last_event:
+                return
+            if not await self._connect():
+                continue
+            sent_at = loop.time()
+            # The platform and the faults change it while the request runs.
+            has_instances = self._has_instances(versions)
+            headers = {'Resumes': first_id, 'Last-Event-Id': str(last_event)}
+            node = self._connected_node().name
+            _, response = await self._send('chat', key, headers)
+            self._site.records.streams.append(
+                soak_records.StreamResult(
+                    first_id,
+                    node,
+                    sent_at,
+                    frozenset(versions)
+                    | {
+                        version.decode()
+                        for _, _, version in _EVENT.findall(response.body)
+                    },
+                    response.status == 200
+                    and (response.complete or b'id:' in response.body),
+                    has_instances and self._has_instances(versions),
+                )
+            )
+            pause_s = float(response.headers.get('Retry-After', 0))
+            await asyncio.sleep(min(pause_s, _MAX_PAUSE_S))
+
+    def _has_instances(self, versions: set[str]) -> bool:
+        return all(
+            self._site.count_running(version) > 1 for version in versions
+        )
+
+    async def _send(
+        self, kind: str, key: str, headers: dict[str, str]
+    ) -> tuple[str, _Response]:
+        """Send a request; return its id and the response."""
+        deadline_ms = self._site.rng.choice(_DEADLINES_MS)
+        request_id = f'{kind}-{next(self._request_numbers)}-{deadline_ms}'
         self._site.records.sent_request_ids.add(request_id)
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
@@ -96,7 +153,7 @@
         ):
             async with asyncio.timeout(deadline_ms / 1000 + _RESPONSE_GRACE_S):
                 response = await self._exchange(
-                    kind, request_id, deadline_ms, key
+                    kind, request_id, deadline_ms, key, headers
                 )
         result = soak_records.RequestResult(
             request_id,
@@ -106,7 +163,12 @@
             sent_at,
             loop.time() - sent_at,
             response.status,
-            _find_problem(kind, request_id, response),
+            _find_problem(
+                kind,
+                request_id,
+                response,
+                int(headers.get('Last-Event-Id', 0)),
+            ),
         )
         self._site.records.results.append(result)
         server_closes = (
@@ -114,6 +176,7 @@
         )
         if not response.complete or server_closes:
             self._disconnect()
+        return request_id, response
 
     def _choose_key(self) -> str:
         accepted = self._site.records.accepted
@@ -126,12 +189,20 @@
         return next(node for node in self._site.nodes if node.ip == host)
 
     async def _exchange(
-        self, kind: str, request_id: str, deadline_ms: int, key: str
+        self,
+        kind: str,
+        request_id: str,
+        deadline_ms: int,
+        key: str,
+        headers: dict[str, str],
     ) -> _Response:
         assert self._streams is not None
         reader, writer = self._streams
         prefix = self._site.rng.randrange(8)
         method, body = ('GET', b'') if kind == 'app' else ('POST', b'body')
+        lines = ''.join(
+            f'{name}: {text}\r\n' for name, text in headers.items()
+        )
         writer.write(
             (
                 f'{method} /{kind}/x HTTP/1.1\r\n'
@@ -140,6 +211,7 @@
                 f'Attempt-Id: {request_id}\r\n'
                 f'Deadline-Ms: {deadline_ms}\r\n'
                 f'Prompt-Prefix: a1:500,b{prefix}:300,c{prefix}:20\r\n'
+                f'{lines}'
                 f'Content-Length: {len(body)}\r\n\r\n'
             ).encode()
             + body
@@ -166,8 +238,13 @@
     return _Response(status, headers, body, True)
 
 
-def _find_problem(kind: str, request_id: str, response: _Response) -> str:
-    """Return the defect of a response, or ``''``."""
+def _find_problem(
+    kind: str, request_id: str, response: _Response, last_event: int
+) -> str:
+    """Return the defect of a response, or ``''``.
+
+    :param last_event: number of the last event that the caller had before
+    """
     if not response.status:
         return ''
     signature = response.headers.get('Response-Signature', '')
@@ -181,19 +258,24 @@
             else ''
         )
     if response.status == 200 and kind in ('chat', 'talk'):
-        return _find_stream_problem(request_id, response)
+        return _find_stream_problem(request_id, response, last_event)
     if response.body != backend.body_of(request_id, instance):
         return 'the body differs from the expected body'
     return ''
 
 
-def _find_stream_problem(request_id: str, response: _Response) -> str:
-    numbers = range(1, backend.EVENTS + 1)
-    expected = b''.join(
-        backend.event_of(request_id, number) for number in numbers
-    )
-    if response.complete and response.body != expected:
+def _find_stream_problem(
+    request_id: str, response: _Response, last_event: int
+) -> str:
+    events = _EVENT.findall(response.body)
+    numbers = [int(number) for _, number, _ in events]
+    expected = range(last_event + 1, backend.EVENTS + 1)
+    if response.complete and numbers != list(expected):
         return 'the stream ended normally, but is incomplete'
-    if not expected.startswith(response.body):
+    if numbers != list(expected)[: len(numbers)]:
         return 'events are missing or repeated'
+    if any(owner != request_id.encode() for owner, _, _ in events):
+        return 'events belong to another request'
+    if _EVENT.sub(b'', response.body):
+        return 'the stream has an incomplete event'
     return ''
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,6 +21,9 @@
 _CRASHES_BEFORE_BLOCK = 3  # after which the request has to be refused
 _MAX_EXECUTIONS_AFTER_BLOCK = 3
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+# Fewer streams that were taken up say nothing.
+_MIN_TAKEN_UP = 12
+_MIN_TAKEN_UP_RATIO = 0.5  # of the share of new streams that begin
 _MIN_SERVED_SHARE = 0.9  # of the requests sent after the recovery
 
 Check = collections.abc.Callable[
@@ -52,6 +55,42 @@
             yield f'{result.request_id} ({result.kind}): {result.problem}'
 
 
+@invariant
+def streams_hold_one_version(
+    records: soak_records.Records,
+) -> collections.abc.Iterator[str]:
+    for stream in records.streams:
+        if len(stream.versions) > 1:
+            yield (
+                f'{stream.request_id} has events of versions '
+                f'{sorted(stream.versions)}'
+            )
+
+
+@invariant
+def streams_that_are_taken_up_go_on(
+    records: soak_records.Records,
+) -> collections.abc.Iterator[str]:
+    new = [result for result in records.results if result.kind == 'chat']
+    began = sum(result.status == 200 for result in new)
+    taken_up = [
+        stream.went_on
+        for stream in records.streams
+        if stream.has_instances
+        and not records.is_disturbed(
+            stream.sent_at - _KNOWLEDGE_DELAY_S, stream.sent_at, stream.node
+        )
+    ]
+    if len(taken_up) < _MIN_TAKEN_UP:
+        return
+    share = sum(taken_up) / len(taken_up)
+    if share < _MIN_TAKEN_UP_RATIO * began / len(new):
+        yield (
+            f'{sum(taken_up)} of {len(taken_up)} streams went on; '
+            f'{began} of {len(new)} began'
+        )
+
+
 @invariant
 def non_repeatable_requests_execute_once(
     records: soak_records.Records,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -295,6 +295,11 @@
     instance = rng.choice(ready)
     await site.add_instance(instance.service)
     await _sleep_random(rng, 0.1, 1.0)
+    await _drain(site, instance)
+
+
+async def _drain(site: soak_site.Site, instance: backend.Instance) -> None:
+    """Drain and remove an instance."""
     instance.state = 'draining'
     site.publish_list()
     drain_start = asyncio.get_running_loop().time()
@@ -305,6 +310,45 @@
     await site.remove_instance(instance)
 
 
+@fault_from_seed(9000)
+async def broken_streams(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    rng: random.Random,
+) -> None:
+    """Make some engines break off each stream, with or without framing."""
+    engines = [
+        instance for instance in site.instances if instance.service == 'model'
+    ]
+    chosen = rng.sample(engines, rng.randint(1, len(engines)))
+    for instance in chosen:
+        instance.failure_mode = rng.choice(('cut', 'unframed'))
+    await _sleep_random(rng, 1.0, 5.0)
+    for instance in chosen:
+        instance.failure_mode = ''
+
+
+@fault_from_seed(9000)
+async def release(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    rng: random.Random,
+) -> None:
+    """Add engines of a new software version, then remove older ones."""
+    older = [
+        instance
+        for instance in site.instances
+        if instance.service == 'model' and instance.state == 'ready'
+    ]
+    number = int(site.versions['model'].removeprefix('v')) + 1
+    for _ in range(2):
+        await site.add_instance('model', f'v{number}')
+        await _sleep_random(rng, 0.0, 1.0)
+    await _sleep_random(rng, 0.5, 4.0)
+    for instance in rng.sample(older, rng.randint(0, min(2, len(older)))):
+        await _drain(site, instance)
+
+
 @fault
 async def crash_instance(
     site: soak_site.Site,
--- a/soak/records.py
+++ b/soak/records.py
@@ -50,6 +50,24 @@
     problem: str
 
 
+@attrs.frozen
+class StreamResult:
+    """A stream that broke and that its caller took up with another request.
+
+    :ivar request_id: the request that brought its first event
+    :ivar versions: software versions of its events
+    :ivar went_on: whether the last request brought further events, or its end
+    :ivar has_instances: whether two instances of its version were running
+    """
+
+    request_id: str
+    node: str
+    sent_at: float
+    versions: frozenset[str]
+    went_on: bool
+    has_instances: bool
+
+
 @attrs.frozen
 class AcceptedConfiguration:
     """An acknowledged configuration.
@@ -82,6 +100,7 @@
         self.backoff_windows: list[BackoffWindow] = []
         self.sent_request_ids: set[str] = set()
         self.results: list[RequestResult] = []
+        self.streams: list[StreamResult] = []
         self.accepted: list[AcceptedConfiguration] = []
         self.sent_configurations: dict[int, list[bytes]] = (
             collections.defaultdict(list)
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,6 +1,7 @@
 """The nodes, the instances and the platform's instance list of a soak."""
 
 import asyncio
+import collections
 import pathlib
 import random
 import shutil
@@ -30,6 +31,7 @@
     """Runs the nodes of a soak and the instances behind them.
 
     :ivar core: the nodes that have a disk
+    :ivar versions: software version of the latest instance, by service
     :ivar disk_lost: whether a node has already lost its disk
     :ivar reserved: node names that a fault has reserved
     """
@@ -49,6 +51,7 @@
             for number in range(_DISKLESS_NODES)
         ]
         self.instances: list[backend.Instance] = []
+        self.versions = collections.defaultdict(lambda: 'v1')
         self.disk_lost = False
         self.reserved: dict[str, bool] = {}
         self._last_id = 0
@@ -71,11 +74,22 @@
 
     # -- instances -------------------------------------------------------
 
-    async def add_instance(self, service: str) -> backend.Instance:
-        """Start an instance and add it to the platform's list."""
+    async def add_instance(
+        self, service: str, version: str = ''
+    ) -> backend.Instance:
+        """Start an instance and add it to the platform's list.
+
+        :param version: its software version; by default that of the latest
+            instance of the service
+        """
         self._last_id += 1
+        self.versions[service] = version or self.versions[service]
         instance = backend.Instance(
-            f'i-{service}-{self._last_id}', service, self.records, self.rng
+            f'i-{service}-{self._last_id}',
+            service,
+            self.records,
+            self.rng,
+            self.versions[service],
         )
         await instance.start()
         self.instances.append(instance)
@@ -112,6 +126,18 @@
         }
         await self.request(node, 0, '/app/ending', backend.FATAL_BODY, headers)
 
+    def count_running(self, version: str) -> int:
+        """Return how many instances of engines have a software version."""
+        return sum(
+            instance.service == 'model'
+            and instance.version == version
+            and instance.state == 'ready'
+            and not instance.failure_mode
+            and not instance.retry_after_s
+            and not instance.announces_shutdown
+            for instance in self.instances
+        )
+
     def publish_list(self) -> None:
         """Update the platform's list from the current instances."""
         self.list_entries = [
