At most 64 gateways keep records of streams

With a record at any two of all gateways, each gateway of a large fleet would hold links to nearly all others, or open and close them all the time. The gateways that keep records are chosen by rendezvous hashing, so that few of them change with the fleet; up to 64 gateways all do.

Streams with a time limit of over 20 s (30 before) are told always, so that 20 s of one version are enough for the others.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -140,3 +140,9 @@
     And the instances have the versions v1.1, v1.1, v1.1
     And their callers take them up at g-2
     Then they are refused as not run, and no request arrived
+
+  Scenario: in a large fleet, few gateways keep the records of all streams
+    Given a list of 370 gateways
+    When 500 streams begin at one of them
+    Then at most 64 others are told, each stream two in different failure domains
+    And without 20 of the gateways, most streams are still known to those that are asked first
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -13,9 +13,12 @@
 from features.support import instances
 from features.support import log_capture
 from honeyport import exchange
+from honeyport.gateway import stream_directory
 from honeyport import local
 from honeyport.policy import versions
+from honeyport.router import fleetstate
 from honeyport.router import frames
+from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
 _DOMAINS = ('thu-duc', 'tan-binh', 'binh-chanh')
@@ -346,3 +349,57 @@
 def step_logged_versions(context):
     fields = dict(context.lines)['stream_unknown']
     assert fields['versions'] == ['v1', 'v1.1'], context.lines
+
+
+@behave.given('a list of {count:d} gateways')
+def step_list(context, count):
+    context.state = fleetstate.FleetState()
+    context.directory = stream_directory.StreamDirectory(
+        'g-1', context.state, None, metrics.Metrics()
+    )
+    context.members = [
+        pb.Member(
+            router=f'g-{number}',
+            domain=_DOMAINS[number % len(_DOMAINS)],
+            peer_address=f'127.0.0.1:{number}',
+        )
+        for number in range(1, count + 1)
+    ]
+    context.state.apply_presence(pb.Presence(members=context.members))
+
+
+@behave.when('{count:d} streams begin at one of them')
+def step_begin_at_one(context, count):
+    context.told = {
+        f's-{number}': context.directory._rank(f's-{number}')[:2]
+        for number in range(count)
+    }
+
+
+@behave.then(
+    'at most {most:d} others are told, each stream two in different failure '
+    'domains'
+)
+def step_told(context, most):
+    names = set()
+    for members in context.told.values():
+        first, second = members
+        assert first.domain != second.domain, members
+        names |= {first.router, second.router}
+    assert len(names) <= most and 'g-1' not in names, names
+
+
+@behave.then(
+    'without {count:d} of the gateways, most streams are still known to those '
+    'that are asked first'
+)
+def step_still_known(context, count):
+    context.state.apply_presence(pb.Presence(members=context.members[count:]))
+    known = 0
+    for request_id, told in context.told.items():
+        asked = context.directory._rank(request_id)[:4]
+        known += bool(
+            {member.router for member in told}
+            & {member.router for member in asked}
+        )
+    assert known >= 0.95 * len(context.told), known
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -26,8 +26,10 @@
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
-# Callers with a longer time limit are not covered by the version history.
-_MAX_STREAM_S = 30.0
+# Streams with a longer time limit are always told to other gateways.
+_MAX_STREAM_S = 20.0
+# Gateways that get records. Limits the number of links in a large fleet.
+_MAX_KEEPERS = 64
 # Other gateways that get a record.
 _COPIES = 2
 # Gateways asked first: those with copies, also if the ranking has changed by
@@ -87,6 +89,8 @@
         self._waiting: dict[str, list[begun_streams.BegunStream]] = {}
         self._sender: asyncio.Task[None] | None = None
         self._paused_until: dict[str, float] = {}
+        self._members: list[pb.Member] = []
+        self._keepers: dict[str, pb.Member] = {}
         counters.gauge('streams_recorded', lambda: len(self._own))
         counters.gauge('streams_held', lambda: len(self._held))
 
@@ -266,14 +270,12 @@
 
         The first two are of different failure domains, if there are any.
         """
-        members = {
-            member.router: member
-            for member in self._state.serving_routers
-            if member.router != self._name and member.peer_address
-        }
+        if self._members is not self._state.serving_routers:
+            self._members = self._state.serving_routers
+            self._keepers = self._choose_keepers()
         ranked = [
-            members[name]
-            for name in hashing.rank(request_id, members, _MAX_ASKED)
+            self._keepers[name]
+            for name in hashing.rank(request_id, self._keepers, _MAX_ASKED)
         ]
         for index, member in enumerate(ranked):
             if member.domain != ranked[0].domain:
@@ -286,6 +288,16 @@
         own = self._own.find(request_id, now)
         return own or self._held.find(request_id, now)
 
+    def _choose_keepers(self) -> dict[str, pb.Member]:
+        """Return the other gateways that get records, by name."""
+        members = {
+            member.router: member
+            for member in self._members
+            if member.peer_address
+        }
+        names = hashing.rank('', members, _MAX_KEEPERS)
+        return {name: members[name] for name in names if name != self._name}
+
     def _tell(self, stream: begun_streams.BegunStream) -> None:
         """Put a stream into the next messages to the gateways for it."""
         now = _now()
