--- a/features/steps/whole_stream_steps.py
+++ b/features/steps/whole_stream_steps.py
@@ -100,7 +100,7 @@
 @behave.when('it is split at random places')
 def step_split(context):
     context.random = random.Random(5601)
-    context.cases = [_Case(context) for _ in range(300)]
+    context.cases = [_Case(context) for _ in range(3000)]
 
 
 class _Case:
--- a/src/honeyport/sse.py
+++ b/src/honeyport/sse.py
@@ -8,6 +8,7 @@
 _EVENT_END = re.compile(
     rb'(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))'
 )
+_MAX_END_BYTES = 4
 _ID_FIELD = b'id:'
 _COMMENT = b':'
 
@@ -62,8 +63,10 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the events that are now complete."""
         data = self._partial + chunk
+        # The rest of the partial event has been searched before.
+        start = max(0, len(self._partial) - _MAX_END_BYTES)
         end = 0
-        for match in _EVENT_END.finditer(data):
+        for match in _EVENT_END.finditer(data, start):
             end = match.end()
         self._partial = data[end:]
         complete = data[:end]
