A scenario notices if a forwarded request is forwarded again

The other gateway of the scenario before knew no third one, so that nothing failed with the check of the origin left out. It knows the first one now, and the scenario fails without the check.

--- a/features/gateway/detours.feature
+++ b/features/gateway/detours.feature
@@ -115,6 +115,16 @@
     And its error has "ran" set to False
     And the other gateway forwarded 1 requests
 
+  # Guards against requests that pass from gateway to gateway.
+  Scenario: the other gateway could ask the first one
+    Given a gateway for idempotent requests that reaches no instance, and another one whose instances answer
+    When the other gateway is cut off, too
+    And the other gateway knows the first one
+    And a caller sends a request
+    Then it gets 503, and 0 requests arrived
+    And the other gateway forwarded 1 requests
+    And the other gateway asked nobody
+
   # Guards against a gateway that tries again without end, and serves nobody
   # until its lease is over.
   Scenario: the other gateway cannot be reached
--- a/features/steps/detour_steps.py
+++ b/features/steps/detour_steps.py
@@ -47,10 +47,17 @@
         assert not self.script.arrivals
 
     def list_gateways(self, cut_off=()):
-        """Apply a list of both gateways.
+        """Apply a list of both gateways to the first one.
 
         :param cut_off: services that the other one cannot reach
         """
+        self.gateway.state.apply_presence(self._presence(cut_off))
+
+    def list_at_other(self):
+        """Apply a list of both gateways to the other one."""
+        self.other.gateway.state.apply_presence(self._presence(()))
+
+    def _presence(self, cut_off):
         presence = pb.Presence()
         for gateway in (self, self.other):
             presence.members.add(
@@ -62,7 +69,7 @@
                 peer_address=gateway.peer_address,
                 cut_off=cut_off if gateway is self.other else (),
             )
-        self.gateway.state.apply_presence(presence)
+        return presence
 
     async def stop(self):
         """Stop both gateways."""
@@ -133,6 +140,20 @@
     context.run(_cut_off_other(context.fixture))
 
 
+@behave.when('the other gateway knows the first one')
+def step_other_knows(context):
+    async def list_gateways():
+        context.fixture.list_at_other()
+
+    context.run(list_gateways())
+
+
+@behave.then('the other gateway asked nobody')
+def step_asked_nobody(context):
+    counters = context.fixture.other.counters
+    assert not counters.counter('detours', service='app')
+
+
 @behave.when('the other gateway can no longer be reached')
 def step_other_unreachable(context):
     async def list_gateways():
