--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -210,9 +210,7 @@
         """
         if not request.resumes or match.route.semantics != model.STREAMING:
             return None
-        origin = await self._streams.find(
-            request.resumes, match, request.deadline
-        )
+        origin = await self._streams.find(request, match)
         if origin.service not in match.route.weights:
             raise errors.StreamUnknown(
                 f'the stream began at {origin.service}, which {match.name} no '
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -15,6 +15,7 @@
 import attrs
 
 from honeyport import errors
+from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import routes
 from honeyport.policy import begun_streams
 from honeyport.policy import hashing
@@ -136,24 +137,22 @@
             self._tell(stream)
 
     async def find(
-        self, request_id: str, route: routes.Match, deadline: float
+        self, request: gateway_headers.Request, match: routes.Match
     ) -> Origin:
         """Return what began the stream that a request takes up.
 
-        :param request_id: id of the request that brought its first event
-        :param deadline: loop time at which the caller gives up
         :raises errors.StreamUnknown: if it is not known
         """
         started_at = _now()
-        services = list(route.route.weights)
+        began_as = request.resumes
+        services = list(match.route.weights)
         service = services[0] if len(services) == 1 else ''
-        search = _Search(
-            pb.StreamLookup(request_id=request_id, service=service)
-        )
-        origin = await self._search(search, deadline - started_at)
+        search = _Search(pb.StreamLookup(request_id=began_as, service=service))
+        origin = await self._search(search, request.deadline - started_at)
         fields: dict[str, typing.Any] = {
-            'began_as': request_id,
-            'route': route.name,
+            'request': request.request_id,
+            'began_as': began_as,
+            'route': match.name,
             'asked': search.asked,
             'unanswered': search.unanswered,
             'took_ms': round((_now() - started_at) * 1000, 1),
@@ -168,7 +167,7 @@
             )
             raise errors.StreamUnknown(
                 f'none of {search.asked} gateways knows the version of the '
-                f'stream that {request_id} began',
+                f'stream that {began_as} began',
                 retry_after=_RETRY_AFTER_S,
             )
         logs.emit(
@@ -180,7 +179,7 @@
         )
         self.record(
             begun_streams.BegunStream(
-                request_id, origin.service, origin.version, deadline
+                began_as, origin.service, origin.version, request.deadline
             )
         )
         return origin
