Without control, a gateway does not trust a list that others have replaced

A gateway that did not hear control for 0.6 s went on with a stream by its own list as soon as one other gateway had no record of it. That one need not be one of those with copies, and the list may be out of date.

It waits for all that are asked first now, and its list counts only if none of those that answer has a newer one. What another gateway's list says is accepted only if the own one shows no other version.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -133,6 +133,15 @@
     When a caller takes up a stream that no gateway knows at g-2
     Then the stream goes on
 
+  # Guards against a stream that goes on by a list that is out of date.
+  Scenario: a gateway that does not hear control has an older list than others
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And g-2 does not hear control
+    And the others than g-2 get a list with the versions v1, v1, v1.1
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+
   Scenario: the version that began a stream has no instance left
     Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
     And the instances have the versions v1, v1, v1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -154,11 +154,12 @@
             if fixture is not self.first
         ]
 
-    async def apply_versions(self, names):
+    async def apply_versions(self, names, but=''):
         for instance, version in zip(self.first.instances, names, strict=True):
             instance.version = version
         for fixture in self.gateways.values():
-            fixture.apply_instances()
+            if fixture.name != but:
+                fixture.apply_instances()
 
     async def shorten_history(self):
         """Let the lists have shown one version for the whole window."""
@@ -238,17 +239,30 @@
     context.fleet.list_gateways()
 
 
+@behave.given('the others than {name} get a list with the versions {names}')
+def step_newer_list(context, name, names):
+    context.run(context.fleet.apply_versions(names.split(', '), but=name))
+
+
 @behave.when('{count:d} streams begin at {name} and break')
 def step_begin(context, count, name):
     context.run(_begin(context, count, context.fleet.gateways[name]))
 
 
-async def _begin(context, count, fixture):
+@behave.when(
+    '{count:d} streams without a limit of time begin at {name} and break'
+)
+def step_begin_unlimited(context, count, name):
+    fixture = context.fleet.gateways[name]
+    context.run(_begin(context, count, fixture, float('inf')))
+
+
+async def _begin(context, count, fixture, deadline_ms=5000):
     context.parts = {}
     for number in range(count):
         request_id = f'begun-{number}'
         response = await gateway_steps.send_request(
-            fixture, request_id=request_id
+            fixture, request_id=request_id, deadline_ms=deadline_ms
         )
         assert not response.is_complete and response.body, response
         context.parts[request_id] = [response.body]
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -192,20 +192,34 @@
         if stream is not None:
             return Origin(stream.service, stream.version, self._name)
         only_version = self._only_version(lookup.service, lifetime_s)
+        is_current = self._history.silence_s(_now()) <= _MAX_SILENCE_S
         ranked = self._rank(lookup.request_id)
         origin = await self._ask(
-            search, ranked[:_FIRST_ASKED], is_one_enough=bool(only_version)
+            search,
+            ranked[:_FIRST_ASKED],
+            is_one_enough=is_current and bool(only_version),
         )
         if origin is not None:
             return origin
-        # Others may have newer lists, but then one of them has a record.
-        is_current = self._history.silence_s(_now()) <= _MAX_SILENCE_S
-        if only_version and (is_current or search.answered):
+        # Without control, another gateway must have no newer list.
+        is_latest = (
+            search.answered > 0
+            and search.newest_list <= self._state.instances.number
+        )
+        if only_version and (is_current or is_latest):
             return Origin(lookup.service, only_version, 'list')
         origin = await self._ask(search, ranked[_FIRST_ASKED:_MAX_ASKED])
         if origin is not None or lifetime_s > _MAX_STREAM_S:
             return origin
-        return search.only_origin
+        return self._accept_only_origin(search)
+
+    def _accept_only_origin(self, search: '_Search') -> Origin | None:
+        """Return what another gateway's list says, unless the own differs."""
+        origin = search.only_origin
+        if origin is None:
+            return None
+        own_versions = self._history.versions(origin.service)
+        return origin if own_versions <= {origin.version} else None
 
     async def _ask(
         self,
@@ -249,6 +263,7 @@
             search.unanswered += 1
             return None
         search.answered += 1
+        search.newest_list = max(search.newest_list, found.list_number)
         if found.HasField('stream'):
             stream = found.stream
             return Origin(stream.service, stream.version, member.router)
@@ -368,14 +383,17 @@
 
     def look_up(self, lookup: pb.StreamLookup) -> pb.StreamFound:
         """Answer another gateway what is known here."""
+        list_number = self._state.instances.number
         stream = self._find(lookup.request_id)
         if stream is not None:
-            return pb.StreamFound(stream=_encode(stream))
+            return pb.StreamFound(
+                stream=_encode(stream), list_number=list_number
+            )
         now = _now()
         version = None
         if self._history.silence_s(now) <= _MAX_SILENCE_S:
             version = self._history.only_version(lookup.service, now)
-        return pb.StreamFound(only_version=version)
+        return pb.StreamFound(only_version=version, list_number=list_number)
 
 
 @attrs.define
@@ -385,6 +403,7 @@
     :ivar asked: number of gateways that were asked
     :ivar answered: number of those that answered
     :ivar unanswered: number of those that did not
+    :ivar newest_list: number of the newest list that one of them has
     :ivar only_origin: the only version that another gateway's list has shown
     """
 
@@ -392,6 +411,7 @@
     asked: int = 0
     answered: int = 0
     unanswered: int = 0
+    newest_list: int = 0
     only_origin: Origin | None = None
 
 
