Records of callers without a limit of time can be sent

A caller may name a time limit that is not finite, or larger than the message between gateways holds. Sending such a record failed, and with it all that waited for the same message. A record is kept for ten minutes at most now. The new scenario failed before.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -142,6 +142,14 @@
     When a caller takes up a stream that no gateway knows at g-2
     Then it is refused as not run within 500 ms, with a time to come back
 
+  Scenario: a caller without a limit of time
+    Given a fleet of 5 gateways for streaming resumable requests whose instances stream cut later
+    And the instances have the versions v1, v1, v1.1
+    When 3 streams without a limit of time begin at g-1 and break
+    And g-1 is killed
+    And their callers take them up at g-3
+    Then all streams are whole, each of one version
+
   Scenario: the version that began a stream has no instance left
     Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
     And the instances have the versions v1, v1, v1
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -46,6 +46,8 @@
 _PAUSE_S = 1.0
 # Control silent for longer may have sent newer lists to others.
 _MAX_SILENCE_S = 0.6
+# A record is kept for this time at most.
+_MAX_RECORD_S = 600.0
 # Retry-After of a stream whose version is not known, in seconds.
 _RETRY_AFTER_S = 0.3
 
@@ -130,8 +132,9 @@
     def record(self, stream: begun_streams.BegunStream) -> None:
         """Record a stream whose first event is passed on."""
         now = _now()
+        lifetime_s = min(_MAX_RECORD_S, stream.expires_at - now)
+        stream = attrs.evolve(stream, expires_at=now + lifetime_s)
         self._own.add(stream, now)
-        lifetime_s = stream.expires_at - now
         only_version = self._only_version(stream.service, lifetime_s)
         if self._is_leaving or only_version is None:
             self._tell(stream)
