Copies of records have a module of their own

stream_directory.py told other gateways, asked them and answered them. Which gateways keep copies, and the sending, are in stream_copies.py now; the gateways of the tests in features/support/gateway_fleet.py. No change in what they do.

--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -10,10 +10,11 @@
 import behave
 
 from features.steps import gateway_steps
+from features.support import gateway_fleet
 from features.support import instances
 from features.support import log_capture
 from honeyport import exchange
-from honeyport.gateway import stream_directory
+from honeyport.gateway import stream_copies
 from honeyport import local
 from honeyport.policy import versions
 from honeyport.router import fleetstate
@@ -21,9 +22,6 @@
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
-_DOMAINS = ('thu-duc', 'tan-binh', 'binh-chanh')
-# Stands for the longest time in which a stream is taken up again.
-_WINDOW_S = 0.2
 # Longer than a gateway trusts its list without hearing control.
 _SILENCE_S = 0.8
 # Time for records to arrive at other gateways.
@@ -112,87 +110,11 @@
     return [context.response] if context.response else context.responses
 
 
-class _Fleet:
-    """Gateways that know each other and have the same instances."""
-
-    def __init__(self, count, steps):
-        self.gateways = {
-            f'g-{number}': gateway_steps.GatewayFixture(
-                steps, name=f'g-{number}'
-            )
-            for number in range(1, count + 1)
-        }
-        self.first = self.gateways['g-1']
-        self.script = self.first.script
-        self.stopped = set()
-
-    async def start(self, kind):
-        await self.first.start(kind)
-        for fixture in self._others():
-            fixture.instances = self.first.instances
-            fixture.address_by_instance = self.first.address_by_instance
-            await fixture.gateway.start(fixture.tree)
-            fixture.make_ready(kind)
-        self.list_gateways()
-
-    def list_gateways(self):
-        presence = pb.Presence()
-        for number, fixture in enumerate(self.gateways.values()):
-            presence.members.add(
-                router=fixture.name,
-                domain=_DOMAINS[number % len(_DOMAINS)],
-                address=fixture.address,
-                peer_address=fixture.peer_address,
-            )
-        for fixture in self.gateways.values():
-            fixture.gateway.state.apply_presence(presence)
-
-    def _others(self):
-        return [
-            fixture
-            for fixture in self.gateways.values()
-            if fixture is not self.first
-        ]
-
-    async def apply_versions(self, names, but=''):
-        for instance, version in zip(self.first.instances, names, strict=True):
-            instance.version = version
-        for fixture in self.gateways.values():
-            if fixture.name != but:
-                fixture.apply_instances()
-
-    async def shorten_history(self):
-        """Let the lists have shown one version for the whole window."""
-        for fixture in self.gateways.values():
-            streams = fixture.gateway._streams
-            streams._history = versions.VersionHistory(_WINDOW_S)
-            fixture.gateway.apply_state()
-        await asyncio.sleep(_WINDOW_S)
-        for fixture in self.gateways.values():
-            fixture.gateway.apply_state()
-
-    async def stop_gateway(self, name):
-        self.stopped.add(name)
-        await self.gateways[name].tree.stop()
-
-    async def kill(self, name):
-        """Stop a gateway that can do nothing before its end."""
-        self.gateways[name].gateway._streams.hand_over = lambda: None
-        await self.stop_gateway(name)
-
-    async def stop(self):
-        for name, fixture in self.gateways.items():
-            if name not in self.stopped:
-                await fixture.tree.stop()
-        for instance in self.first.instances:
-            await instance.stop()
-
-
 @behave.given(
     'a fleet of {count:d} gateways for {kind} requests whose instances {steps}'
 )
 def step_fleet(context, count, kind, steps):
-    context.fleet = _Fleet(count, [steps])
+    context.fleet = gateway_fleet.Fleet(count, [steps])
     context.run(context.fleet.start(kind))
     context.to_stop.append(context.fleet.stop)
 
@@ -211,7 +133,7 @@
 @behave.given('{name} has just started')
 def step_just_started(context, name):
     gateway = context.fleet.gateways[name].gateway
-    gateway._streams._history = versions.VersionHistory(_WINDOW_S)
+    gateway._streams._history = versions.VersionHistory(gateway_fleet.WINDOW_S)
 
     async def apply():
         gateway.apply_state()
@@ -368,13 +290,13 @@
 @behave.given('a list of {count:d} gateways')
 def step_list(context, count):
     context.state = fleetstate.FleetState()
-    context.directory = stream_directory.StreamDirectory(
+    context.copies = stream_copies.StreamCopies(
         'g-1', context.state, None, metrics.Metrics()
     )
     context.members = [
         pb.Member(
             router=f'g-{number}',
-            domain=_DOMAINS[number % len(_DOMAINS)],
+            domain=gateway_fleet.DOMAINS[number % len(gateway_fleet.DOMAINS)],
             peer_address=f'127.0.0.1:{number}',
         )
         for number in range(1, count + 1)
@@ -385,7 +307,7 @@
 @behave.when('{count:d} streams begin at one of them')
 def step_begin_at_one(context, count):
     context.told = {
-        f's-{number}': context.directory._rank(f's-{number}')[:2]
+        f's-{number}': context.copies.rank(f's-{number}', 2)
         for number in range(count)
     }
 
@@ -411,7 +333,7 @@
     context.state.apply_presence(pb.Presence(members=context.members[count:]))
     known = 0
     for request_id, told in context.told.items():
-        asked = context.directory._rank(request_id)[:4]
+        asked = context.copies.rank(request_id, 4)
         known += bool(
             {member.router for member in told}
             & {member.router for member in asked}
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -98,7 +98,7 @@
     refusal: errors.HoneyportError | None = None
     attempt_version: str = ''
     stream_version: str | None = None
-    on_begun: 'Callback' = attrs.field(default=lambda exchange: None)
+    on_begun: 'StreamCallback' = attrs.field(default=lambda exchange: None)
     framing: str = ''
     remote_instance_id: str = ''
     waited_s: float = 0.0
@@ -199,7 +199,8 @@
             self.idle_timer.reset()
 
 
-Callback = collections.abc.Callable[[Exchange], None]
+# Called with the exchange of a stream.
+StreamCallback = collections.abc.Callable[[Exchange], None]
 
 
 def _to_ms(seconds: float | None) -> float | None:
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -17,8 +17,8 @@
 from honeyport import errors
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import routes
+from honeyport.gateway import stream_copies
 from honeyport.policy import begun_streams
-from honeyport.policy import hashing
 from honeyport.policy import versions
 from honeyport.router import fleetstate
 from honeyport.router import relay
@@ -29,10 +29,6 @@
 
 # Streams with a longer time limit are always told to other gateways.
 _MAX_STREAM_S = 20.0
-# Gateways that get records. Limits the number of links in a large fleet.
-_MAX_KEEPERS = 64
-# Other gateways that get a record.
-_COPIES = 2
 # Gateways asked first: those with copies, also if the ranking has changed by
 # the one that told them or by one that is gone.
 _FIRST_ASKED = 4
@@ -40,10 +36,6 @@
 _MAX_ASKED = 16
 # Timeout of each of the two rounds of questions.
 _ASK_TIMEOUT_S = 0.12
-# Records for the same gateway are collected for this time.
-_BATCH_S = 0.02
-# A gateway that could not be told gets no records for this time.
-_PAUSE_S = 1.0
 # Control silent for longer may have sent newer lists to others.
 _MAX_SILENCE_S = 0.6
 # A record is kept for this time at most.
@@ -84,23 +76,18 @@
         self._state = state
         self._links = links
         self._metrics = counters
+        self._copies = stream_copies.StreamCopies(name, state, links, counters)
         self._history = versions.VersionHistory(_MAX_STREAM_S)
         self._own = begun_streams.Records()
         self._held = begun_streams.Records()
         self._shared_services: set[str] = set()
         self._is_leaving = False
-        self._waiting: dict[str, list[begun_streams.BegunStream]] = {}
-        self._sender: asyncio.Task[None] | None = None
-        self._paused_until: dict[str, float] = {}
-        self._members: list[pb.Member] = []
-        self._keepers: dict[str, pb.Member] = {}
         counters.gauge('streams_recorded', lambda: len(self._own))
         counters.gauge('streams_held', lambda: len(self._held))
 
     def close(self) -> None:
         """Send no more records."""
-        if self._sender is not None:
-            self._sender.cancel()
+        self._copies.close()
 
     def observe(self, listed: versions.Versions) -> None:
         """Record that control was heard, and the versions of each service.
@@ -118,16 +105,17 @@
         newly_shared = shared - self._shared_services
         self._shared_services = shared
         if newly_shared:
-            for stream in self._own.live(now):
-                if stream.service in newly_shared:
-                    self._tell(stream)
+            self._copies.send(
+                stream
+                for stream in self._own.live(now)
+                if stream.service in newly_shared
+            )
 
     def hand_over(self) -> None:
         """Tell other gateways all that is known here, before the end."""
         self._is_leaving = True
         for records in (self._own, self._held):
-            for stream in records.live(_now()):
-                self._tell(stream)
+            self._copies.send(records.live(_now()))
 
     def record(self, stream: begun_streams.BegunStream) -> None:
         """Record a stream whose first event is passed on."""
@@ -137,7 +125,7 @@
         self._own.add(stream, now)
         only_version = self._only_version(stream.service, lifetime_s)
         if self._is_leaving or only_version is None:
-            self._tell(stream)
+            self._copies.send([stream])
 
     async def find(
         self, request: gateway_headers.Request, match: routes.Match
@@ -196,7 +184,7 @@
             return Origin(stream.service, stream.version, self._name)
         only_version = self._only_version(lookup.service, lifetime_s)
         is_current = self._history.silence_s(_now()) <= _MAX_SILENCE_S
-        ranked = self._rank(lookup.request_id)
+        ranked = self._copies.rank(lookup.request_id, _MAX_ASKED)
         origin = await self._ask(
             search,
             ranked[:_FIRST_ASKED],
@@ -282,107 +270,17 @@
             return None
         return self._history.only_version(service, _now())
 
-    def _rank(self, request_id: str) -> list[pb.Member]:
-        """Return the other gateways, those that get a record first.
-
-        The first two are of different failure domains, if there are any.
-        """
-        if self._members is not self._state.serving_routers:
-            self._members = self._state.serving_routers
-            self._keepers = self._choose_keepers()
-        ranked = [
-            self._keepers[name]
-            for name in hashing.rank(request_id, self._keepers, _MAX_ASKED)
-        ]
-        for index, member in enumerate(ranked):
-            if member.domain != ranked[0].domain:
-                ranked.insert(1, ranked.pop(index))
-                break
-        return ranked
-
     def _find(self, request_id: str) -> begun_streams.BegunStream | None:
         now = _now()
         own = self._own.find(request_id, now)
         return own or self._held.find(request_id, now)
 
-    def _choose_keepers(self) -> dict[str, pb.Member]:
-        """Return the other gateways that get records, by name."""
-        members = {
-            member.router: member
-            for member in self._members
-            if member.peer_address
-        }
-        names = hashing.rank('', members, _MAX_KEEPERS)
-        return {name: members[name] for name in names if name != self._name}
-
-    def _tell(self, stream: begun_streams.BegunStream) -> None:
-        """Put a stream into the next messages to the gateways for it."""
-        now = _now()
-        ranked = [
-            member
-            for member in self._rank(stream.request_id)
-            if self._paused_until.get(member.router, 0.0) <= now
-        ]
-        for member in ranked[:_COPIES]:
-            self._waiting.setdefault(member.router, []).append(stream)
-        if self._waiting and (self._sender is None or self._sender.done()):
-            self._sender = asyncio.create_task(self._send_waiting())
-
-    async def _send_waiting(self) -> None:
-        while self._waiting:
-            await asyncio.sleep(_BATCH_S)
-            waiting, self._waiting = self._waiting, {}
-            addresses = {
-                member.router: member.peer_address
-                for member in self._state.serving_routers
-            }
-            await asyncio.gather(
-                *(
-                    self._send(name, addresses[name], streams)
-                    for name, streams in waiting.items()
-                    if name in addresses
-                )
-            )
-
-    async def _send(
-        self,
-        gateway: str,
-        address: str,
-        streams: list[begun_streams.BegunStream],
-    ) -> None:
-        """Send records to a gateway; if it is gone, to the next ones."""
-        begun = pb.BegunStreams(streams=map(_encode, streams))
-        try:
-            await self._links.get(address).tell(begun)
-        except errors.NotSent as error:
-            logs.emit(
-                events.STREAMS_NOT_TOLD,
-                peer=gateway,
-                streams=len(streams),
-                detail=error.detail,
-            )
-            self._paused_until[gateway] = _now() + _PAUSE_S
-            for stream in streams:
-                self._tell(stream)
-            return
-        self._metrics.count('streams_told', len(streams))
-        self._metrics.count('stream_messages')
-
     # -- relay.StreamRecords ---------------------------------------------
 
     def add(self, begun: pb.BegunStreams) -> None:
         """Record streams that another gateway told."""
-        now = _now()
-        for stream in begun.streams:
-            self._held.add(
-                begun_streams.BegunStream(
-                    stream.request_id,
-                    stream.service,
-                    stream.version,
-                    now + stream.lifetime_ms / 1000,
-                ),
-                now,
-            )
+        for message in begun.streams:
+            self._held.add(stream_copies.decode(message), _now())
 
     def look_up(self, lookup: pb.StreamLookup) -> pb.StreamFound:
         """Answer another gateway what is known here."""
@@ -390,7 +288,7 @@
         stream = self._find(lookup.request_id)
         if stream is not None:
             return pb.StreamFound(
-                stream=_encode(stream), list_number=list_number
+                stream=stream_copies.encode(stream), list_number=list_number
             )
         now = _now()
         version = None
@@ -418,15 +316,5 @@
     only_origin: Origin | None = None
 
 
-def _encode(stream: begun_streams.BegunStream) -> pb.BegunStream:
-    lifetime_s = max(0.0, stream.expires_at - _now())
-    return pb.BegunStream(
-        request_id=stream.request_id,
-        service=stream.service,
-        version=stream.version,
-        lifetime_ms=int(lifetime_s * 1000),
-    )
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
