--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -9,13 +9,17 @@
 from honeyport import errors
 from honeyport.gateway import balancer
 from honeyport.gateway import connectivity
+from honeyport.gateway import crash_guard
 from honeyport.gateway import detours
+from honeyport.gateway import exchange_factory
 from honeyport.gateway import forward
 from honeyport.gateway import forwarded
 from honeyport.gateway import headers as gateway_headers
+from honeyport.gateway import instance_attempts
 from honeyport.gateway import instance_signals
 from honeyport.gateway import lease_gate
 from honeyport.gateway import pool
+from honeyport.gateway import request_log
 from honeyport.gateway import server
 from honeyport.gateway import stream_directory
 from honeyport.policy import addresses
@@ -99,23 +103,7 @@
             self._balancer.confirm_failures,
             counters,
         )
-        self._forwarder = forward.Forwarder(
-            self._state,
-            self._gate,
-            names,
-            self._balancer,
-            self._signals,
-            self._pool,
-            repeats.RetryBudgets(
-                allowance, lambda: len(self._state.serving_routers)
-            ),
-            self._end_detector,
-            self._suspects,
-            self._connectivity,
-            self._detours,
-            self._streams,
-            counters,
-        )
+        self._forwarder = self._create_forwarder(names, allowance)
         self._caller_server = server.CallerServer(self._forwarder, names)
         self._forwarded = forwarded.ForwardedRequests(
             self._forwarder, names, lambda: self._caller_server.refusing
@@ -134,6 +122,41 @@
         self._started_at = float('-inf')
         self._register_gauges(counters)
 
+    def _create_forwarder(
+        self, names: gateway_headers.HeaderNames, allowance: repeats.Allowance
+    ) -> forward.Forwarder:
+        budgets = repeats.RetryBudgets(
+            allowance, lambda: len(self._state.serving_routers)
+        )
+        factory = exchange_factory.ExchangeFactory(
+            self._state, self._gate, budgets, self._streams
+        )
+        guard = crash_guard.CrashGuard(self._end_detector, self._suspects)
+        log = request_log.RequestLog(self._state, self._metrics)
+        attempts = instance_attempts.InstanceAttempts(
+            self._gate,
+            names,
+            self._balancer,
+            self._signals,
+            self._pool,
+            factory,
+            guard,
+            log,
+        )
+        return forward.Forwarder(
+            self._state,
+            self._gate,
+            names,
+            factory,
+            attempts,
+            budgets,
+            guard,
+            self._connectivity,
+            self._detours,
+            log,
+            self._metrics,
+        )
+
     @property
     def state(self) -> fleetstate.FleetState:
         """This instance's view of the fleet."""
--- /dev/null
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -0,0 +1,177 @@
+"""Attempts of a request on instances: choice, connection, outcome."""
+
+import asyncio
+
+from honeyport import errors
+from honeyport.gateway import attempt
+from honeyport.gateway import balancer
+from honeyport.gateway import crash_guard
+from honeyport.gateway import exchange_factory
+from honeyport.gateway import exchanges
+from honeyport.gateway import headers as gateway_headers
+from honeyport.gateway import instance_signals
+from honeyport.gateway import lease_gate
+from honeyport.gateway import pool
+from honeyport.gateway import request_log
+from honeyport.gateway import responses
+from honeyport.policy import placement
+
+_UNAVAILABLE_STATUS = 503
+
+
+class InstanceAttempts:
+    """Sends requests to instances of their service.
+
+    :param gate: admits requests while the lease is valid
+    :param names: header names
+    :param signals: backoffs and departures that instances announced
+    :param factory: checks that the configuration still admits a request
+    :param guard: holds back requests that may crash their instance
+    """
+
+    def __init__(
+        self,
+        gate: lease_gate.LeaseGate,
+        names: gateway_headers.HeaderNames,
+        load_balancer: balancer.Balancer,
+        signals: instance_signals.InstanceSignals,
+        connection_pool: pool.Pool,
+        factory: exchange_factory.ExchangeFactory,
+        guard: crash_guard.CrashGuard,
+        log: request_log.RequestLog,
+    ) -> None:
+        self._gate = gate
+        self._names = names
+        self._balancer = load_balancer
+        self._signals = signals
+        self._pool = connection_pool
+        self._exchanges = factory
+        self._crash_guard = guard
+        self._request_log = log
+
+    def choose(self, exchange: exchanges.Exchange) -> placement.Choice:
+        """Choose an instance.
+
+        :raises errors.NoInstance: if no instance can take it now
+        """
+        return self._balancer.choose(
+            exchange.service,
+            exchange.parts,
+            exchange.tried,
+            exchange.match.regions,
+            exchange.stream_version,
+        )
+
+    async def run(
+        self, exchange: exchanges.Exchange, choice: placement.Choice | None
+    ) -> None:
+        """Send the request to one instance and pass on its response.
+
+        :param choice: ``None`` to choose an instance
+        :raises errors.HoneyportError: if that instance did not answer it
+        """
+        self._exchanges.check_admitted(exchange)
+        exchange.choice = choice or self.choose(exchange)
+        instance = exchange.choice.instance
+        exchange.attempt_version = instance.version
+        with self._balancer.count_in_flight(instance):
+            try:
+                response = await self._send(exchange, instance)
+            except errors.HoneyportError as error:
+                self._handle_failure(exchange, instance, error)
+                raise
+        self._balancer.record_success(instance, exchange.parts)
+        if response.head.is_success:
+            self._crash_guard.record_success(exchange)
+        await responses.write(exchange, response)
+
+    async def _send(
+        self, exchange: exchanges.Exchange, instance: placement.Instance
+    ) -> attempt.Response:
+        """Connect to an instance, send the request and check its response."""
+        exchange.tried.add(instance.id)
+        exchange.offers += 1
+        started_at = asyncio.get_running_loop().time()
+        connection = await self._pool.acquire(instance)
+        exchange.connect_s += asyncio.get_running_loop().time() - started_at
+        is_released = False
+        try:
+            # Checked again after connecting: the lease may have expired, the
+            # instance may have requested a backoff, or the request may have
+            # been barred meanwhile.
+            self._gate.check_lease()
+            self._signals.check_not_in_backoff(instance)
+            if not exchange.has_permit:
+                self._crash_guard.check_not_barred(exchange)
+            exchange.failed_response = None
+            exchange.possible_runs += 1
+            exchange.arrived.append(instance.id)
+            response = await self._attempt(exchange, connection)
+            keep_alive_s = attempt.keep_alive_s(response.head)
+            if keep_alive_s != 0:
+                self._pool.release(connection, keep_alive_s)
+                is_released = True
+        finally:
+            if not is_released:
+                connection.close()
+        return responses.check(exchange, response, self._names)
+
+    async def _attempt(
+        self, exchange: exchanges.Exchange, connection: pool.Connection
+    ) -> attempt.Response:
+        """Return the response of an instance."""
+        headers = exchange.headers(self._names, connection.instance)
+        exchange.sent_at = sent_at = asyncio.get_running_loop().time()
+        single_attempt = attempt.Attempt(
+            connection,
+            self._names,
+            exchange,
+            lambda head: self._observe(connection.instance, head, sent_at),
+        )
+        return await responses.within_silence_timeouts(
+            exchange, lambda: single_attempt.run(exchange.request, headers)
+        )
+
+    def _observe(
+        self, instance: placement.Instance, head: attempt.Head, sent_at: float
+    ) -> None:
+        """Process the head of a response on a connection."""
+        self._signals.observe(instance, head, sent_at)
+        self._balancer.record_answer(
+            instance,
+            gateway_headers.parse_load(head.headers.get(self._names.load, '')),
+            is_rejected=head.status == _UNAVAILABLE_STATUS
+            and self._names.not_run in head.headers,
+        )
+
+    def _handle_failure(
+        self,
+        exchange: exchanges.Exchange,
+        instance: placement.Instance,
+        error: errors.HoneyportError,
+    ) -> None:
+        """Log a failed attempt; avoid the instance if it is at fault."""
+        self._request_log.record_failed_attempt(
+            exchange,
+            error,
+            backend=instance.id,
+            address=instance.address,
+            left_out=self._balancer.count_excluded(
+                exchange.service,
+                exchange.tried,
+                exchange.match.regions,
+                exchange.stream_version,
+            ),
+        )
+        self._crash_guard.record_failure(exchange, error)
+        # Misdirected: another instance has this address and the list is
+        # outdated. Offered again and again, requests would use up the budget.
+        not_connected = isinstance(error, (errors.NotSent, errors.Misdirected))
+        if not_connected or isinstance(error, errors.BackendLost):
+            # A connection that cannot be made may be this gateway's fault.
+            self._balancer.record_failure(
+                instance,
+                error.code,
+                connected=not not_connected,
+                confirmed=not isinstance(error, errors.NotSent),
+            )
--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -88,3 +88,24 @@
         if error is not None:
             fields |= {'code': error.code, 'detail': error.detail}
         logs.emit(event, **fields)
+
+    def record_failed_attempt(
+        self,
+        exchange: exchanges.Exchange,
+        error: errors.HoneyportError,
+        **fields: typing.Any,
+    ) -> None:
+        """Log and count an attempt that failed.
+
+        :param fields: further fields of the line
+        """
+        logs.emit(
+            events.ATTEMPT_FAILED,
+            request=exchange.request.request_id,
+            code=error.code,
+            detail=error.detail,
+            offers=exchange.offers,
+            fingerprint=exchange.fingerprint,
+            **fields,
+        )
+        self._metrics.count('attempts_failed', code=error.code)
