--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -22,6 +22,7 @@
 _BANDWIDTH_MBPS = 1000.0
 _COLD_MULTIPLE = 1.0  # of the rate that a cold instance is designed for
 _COLD_EXTRA = 0.0  # requests in a second
+_UNEVEN_LOAD_CONTRACT = 'pressure'
 _ZONE_PREFIX = 'zones.'  # the field zones.DOMAIN names that domain's region
 # TCP port of the metrics endpoint; `deploy/system.toml` names it, too. All
 # other ports are assigned by the platform and change.
@@ -63,6 +64,8 @@
     :ivar cold_multiple: the multiple of a service's cold rate that a cold
         instance tolerates within one second
     :ivar cold_extra: further requests that it tolerates
+    :ivar uneven_load: whether services with few slots get shared queues, and
+        prompts are balanced by tokens (the platform's ``pressure`` contract)
     """
 
     name: str
@@ -89,6 +92,7 @@
     bandwidth_mbps: float
     cold_multiple: float
     cold_extra: float
+    uneven_load: bool
 
     @property
     def replica_address(self) -> str:
@@ -193,6 +197,8 @@
             bandwidth_mbps=self._number('limits.link_mbps', _BANDWIDTH_MBPS),
             cold_multiple=self._number('bounds.cold_overage', _COLD_MULTIPLE),
             cold_extra=self._number('bounds.cold_tolerance', _COLD_EXTRA),
+            uneven_load=_UNEVEN_LOAD_CONTRACT
+            in self._values.get('contracts', '').split(','),
         )
 
     def _regions(self) -> dict[str, str]:
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -72,6 +72,8 @@
             regions=self._boot_settings.regions,
             cold_multiple=self._boot_settings.cold_multiple,
             cold_extra=self._boot_settings.cold_extra,
+            shared_queues=self._boot_settings.uneven_load,
+            prompt_balancing=self._boot_settings.uneven_load,
         )
 
     async def start(
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -57,6 +57,16 @@
         5.0,
         check=fields.at_least(0),
     )
+    shared_queues: bool = fields.field(
+        'whether requests to a service with fewer slots than gateways wait in '
+        'one queue for all gateways',
+        False,
+    )
+    prompt_balancing: bool = fields.field(
+        'whether prompts are balanced by the tokens that instances have to '
+        'read, and by how slow instances say they are',
+        False,
+    )
     drain_s: float = fields.field(
         'maximum wait for running requests at shutdown, in seconds',
         600.0,
