Shared queues: keepers, exact counts, asks and grants on the links between gateways

A service with fewer slots than gateways has one queue, where the settings ask for it; its keeper grants each slot. Without a keeper that answers, requests are sent at once as before.

Failures of the keeper have no test yet.

--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -376,6 +376,13 @@
     )
 
 
+@register('HP-3213')
+class NoSlot(HoneyportError):
+    status = 503
+    ran = False
+    hint = 'No slot of the service is free in time; it was not run.'
+
+
 @register('HP-3208')
 class WrongMethod(HoneyportError):
     status = 405
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -218,6 +218,7 @@
         tried: collections.abc.Container[str],
         regions: NameSet | None = None,
         version: str | None = None,
+        only: str | None = None,
     ) -> placement.Choice:
         """Choose an instance for a request.
 
@@ -227,9 +228,52 @@
         :param regions: regions in which it may run; ``None`` for any
         :param version: software version that began its stream; ``None`` for
             any
+        :param only: id of the only instance to choose; ``None`` for any
+        :raises errors.NoInstance: if no instance can take it now
+        """
+        candidates, counts = self._find_candidates(
+            service, tried, regions, version, only
+        )
+        if not parts:
+            return placement.choose_by_load(
+                candidates.preferred, counts, self._domain
+            )
+        choice = placement.choose_by_prefix(
+            parts, candidates, counts, self._domain
+        )
+        return self._with_cache_source(service, parts, choice, regions)
+
+    def available_ids(
+        self,
+        service: str,
+        tried: collections.abc.Container[str],
+        regions: NameSet | None = None,
+        version: str | None = None,
+    ) -> frozenset[str]:
+        """Return the ids of the instances that a request may be sent to now.
+
+        The parameters are those of :meth:`choose`.
+
+        :raises errors.NoInstance: if there is none
+        """
+        candidates, _ = self._find_candidates(service, tried, regions, version)
+        return frozenset(instance.id for instance in candidates.preferred)
+
+    def _find_candidates(
+        self,
+        service: str,
+        tried: collections.abc.Container[str],
+        regions: NameSet | None,
+        version: str | None,
+        only: str | None = None,
+    ) -> tuple[placement.Candidates, stale.LoadCounts]:
+        """Return the candidates for a request, and what runs there.
+
         :raises errors.NoInstance: if no instance can take it now
         """
         listed = self._instances_by_service.get(service, ())
+        if only is not None:
+            listed = [instance for instance in listed if instance.id == only]
         peers = self._signals.not_leaving(
             [instance for instance in listed if not instance.leaving]
         )
@@ -266,14 +310,7 @@
                 f'all remaining instances of {service} are cold',
                 retry_after=_ALL_COLD_RETRY_S,
             )
-        if not parts:
-            return placement.choose_by_load(
-                candidates.preferred, counts, self._domain
-            )
-        choice = placement.choose_by_prefix(
-            parts, candidates, counts, self._domain
-        )
-        return self._with_cache_source(service, parts, choice, regions)
+        return candidates, counts
 
     def _load_counts(self, service: str) -> stale.LoadCounts:
         return stale.LoadCounts(
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import uuid
 
 import grpc
 
@@ -19,8 +20,10 @@
 from honeyport.gateway import instance_signals
 from honeyport.gateway import lease_gate
 from honeyport.gateway import pool
+from honeyport.gateway import queue_keeper
 from honeyport.gateway import request_log
 from honeyport.gateway import server
+from honeyport.gateway import slot_queues
 from honeyport.gateway import stream_directory
 from honeyport.policy import addresses
 from honeyport.policy import cold
@@ -103,6 +106,19 @@
             self._balancer.confirm_failures,
             counters,
         )
+        self._queue_keeper = queue_keeper.QueueKeeper(
+            settings.name, self._state, counters
+        )
+        self._slot_queues = slot_queues.SlotQueues(
+            settings.shared_queues,
+            settings.name,
+            uuid.uuid4().hex[:12],
+            self._state,
+            self._queue_keeper,
+            self._open_slots,
+            self._balancer.running,
+            counters,
+        )
         self._forwarder = self._create_forwarder(names, allowance)
         self._caller_server = server.CallerServer(self._forwarder, names)
         self._forwarded = forwarded.ForwardedRequests(
@@ -142,6 +158,7 @@
             factory,
             guard,
             log,
+            self._slot_queues,
         )
         return forward.Forwarder(
             self._state,
@@ -157,6 +174,16 @@
             self._metrics,
         )
 
+    @property
+    def kept_queues(self) -> queue_keeper.QueueKeeper:
+        """The queues that this gateway keeps."""
+        return self._queue_keeper
+
+    @property
+    def shared_queues(self) -> slot_queues.SlotQueues:
+        """The shared queues that requests of this gateway wait in."""
+        return self._slot_queues
+
     @property
     def state(self) -> fleetstate.FleetState:
         """This instance's view of the fleet."""
@@ -274,6 +301,8 @@
     async def _close(self) -> None:
         await self._caller_server.stop()
         self._connectivity.close()
+        self._slot_queues.close()
+        self._queue_keeper.close()
         self._streams.close()
         await self._links.close()
         self._end_detector.close()
@@ -316,17 +345,27 @@
             self._pool.retain(not_leaving_ids)
             self._connectivity.on_list_changed()
             self._update_end_detector()
+        self._slot_queues.apply_state()
         if self._state.instances.number:
             self._streams.observe(self._balancer.versions)
 
     def _register_peer_service(self, server: grpc.aio.Server) -> None:
         rpc.add_PeerServicer_to_server(
             relay.PeerServicer(
-                self._forwarded.answer, coalesce_s=0.0, records=self._streams
+                self._forwarded.answer,
+                coalesce_s=0.0,
+                records=self._streams,
+                open_slots=self._queue_keeper.open,
             ),
             server,
         )
 
+    async def _open_slots(
+        self, member: pb.Member, receive: relay.ReceiveSlots
+    ) -> slot_queues.Streams:
+        """Open the asking side of a link to the keeper of a queue."""
+        return await self._links.get(member.peer_address).open_slots(receive)
+
     def _on_connectivity_changed(self, service: str) -> None:
         self._balancer.forget_failures(service)
         self._session.report_soon()
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -76,6 +76,7 @@
     :ivar has_permit: whether the leader permitted the last attempt
     :ivar sent_at: loop time at which the last attempt was sent
     :ivar waited_s: wait for the lease, in seconds
+    :ivar queued_s: total wait for slots of shared queues, in seconds
     :ivar connect_s: total time spent on connecting, in seconds
     :ivar first_byte_s: time from its arrival to the first byte of a response,
         in seconds
@@ -108,6 +109,7 @@
     has_permit: bool = False
     sent_at: float = 0.0
     waited_s: float = 0.0
+    queued_s: float = 0.0
     connect_s: float = 0.0
     first_byte_s: float | None = None
 
@@ -173,11 +175,14 @@
 
     def timing_fields(self) -> dict[str, typing.Any]:
         """Return the log fields with the timings of the request."""
-        return {
+        fields: dict[str, typing.Any] = {
             'waited_ms': round(self.waited_s * 1000, 1),
             'connect_ms': round(self.connect_s * 1000, 1),
             'first_ms': _to_ms(self.first_byte_s),
         }
+        if self.queued_s:
+            fields['queued_ms'] = round(self.queued_s * 1000, 1)
+        return fields
 
     # -- attempt.Relay ---------------------------------------------------
 
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -14,6 +14,7 @@
 from honeyport.gateway import pool
 from honeyport.gateway import request_log
 from honeyport.gateway import responses
+from honeyport.gateway import slot_queues
 from honeyport.policy import placement
 
 _UNAVAILABLE_STATUS = 503
@@ -27,6 +28,7 @@
     :param signals: backoffs and departures that instances announced
     :param factory: checks that the configuration still admits a request
     :param guard: holds back requests that may crash their instance
+    :param queues: gets slots of services that have a shared queue
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         factory: exchange_factory.ExchangeFactory,
         guard: crash_guard.CrashGuard,
         log: request_log.RequestLog,
+        queues: slot_queues.SlotQueues,
     ) -> None:
         self._gate = gate
         self._names = names
@@ -48,10 +51,14 @@
         self._exchanges = factory
         self._crash_guard = guard
         self._request_log = log
+        self._queues = queues
 
-    def choose(self, exchange: exchanges.Exchange) -> placement.Choice:
+    def choose(
+        self, exchange: exchanges.Exchange, only: str | None = None
+    ) -> placement.Choice:
         """Choose an instance.
 
+        :param only: id of the only instance to choose; ``None`` for any
         :raises errors.NoInstance: if no instance can take it now
         """
         return self._balancer.choose(
@@ -60,8 +67,24 @@
             exchange.tried,
             exchange.match.regions,
             exchange.stream_version,
+            only,
         )
 
+    def _find_allowed(
+        self, exchange: exchanges.Exchange, choice: placement.Choice | None
+    ) -> frozenset[str]:
+        """Return the ids of the instances that it may be sent to now.
+
+        :raises errors.NoInstance: if there is none
+        """
+        available = self._balancer.available_ids(
+            exchange.service,
+            exchange.tried,
+            exchange.match.regions,
+            exchange.stream_version,
+        )
+        return available & {choice.instance.id} if choice else available
+
     async def run(
         self, exchange: exchanges.Exchange, choice: placement.Choice | None
     ) -> None:
@@ -71,6 +94,20 @@
         :raises errors.HoneyportError: if that instance did not answer it
         """
         self._exchanges.check_admitted(exchange)
+        async with self._queues.hold(
+            exchange, lambda: self._find_allowed(exchange, choice)
+        ) as granted:
+            if granted is not None:
+                # Routes and keys may have been removed while it waited.
+                self._exchanges.check_admitted(exchange)
+                choice = self.choose(exchange, granted)
+            response = await self._run_once(exchange, choice)
+        await responses.write(exchange, response)
+
+    async def _run_once(
+        self, exchange: exchanges.Exchange, choice: placement.Choice | None
+    ) -> attempt.Response:
+        """Send the request to one instance and return its response."""
         exchange.choice = choice or self.choose(exchange)
         instance = exchange.choice.instance
         exchange.attempt_version = instance.version
@@ -83,7 +120,7 @@
         self._balancer.record_success(instance, exchange.parts)
         if response.head.is_success:
             self._crash_guard.record_success(exchange)
-        await responses.write(exchange, response)
+        return response
 
     async def _send(
         self, exchange: exchanges.Exchange, instance: placement.Instance
--- a/src/honeyport/router/relay.py
+++ b/src/honeyport/router/relay.py
@@ -29,6 +29,8 @@
 _WINDOW_BYTES = 256 * 1024
 _CREDIT_STEP_BYTES = 64 * 1024  # received between two credit frames
 _CONNECT_TIMEOUT_S = 1.0  # default
+# Frames that gateways send to the keeper of a queue.
+_SLOT_FRAMES = frozenset(('held', 'ask', 'release'))
 
 Serve = typing.Callable[[exchange.Call, str], exchange.Answer]
 Box = outbox.Outbox[pb.Frame]
@@ -43,6 +45,7 @@
     :ivar credited_bytes: payload bytes acknowledged to the peer
     """
 
+    is_idle: typing.ClassVar[bool] = False
     inbox: asyncio.Queue[pb.Frame | None] = attrs.field(factory=asyncio.Queue)
     received_bytes: int = 0
     credited_bytes: int = 0
@@ -58,6 +61,77 @@
         """Return what is known about a stream."""
 
 
+# Called with each frame for a stream number, and with ``None`` after the link
+# was lost.
+ReceiveSlots = collections.abc.Callable[[pb.Frame | None], None]
+SendSlots = collections.abc.Callable[[pb.Frame], None]
+
+
+class SlotLink(typing.Protocol):
+    """The keeper's side of a link to a gateway."""
+
+    def handle(self, frame: pb.Frame) -> None:
+        """Handle a frame about slots."""
+
+    def close(self) -> None:
+        """Record that the link was lost."""
+
+
+# Creates the keeper's side of a link, which sends frames by a callback.
+OpenSlots = collections.abc.Callable[[SendSlots], SlotLink]
+
+
+class SlotStreams:
+    """The asking side of a link to a keeper.
+
+    :param receive: called with each frame for a stream that was opened here
+    """
+
+    def __init__(
+        self, link: 'PeerLink', box: Box, receive: ReceiveSlots
+    ) -> None:
+        self._link = link
+        self._box = box
+        self._receive = receive
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link was lost."""
+        return self._box.closed
+
+    def open(self, *, is_idle: bool = False) -> int:
+        """Return the number of a new stream.
+
+        :param is_idle: whether the link may be closed meanwhile
+        """
+        return self._link.add_stream(
+            _SlotStream(_SlotInbox(self._receive), is_idle)
+        )
+
+    def send(self, frame: pb.Frame) -> None:
+        """Send a frame."""
+        self._box.put(frame)
+
+    def close(self, number: int) -> None:
+        """Receive no more frames of a stream."""
+        self._link.remove_stream(number)
+
+
+@attrs.frozen
+class _SlotInbox:
+    """Passes frames on at once, instead of keeping them."""
+
+    put_nowait: ReceiveSlots
+
+
+@attrs.frozen
+class _SlotStream:
+    """A stream whose frames are passed on."""
+
+    inbox: _SlotInbox
+    is_idle: bool
+
+
 class PeerLink:
     """The client side of the stream to one peer, opened at its first use.
 
@@ -77,7 +151,7 @@
         self._last_used_at = asyncio.get_running_loop().time()
         self._channel = channels.connect(address)
         self._stream_numbers = itertools.count(1)
-        self._streams: dict[int, _ClientStream] = {}
+        self._streams: dict[int, _ClientStream | _SlotStream] = {}
         self._box: Box | None = None
         self._reader: asyncio.Task[None] | None = None
 
@@ -89,7 +163,7 @@
     @property
     def idle_s(self) -> float:
         """Seconds since the last answer ended; 0 while there are any."""
-        if self._streams:
+        if not all(stream.is_idle for stream in self._streams.values()):
             return 0.0
         return asyncio.get_running_loop().time() - self._last_used_at
 
@@ -167,6 +241,27 @@
             raise errors.PeerLost(f'the stream to {self._address} ended')
         return message.found
 
+    async def open_slots(self, receive: ReceiveSlots) -> SlotStreams:
+        """Return the asking side of this link.
+
+        :param receive: called with the frames of its streams
+        :raises errors.NotSent: if the peer cannot be reached
+        """
+        self._last_used_at = asyncio.get_running_loop().time()
+        box = await self._open()
+        return SlotStreams(self, box, receive)
+
+    def add_stream(self, stream: _SlotStream) -> int:
+        """Receive the frames of a new stream; return its number."""
+        number = next(self._stream_numbers)
+        self._streams[number] = stream
+        return number
+
+    def remove_stream(self, number: int) -> None:
+        """Receive no more frames of a stream."""
+        self._streams.pop(number, None)
+        self._last_used_at = asyncio.get_running_loop().time()
+
     async def _next_frame(self, stream: _ClientStream) -> exchange.Frame:
         message = await stream.inbox.get()
         if message is None:
@@ -216,9 +311,10 @@
         finally:
             box.close()
             call.cancel()
-            for stream in self._streams.values():
-                stream.inbox.put_nowait(None)
+            streams = list(self._streams.values())
             self._streams.clear()
+            for stream in streams:
+                stream.inbox.put_nowait(None)
 
 
 class PeerLinks:
@@ -305,6 +401,18 @@
     credit_received: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
+@attrs.define
+class _ServerLink:
+    """The server side of a link.
+
+    :ivar slots: the keeper's side, if the peer asked for slots
+    """
+
+    box: Box
+    streams: dict[int, _ServerStream] = attrs.field(factory=dict)
+    slots: SlotLink | None = None
+
+
 class PeerServicer(rpc.PeerServicer):
     """Serves the calls that peers send to this router.
 
@@ -312,6 +420,8 @@
     :param coalesce_s: delay of each message, to collect more frames
     :param records: answers questions about streams; ``None`` if this router
         keeps no records
+    :param open_slots: opens the keeper's side of a link; ``None`` if this
+        router keeps no queues
     """
 
     def __init__(
@@ -319,10 +429,12 @@
         serve: Serve,
         coalesce_s: float = _COALESCE_S,
         records: StreamRecords | None = None,
+        open_slots: OpenSlots | None = None,
     ) -> None:
         self._serve = serve
         self._coalesce_s = coalesce_s
         self._records = records
+        self._open_slots = open_slots
 
     async def Exchange(
         self,
@@ -330,35 +442,34 @@
         context: grpc.aio.ServicerContext,
     ) -> collections.abc.AsyncIterator[pb.FrameBatch]:
         box: Box = outbox.Outbox(self._coalesce_s)
-        streams: dict[int, _ServerStream] = {}
-        reader = asyncio.create_task(
-            self._read(request_iterator, box, streams)
-        )
+        link = _ServerLink(box)
+        reader = asyncio.create_task(self._read(request_iterator, link))
         try:
             while batch := await box.take():
                 yield pb.FrameBatch(frames=batch)
         finally:
             reader.cancel()
-            for stream in list(streams.values()):
+            for stream in list(link.streams.values()):
                 stream.task.cancel()
+            if link.slots is not None:
+                link.slots.close()
 
     async def _read(
         self,
         batches: collections.abc.AsyncIterator[pb.FrameBatch],
-        box: Box,
-        streams: dict[int, _ServerStream],
+        link: _ServerLink,
     ) -> None:
         with contextlib.suppress(grpc.RpcError):
             async for batch in batches:
                 for frame in batch.frames:
-                    self._handle_frame(frame, box, streams)
-        box.close()
+                    self._handle_frame(frame, link)
+        link.box.close()
 
-    def _handle_frame(
-        self, frame: pb.Frame, box: Box, streams: dict[int, _ServerStream]
-    ) -> None:
+    def _handle_frame(self, frame: pb.Frame, link: _ServerLink) -> None:
         frame_type = frame.WhichOneof('body')
         number = frame.stream
+        box = link.box
+        streams = link.streams
         if frame_type == 'open':
             task = asyncio.create_task(
                 self._answer(number, frame.open, box, streams)
@@ -372,6 +483,9 @@
             found = self._records.look_up(frame.lookup)
             box.put(pb.Frame(stream=number, found=found))
             return
+        if frame_type in _SLOT_FRAMES:
+            self._handle_slot_frame(frame, link)
+            return
         stream = streams.get(number)
         if stream is None:
             return
@@ -381,6 +495,13 @@
             stream.credited_bytes = frame.credit.length
             stream.credit_received.set()
 
+    def _handle_slot_frame(self, frame: pb.Frame, link: _ServerLink) -> None:
+        if self._open_slots is None:
+            return
+        if link.slots is None:
+            link.slots = self._open_slots(link.box.put)
+        link.slots.handle(frame)
+
     async def _answer(
         self,
         number: int,
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -634,6 +634,46 @@
     'Another gateway could not be told which software versions began streams; '
     'the next ones are.',
 )
+QUEUE_KEPT = define(
+    3230,
+    'queue_kept',
+    'info',
+    'This gateway begins to grant the slots of a service to all gateways.',
+)
+QUEUE_LEFT = define(
+    3231,
+    'queue_left',
+    'info',
+    'This gateway grants the slots of a service no longer; requests that '
+    'waited here are sent at once.',
+)
+KEEPER_ANSWERS = define(
+    3232,
+    'keeper_answers',
+    'info',
+    'The keeper of the queue of a service answers; requests ask it for slots.',
+)
+KEEPER_SILENT = define(
+    3233,
+    'keeper_silent',
+    'warning',
+    'The keeper of the queue of a service does not answer; requests are sent '
+    'at once until it does.',
+)
+SLOT_HOLDER_LOST = define(
+    3234,
+    'slot_holder_lost',
+    'warning',
+    'The link to a gateway that holds slots was lost; they count as in use '
+    'until their deadlines.',
+)
+SLOT_REFUSED = define(
+    3235,
+    'slot_refused',
+    'info',
+    'A request got no slot; the line has the reason, the forecast and the '
+    'wait.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
