--- a/src/honeyport/policy/wait_queue.py
+++ b/src/honeyport/policy/wait_queue.py
@@ -3,13 +3,44 @@
 Answers the load of a service whose gateways outnumber its slots: a gateway
 that decides alone can neither know which slots are free nor which request is
 the most urgent. One queue for all gateways does.
+
+There are two lanes. Requests that likely meet their objective are in the
+first; the others get what it leaves. A request that likely is not served in
+time is refused at once, also if that turns out only while it waits.
 """
 
-import collections
+import bisect
 import collections.abc
+import itertools
+import math
 
 import attrs
 
+from honeyport.policy import fair_order
+from honeyport.policy import return_times
+from honeyport.policy import slot_forecast
+
+# The part of the slots that is kept for the second lane if anyone waits
+# there. Returns are planned for it, so that a planned return finds room.
+_SECOND_LANE_SHARE = 0.05
+# A request enters the second lane only if its forecast wait is within this
+# share of the time that its caller has left. A caller that has already missed
+# its objective is better off with a refusal than with a long wait.
+_SECOND_LANE_WAIT_SHARE = 0.3
+# The longest wait, in seconds, also for callers without a deadline.
+_MAX_WAIT_S = 30.0
+# The most requests that wait; a bound of the memory.
+_MAX_WAITING = 10_000
+# Time from a slot that gets free to the instance, in seconds.
+_TRAVEL_S = 0.005
+# A waiting request's forecast may be worse by this than its limit before it
+# loses its place, in seconds. Single slow requests come and go.
+_TOLERANCE_S = 0.01
+# Shortest time between two checks of the waiting requests, in seconds.
+_CHECK_PERIOD_S = 0.005
+# Reasons of refusals after which room is likely soon.
+_TEMPORARY = frozenset(('forecast', 'full', 'overtaken'))
+
 
 @attrs.frozen
 class Key:
@@ -104,49 +135,349 @@
 ]
 
 
+@attrs.define(eq=False)
+class _Entry:
+    """A request in a lane.
+
+    :ivar turn: its sort key in the lane
+    :ivar lag_s: how long later requests of the first lane go before
+    :ivar limit_at: until when it must end to keep its place in the first lane
+    :ivar admitted_at: when it was added to its lane
+    :ivar plain_s: its forecast at that time, without the correction
+    :ivar forecast_s: its forecast at that time
+    """
+
+    waiting: Waiting
+    turn: tuple[bool, float, int]
+    lag_s: float
+    limit_at: float
+    admitted_at: float
+    is_late: bool = False
+    plain_s: float = 0.0
+    forecast_s: float = 0.0
+
+
+class _Lane:
+    """Requests in the order of their turns."""
+
+    def __init__(self) -> None:
+        self._entries: list[_Entry] = []
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __iter__(self) -> collections.abc.Iterator[_Entry]:
+        return iter(self._entries)
+
+    def index(self, turn: tuple[bool, float, int]) -> int:
+        """Return how many requests have an earlier turn."""
+        return bisect.bisect_left(self._entries, turn, key=_turn)
+
+    def add(self, entry: _Entry) -> None:
+        self._entries.insert(self.index(entry.turn), entry)
+
+    def remove(self, entry: _Entry) -> None:
+        del self._entries[self.index(entry.turn)]
+
+
 class WaitQueue:
     """The requests that wait for a slot of one service."""
 
     def __init__(self) -> None:
-        self._waiting: collections.OrderedDict[Key, Waiting] = (
-            collections.OrderedDict()
-        )
+        self._entries: dict[Key, _Entry] = {}
+        self._first = _Lane()
+        self._second = _Lane()
+        self._numbers = itertools.count()
+        self._order = fair_order.FairOrder()
+        self._forecast = slot_forecast.SlotForecast()
+        self._returns = return_times.ReturnTimes()
+        self._second_lane_credit = 0.0
+        self._checked_at = -math.inf
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._entries)
+
+    @property
+    def late_count(self) -> int:
+        """How many requests wait in the second lane."""
+        return len(self._second)
+
+    @property
+    def returns_count(self) -> int:
+        """How many refused callers are expected back."""
+        return len(self._returns)
+
+    @property
+    def forecast_error_s(self) -> float:
+        """Mean absolute error of the recent forecasts, in seconds."""
+        return self._forecast.error_s
+
+    @property
+    def forecast_correction(self) -> float:
+        """The factor by which forecasts are corrected."""
+        return self._forecast.correction
 
     def offer(
         self, waiting: Waiting, room: Room, now: float
     ) -> Admission | Refusal:
         """Add a request, or refuse it if it cannot be served in time."""
-        self._waiting[waiting.key] = waiting
-        place = len(self._waiting)
-        free = max(0, room.slots - room.taken)
-        behind = max(0, place - free)
-        forecast_s = behind * room.mean_held_s / max(1, room.slots)
-        return Admission(place=place, forecast_s=forecast_s)
+        known = self._entries.get(waiting.key)
+        if known is not None:
+            return self._admission(known)
+        waiting = _bound(waiting, now)
+        self._order.record_ask(waiting.account, waiting.route, now)
+        owed = self._returns.claim(waiting.fingerprint, now)
+        if owed is not None:
+            # The objective is that of the first request, not of its return.
+            waiting = attrs.evolve(
+                waiting,
+                objective_at=min(waiting.objective_at, owed.objective_at),
+            )
+        entry = self._entry(waiting, owed is not None, now)
+        reason = self._admit(entry, room, now)
+        if reason:
+            return self._refusal(entry, reason, room, now)
+        turn_s = room.mean_held_s / max(1, room.slots)
+        self._order.charge(waiting.account, turn_s, now)
+        return self._admission(entry)
 
     def take(self, find_free: FindFree, now: float) -> Grant | None:
         """Remove and return the next request for which a slot is free."""
-        for key, waiting in self._waiting.items():
-            instance = find_free(waiting.allowed)
+        tried: set[frozenset[str]] = set()
+        for entry in self._in_order():
+            allowed = entry.waiting.allowed
+            if allowed in tried:
+                continue
+            instance = find_free(allowed)
             if instance is not None:
-                del self._waiting[key]
-                return Grant(waiting, instance)
+                self._record_grant(entry, now)
+                return Grant(entry.waiting, instance)
+            tried.add(allowed)
         return None
 
     def refuse_hopeless(self, room: Room, now: float) -> list[Refusal]:
-        """Remove and return the requests that will not be served in time."""
-        return []
+        """Remove and return the requests that will not be served in time.
+
+        Requests that will miss their objective only are moved to the second
+        lane, if they likely are served there.
+        """
+        if 0.0 <= now - self._checked_at < _CHECK_PERIOD_S:
+            return []
+        self._checked_at = now
+        hopeless = self._move_late(room, now)
+        hopeless += self._find_unreachable(room, now)
+        for entry in hopeless:
+            del self._entries[entry.waiting.key]
+        return [
+            self._refusal(entry, 'overtaken', room, now) for entry in hopeless
+        ]
 
     def remove(self, key: Key) -> Waiting | None:
         """Remove a request whose caller or gateway is gone, if it waits."""
-        return self._waiting.pop(key, None)
+        entry = self._entries.get(key)
+        if entry is None:
+            return None
+        self._drop(entry)
+        return entry.waiting
 
     def remove_gateway(self, gateway: str) -> list[Waiting]:
         """Remove all requests of a gateway."""
-        removed = [key for key in self._waiting if key.gateway == gateway]
-        return [self._waiting.pop(key) for key in removed]
+        removed = [
+            entry
+            for key, entry in self._entries.items()
+            if key.gateway == gateway
+        ]
+        for entry in removed:
+            self._drop(entry)
+        return [entry.waiting for entry in removed]
 
     def record_end(self, waiting: Waiting, held_s: float, now: float) -> None:
         """Record that a request released its slot, held for some seconds."""
+        self._forecast.record_held(waiting.route, held_s)
+
+    def _entry(self, waiting: Waiting, is_owed: bool, now: float) -> _Entry:
+        lag_s = 0.0
+        if not is_owed:
+            lag_s = self._order.lag_s(
+                waiting.account, waiting.route, waiting.priority, now
+            )
+        limit_at = waiting.objective_at
+        if self._order.is_protected(waiting.route, now):
+            limit_at = waiting.deadline_at
+        turn = (not is_owed, now + lag_s, next(self._numbers))
+        return _Entry(waiting, turn, lag_s, limit_at, now)
+
+    def _admit(self, entry: _Entry, room: Room, now: float) -> str:
+        """Add a request to a lane, or return the reason why not."""
+        waiting = entry.waiting
+        run_s = self._run_s(entry, room)
+        if not waiting.allowed:
+            return 'no_instance'
+        if not now + run_s <= waiting.deadline_at:
+            return 'deadline'
+        if len(self._entries) >= _MAX_WAITING:
+            return 'full'
+        ahead = self._first.index(entry.turn)
+        entry.plain_s = self._plain_wait_s(entry, ahead, room, now)
+        entry.forecast_s = entry.plain_s * self._forecast.correction
+        if now + entry.forecast_s + run_s <= entry.limit_at:
+            self._first.add(entry)
+            self._forecast.record_first_lane(now)
+        elif not self._try_second_lane(entry, room, now):
+            return 'forecast'
+        self._entries[waiting.key] = entry
+        return ''
+
+    def _try_second_lane(self, entry: _Entry, room: Room, now: float) -> bool:
+        """Add a request to the second lane if it is soon served there."""
+        entry.is_late = True
+        entry.lag_s = math.inf
+        entry.admitted_at = now
+        ahead = len(self._first) + self._second.index(entry.turn)
+        entry.plain_s = self._plain_wait_s(entry, ahead, room, now)
+        entry.forecast_s = entry.plain_s * self._forecast.correction
+        left_s = entry.waiting.deadline_at - now
+        longest_s = min(
+            left_s * _SECOND_LANE_WAIT_SHARE,
+            left_s - self._run_s(entry, room),
+        )
+        if entry.forecast_s > longest_s:
+            return False
+        self._second.add(entry)
+        return True
+
+    def _move_late(self, room: Room, now: float) -> list[_Entry]:
+        """Move late requests to the second lane; return the hopeless."""
+        late: list[_Entry] = []
+        for place, entry in enumerate(self._first):
+            wait_s = self._wait_s(entry, place - len(late), room, now)
+            run_s = self._run_s(entry, room)
+            if now + wait_s + run_s > entry.limit_at + _TOLERANCE_S:
+                late.append(entry)
+        for entry in late:
+            self._first.remove(entry)
+        return [
+            entry
+            for entry in late
+            if not self._try_second_lane(entry, room, now)
+        ]
+
+    def _find_unreachable(self, room: Room, now: float) -> list[_Entry]:
+        """Remove and return the requests that miss their deadline."""
+        unreachable: list[_Entry] = []
+        for place, entry in enumerate(self._second):
+            ahead = len(self._first) + place - len(unreachable)
+            wait_s = self._wait_s(entry, ahead, room, now)
+            end_at = now + wait_s + self._run_s(entry, room)
+            if end_at > entry.waiting.deadline_at + _TOLERANCE_S:
+                unreachable.append(entry)
+        for entry in unreachable:
+            self._second.remove(entry)
+        return unreachable
+
+    def _in_order(self) -> collections.abc.Iterator[_Entry]:
+        """Return the waiting requests, the next one first."""
+        if self._second_lane_credit >= 1.0:
+            return itertools.chain(self._second, self._first)
+        return itertools.chain(self._first, self._second)
+
+    def _record_grant(self, entry: _Entry, now: float) -> None:
+        self._drop(entry)
+        if entry.is_late:
+            self._second_lane_credit = 0.0
+        elif len(self._second):
+            self._second_lane_credit += _SECOND_LANE_SHARE
+        self._order.record_grant(entry.waiting.route, now)
+        self._forecast.record_wait(
+            entry.plain_s, entry.forecast_s, now - entry.admitted_at
+        )
+
+    def _drop(self, entry: _Entry) -> None:
+        del self._entries[entry.waiting.key]
+        lane = self._second if entry.is_late else self._first
+        lane.remove(entry)
+
+    def _refusal(
+        self, entry: _Entry, reason: str, room: Room, now: float
+    ) -> Refusal:
+        waiting = entry.waiting
+        back_s = None
+        if reason in _TEMPORARY:
+            back_s = self._plan_return(entry, room, now)
+        return Refusal(
+            key=waiting.key,
+            reason=reason,
+            back_s=back_s,
+            forecast_s=entry.forecast_s,
+        )
+
+    def _plan_return(
+        self, entry: _Entry, room: Room, now: float
+    ) -> float | None:
+        """Return when a refused caller should come back, in seconds."""
+        waiting = entry.waiting
+        if room.slots <= 0:
+            return None
+        room_s = self._forecast.wait_s(
+            len(self._entries), room, math.inf, 1.0 - _SECOND_LANE_SHARE, now
+        )
+        interval_s = self._forecast.interval_s(
+            room, 1.0 - _SECOND_LANE_SHARE, now
+        )
+        return self._returns.plan(
+            waiting.fingerprint,
+            room_s=room_s,
+            interval_s=interval_s,
+            held_s=self._run_s(entry, room),
+            objective_at=waiting.objective_at,
+            deadline_at=waiting.deadline_at,
+            now=now,
+        )
+
+    def _run_s(self, entry: _Entry, room: Room) -> float:
+        """Return the time from a free slot to the end of a request."""
+        return self._forecast.held_s(entry.waiting.route, room) + _TRAVEL_S
+
+    def _wait_s(
+        self, entry: _Entry, ahead: int, room: Room, now: float
+    ) -> float:
+        plain_s = self._plain_wait_s(entry, ahead, room, now)
+        return plain_s * self._forecast.correction
+
+    def _plain_wait_s(
+        self, entry: _Entry, ahead: int, room: Room, now: float
+    ) -> float:
+        """Return the wait of a request with so many ahead, in seconds."""
+        lag_s = max(0.0, entry.lag_s - (now - entry.admitted_at))
+        return self._forecast.plain_wait_s(
+            ahead, room, lag_s, 1.0 - _SECOND_LANE_SHARE, now
+        )
+
+    def _admission(self, entry: _Entry) -> Admission:
+        place = 1
+        if entry.is_late:
+            place += len(self._first) + self._second.index(entry.turn)
+        else:
+            place += self._first.index(entry.turn)
+        return Admission(place=place, forecast_s=entry.forecast_s)
+
+
+def _turn(entry: _Entry) -> tuple[bool, float, int]:
+    return entry.turn
+
+
+def _bound(waiting: Waiting, now: float) -> Waiting:
+    """Return a request with usable times.
+
+    A time that is not a number counts as past.
+    """
+    deadline_at = min(_number(waiting.deadline_at), now + _MAX_WAIT_S)
+    return attrs.evolve(
+        waiting,
+        deadline_at=deadline_at,
+        objective_at=min(_number(waiting.objective_at), deadline_at),
+    )
+
+
+def _number(at: float) -> float:
+    return -math.inf if math.isnan(at) else at
