--- a/src/honeyport/policy/fair_order.py
+++ b/src/honeyport/policy/fair_order.py
@@ -32,6 +32,8 @@
 _PROTECTED_SHARE = 0.75
 # Requests within the window until a share counts.
 _ENOUGH_REQUESTS = 5.0
+# Weight of each new lag in the mean lag.
+_LAG_WEIGHT = 0.05
 # Bound of the accounts and routes that are remembered.
 _MAX_FLOWS = 10_000
 
@@ -53,8 +55,14 @@
         self._granted: dict[str, rates.DecayingRate] = {}
         self._all_asked = rates.DecayingRate(_ROUTE_WINDOW_S)
         self._all_granted = rates.DecayingRate(_ROUTE_WINDOW_S)
+        self._mean_lag_s = 0.0
         self._pruned_at = -math.inf
 
+    @property
+    def mean_lag_s(self) -> float:
+        """Mean lag of the requests that were admitted recently."""
+        return self._mean_lag_s
+
     def record_ask(self, account: str, route: str, now: float) -> None:
         """Record that a request asks for a slot."""
         self._prune(now)
@@ -89,11 +97,15 @@
             urgency_s = _LAG_PER_PRIORITY_S * _usable_priority(priority)
         return urgency_s + self._debt_s(account, now)
 
-    def charge(self, account: str, turn_s: float, now: float) -> None:
+    def charge(
+        self, account: str, lag_s: float, turn_s: float, now: float
+    ) -> None:
         """Charge an account for a request that was admitted.
 
+        :param lag_s: the request's lag
         :param turn_s: the mean time between two slots that get free
         """
+        self._mean_lag_s += _LAG_WEIGHT * (lag_s - self._mean_lag_s)
         known = self._accounts.get(account)
         if known is None or not math.isfinite(turn_s):
             return
--- a/src/honeyport/policy/slot_forecast.py
+++ b/src/honeyport/policy/slot_forecast.py
@@ -20,7 +20,7 @@
 # How many durations of a route are needed until they alone count.
 _ENOUGH_ENDS = 20
 # Weight of each new wait in the correction.
-_WAIT_WEIGHT = 0.02
+_WAIT_WEIGHT = 0.005
 # The correction is bounded: an outage must not make the service look useless
 # or endless once it is over.
 _MIN_CORRECTION = 0.5
@@ -54,22 +54,22 @@
         return self._error_s
 
     def wait_s(
-        self, ahead: int, room, lag_s: float, max_load: float, now: float
+        self, ahead: int, room, overtaken_s: float, max_load: float, now: float
     ) -> float:
         """Return the likely wait for a slot, in seconds; may be ``inf``.
 
         :param ahead: how many waiting requests get a slot before
         :param room: the slots of the service now
         :type room: :class:`honeyport.policy.wait_queue.Room`
-        :param lag_s: how long later requests of the first lane go before
+        :param overtaken_s: how long others of the first lane go before
         :param max_load: the largest share of the slots that these can take
         """
         return self.correction * self.plain_wait_s(
-            ahead, room, lag_s, max_load, now
+            ahead, room, overtaken_s, max_load, now
         )
 
     def plain_wait_s(
-        self, ahead: int, room, lag_s: float, max_load: float, now: float
+        self, ahead: int, room, overtaken_s: float, max_load: float, now: float
     ) -> float:
         """Return the forecast of :meth:`wait_s` without its correction."""
         behind = ahead + 1 - max(0, room.slots - room.taken)
@@ -80,9 +80,9 @@
         turn_s = _usable(room.mean_held_s) / room.slots
         queued_s = behind * turn_s
         load = min(max_load, self._first_lane.per_second(now) * turn_s)
-        if load < 1.0 and queued_s / (1.0 - load) <= lag_s:
+        if load < 1.0 and queued_s / (1.0 - load) <= overtaken_s:
             return queued_s / (1.0 - load)
-        return queued_s + load * lag_s if load else queued_s
+        return queued_s + load * overtaken_s if load else queued_s
 
     def interval_s(self, room, max_load: float, now: float) -> float:
         """Return the time between two slots that the first lane leaves.
@@ -107,6 +107,14 @@
         known = min(1.0, mean.count / _ENOUGH_ENDS)
         return known * mean.value + (1.0 - known) * usual_s
 
+    def spread_s(self, route: str) -> float:
+        """Return the mean deviation of the durations of a route.
+
+        :returns: in seconds
+        """
+        mean = self._held.get(route)
+        return 0.0 if mean is None else mean.deviation
+
     def record_first_lane(self, now: float) -> None:
         """Record a request that was added to the first lane."""
         self._first_lane.record(now)
@@ -146,15 +154,18 @@
 
 
 class _Mean:
-    """A moving mean of durations, in seconds."""
+    """A moving mean of durations and of their deviations, in seconds."""
 
     def __init__(self) -> None:
         self.value = 0.0
+        self.deviation = 0.0
         self.count = 0
 
     def record(self, value: float) -> None:
         self.count += 1
         weight = max(_HELD_WEIGHT, 1.0 / self.count)
+        deviation = abs(value - self.value) if self.count > 1 else 0.0
+        self.deviation += weight * (deviation - self.deviation)
         self.value += weight * (value - self.value)
 
 
--- a/src/honeyport/policy/wait_queue.py
+++ b/src/honeyport/policy/wait_queue.py
@@ -22,7 +22,7 @@
 
 # The part of the slots that is kept for the second lane if anyone waits
 # there. Returns are planned for it, so that a planned return finds room.
-_SECOND_LANE_SHARE = 0.05
+_SECOND_LANE_SHARE = 0.15
 # A request enters the second lane only if its forecast wait is within this
 # share of the time that its caller has left. A caller that has already missed
 # its objective is better off with a refusal than with a long wait.
@@ -31,6 +31,9 @@
 _MAX_WAIT_S = 30.0
 # The most requests that wait; a bound of the memory.
 _MAX_WAITING = 10_000
+# A request enters the first lane only if it would meet its objective also if
+# it runs longer than usual, by so many mean deviations of its route.
+_MARGIN = 2.0
 # Time from a slot that gets free to the instance, in seconds.
 _TRAVEL_S = 0.005
 # A waiting request's forecast may be worse by this than its limit before it
@@ -140,8 +143,9 @@
     """A request in a lane.
 
     :ivar turn: its sort key in the lane
-    :ivar lag_s: how long later requests of the first lane go before
-    :ivar limit_at: until when it must end to keep its place in the first lane
+    :ivar lag_s: how much later than asked its turn is
+    :ivar overtaken_s: how long others of the first lane go before
+    :ivar limit_at: until when it must end to keep its place in its lane
     :ivar admitted_at: when it was added to its lane
     :ivar plain_s: its forecast at that time, without the correction
     :ivar forecast_s: its forecast at that time
@@ -150,12 +154,19 @@
     waiting: Waiting
     turn: tuple[bool, float, int]
     lag_s: float
+    overtaken_s: float
+    behind_s: float
     limit_at: float
     admitted_at: float
     is_late: bool = False
     plain_s: float = 0.0
     forecast_s: float = 0.0
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether it is a planned return."""
+        return not self.turn[0]
+
 
 class _Lane:
     """Requests in the order of their turns."""
@@ -202,11 +213,6 @@
         """How many requests wait in the second lane."""
         return len(self._second)
 
-    @property
-    def returns_count(self) -> int:
-        """How many refused callers are expected back."""
-        return len(self._returns)
-
     @property
     def forecast_error_s(self) -> float:
         """Mean absolute error of the recent forecasts, in seconds."""
@@ -226,19 +232,20 @@
             return self._admission(known)
         waiting = _bound(waiting, now)
         self._order.record_ask(waiting.account, waiting.route, now)
-        owed = self._returns.claim(waiting.fingerprint, now)
-        if owed is not None:
+        refused = self._returns.claim(waiting.fingerprint, now)
+        if refused is not None:
             # The objective is that of the first request, not of its return.
             waiting = attrs.evolve(
                 waiting,
-                objective_at=min(waiting.objective_at, owed.objective_at),
+                objective_at=min(waiting.objective_at, refused.objective_at),
             )
-        entry = self._entry(waiting, owed is not None, now)
+        is_owed = refused is not None and refused.is_due(now)
+        entry = self._entry(waiting, is_owed, now)
         reason = self._admit(entry, room, now)
         if reason:
             return self._refusal(entry, reason, room, now)
         turn_s = room.mean_held_s / max(1, room.slots)
-        self._order.charge(waiting.account, turn_s, now)
+        self._order.charge(waiting.account, entry.lag_s, turn_s, now)
         return self._admission(entry)
 
     def take(self, find_free: FindFree, now: float) -> Grant | None:
@@ -255,6 +262,10 @@
             tried.add(allowed)
         return None
 
+    def expected_returns(self, now: float) -> int:
+        """Return how many refused callers are expected back."""
+        return self._returns.expected(now)
+
     def refuse_hopeless(self, room: Room, now: float) -> list[Refusal]:
         """Remove and return the requests that will not be served in time.
 
@@ -296,16 +307,19 @@
         self._forecast.record_held(waiting.route, held_s)
 
     def _entry(self, waiting: Waiting, is_owed: bool, now: float) -> _Entry:
-        lag_s = 0.0
+        lag_s = overtaken_s = 0.0
         if not is_owed:
             lag_s = self._order.lag_s(
                 waiting.account, waiting.route, waiting.priority, now
             )
+            overtaken_s = max(0.0, lag_s - self._order.mean_lag_s)
         limit_at = waiting.objective_at
         if self._order.is_protected(waiting.route, now):
             limit_at = waiting.deadline_at
         turn = (not is_owed, now + lag_s, next(self._numbers))
-        return _Entry(waiting, turn, lag_s, limit_at, now)
+        return _Entry(
+            waiting, turn, lag_s, overtaken_s, overtaken_s, limit_at, now
+        )
 
     def _admit(self, entry: _Entry, room: Room, now: float) -> str:
         """Add a request to a lane, or return the reason why not."""
@@ -320,7 +334,8 @@
         ahead = self._first.index(entry.turn)
         entry.plain_s = self._plain_wait_s(entry, ahead, room, now)
         entry.forecast_s = entry.plain_s * self._forecast.correction
-        if now + entry.forecast_s + run_s <= entry.limit_at:
+        spread_s = _MARGIN * self._forecast.spread_s(waiting.route)
+        if now + entry.forecast_s + run_s + spread_s <= entry.limit_at:
             self._first.add(entry)
             self._forecast.record_first_lane(now)
         elif not self._try_second_lane(entry, room, now):
@@ -331,16 +346,17 @@
     def _try_second_lane(self, entry: _Entry, room: Room, now: float) -> bool:
         """Add a request to the second lane if it is soon served there."""
         entry.is_late = True
-        entry.lag_s = math.inf
+        entry.overtaken_s = math.inf
         entry.admitted_at = now
-        ahead = len(self._first) + self._second.index(entry.turn)
-        entry.plain_s = self._plain_wait_s(entry, ahead, room, now)
+        ahead = self._second.index(entry.turn)
+        entry.plain_s = self._plain_late_wait_s(entry, ahead, room, now)
         entry.forecast_s = entry.plain_s * self._forecast.correction
+        run_s = self._run_s(entry, room)
         left_s = entry.waiting.deadline_at - now
-        longest_s = min(
-            left_s * _SECOND_LANE_WAIT_SHARE,
-            left_s - self._run_s(entry, room),
-        )
+        longest_s = left_s - run_s
+        if not entry.is_owed:
+            longest_s = min(longest_s, left_s * _SECOND_LANE_WAIT_SHARE)
+        entry.limit_at = now + longest_s + run_s
         if entry.forecast_s > longest_s:
             return False
         self._second.add(entry)
@@ -366,10 +382,11 @@
         """Remove and return the requests that miss their deadline."""
         unreachable: list[_Entry] = []
         for place, entry in enumerate(self._second):
-            ahead = len(self._first) + place - len(unreachable)
-            wait_s = self._wait_s(entry, ahead, room, now)
-            end_at = now + wait_s + self._run_s(entry, room)
-            if end_at > entry.waiting.deadline_at + _TOLERANCE_S:
+            wait_s = self._forecast.correction * self._plain_late_wait_s(
+                entry, place - len(unreachable), room, now
+            )
+            run_s = self._run_s(entry, room)
+            if now + wait_s + run_s > entry.limit_at + _TOLERANCE_S:
                 unreachable.append(entry)
         for entry in unreachable:
             self._second.remove(entry)
@@ -418,12 +435,10 @@
         waiting = entry.waiting
         if room.slots <= 0:
             return None
-        room_s = self._forecast.wait_s(
-            len(self._entries), room, math.inf, 1.0 - _SECOND_LANE_SHARE, now
-        )
         interval_s = self._forecast.interval_s(
             room, 1.0 - _SECOND_LANE_SHARE, now
         )
+        room_s = max(interval_s, entry.behind_s)
         return self._returns.plan(
             waiting.fingerprint,
             room_s=room_s,
@@ -448,10 +463,28 @@
         self, entry: _Entry, ahead: int, room: Room, now: float
     ) -> float:
         """Return the wait of a request with so many ahead, in seconds."""
-        lag_s = max(0.0, entry.lag_s - (now - entry.admitted_at))
+        overtaken_s = max(0.0, entry.overtaken_s - (now - entry.admitted_at))
         return self._forecast.plain_wait_s(
-            ahead, room, lag_s, 1.0 - _SECOND_LANE_SHARE, now
+            ahead, room, overtaken_s, 1.0 - _SECOND_LANE_SHARE, now
+        )
+
+    def _plain_late_wait_s(
+        self, entry: _Entry, ahead: int, room: Room, now: float
+    ) -> float:
+        """Return the wait with so many ahead in the second lane.
+
+        The second lane is served after the first one, but not less often
+        than its share of the slots. Planned returns go before others.
+        """
+        if not entry.is_owed:
+            ahead += self._returns.expected(now)
+        after_first_s = self._plain_wait_s(
+            entry, len(self._first) + ahead, room, now
+        )
+        interval_s = self._forecast.interval_s(
+            room, 1.0 - _SECOND_LANE_SHARE, now
         )
+        return min(after_first_s, (ahead + 1) * interval_s)
 
     def _admission(self, entry: _Entry) -> Admission:
         place = 1
