--- a/features/support/waiting.py
+++ b/features/support/waiting.py
@@ -314,9 +314,9 @@
 
 
 class Queued(Service):
-    """One queue, which has one more request sent than there are slots."""
+    """One queue, which has some more requests sent than there are slots."""
 
-    _MORE = 1
+    _MORE = 2
     _TICK_S = 0.02
 
     def __init__(self, load: Load, seed: int) -> None:
--- a/src/honeyport/policy/wait_queue.py
+++ b/src/honeyport/policy/wait_queue.py
@@ -22,11 +22,13 @@
 
 # The part of the slots that is kept for the second lane if anyone waits
 # there. Returns are planned for it, so that a planned return finds room.
-_SECOND_LANE_SHARE = 0.15
+_SECOND_LANE_SHARE = 0.2
 # A request enters the second lane only if its forecast wait is within this
 # share of the time that its caller has left. A caller that has already missed
 # its objective is better off with a refusal than with a long wait.
-_SECOND_LANE_WAIT_SHARE = 0.3
+_LATE_WAIT_SHARE = 0.3
+# The same for a planned return, whose refusal would be its last.
+_OWED_WAIT_SHARE = 0.6
 # The longest wait, in seconds, also for callers without a deadline.
 _MAX_WAIT_S = 30.0
 # The most requests that wait; a bound of the memory.
@@ -171,8 +173,9 @@
 class _Lane:
     """Requests in the order of their turns."""
 
-    def __init__(self) -> None:
+    def __init__(self, check: slot_forecast.ForecastCheck) -> None:
         self._entries: list[_Entry] = []
+        self.check = check
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -196,14 +199,18 @@
 
     def __init__(self) -> None:
         self._entries: dict[Key, _Entry] = {}
-        self._first = _Lane()
-        self._second = _Lane()
+        self._first = _Lane(slot_forecast.ForecastCheck())
+        # Only those whose forecast was too long are seen to be served here.
+        self._second = _Lane(slot_forecast.ForecastCheck(min_correction=1.0))
         self._numbers = itertools.count()
         self._order = fair_order.FairOrder()
         self._forecast = slot_forecast.SlotForecast()
         self._returns = return_times.ReturnTimes()
         self._second_lane_credit = 0.0
         self._checked_at = -math.inf
+        self._slots = 0
+        # When the last slot was granted, if others waited on, or ``None``.
+        self._granted_at: float | None = None
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -216,17 +223,18 @@
     @property
     def forecast_error_s(self) -> float:
         """Mean absolute error of the recent forecasts, in seconds."""
-        return self._forecast.error_s
+        return self._first.check.error_s
 
     @property
     def forecast_correction(self) -> float:
         """The factor by which forecasts are corrected."""
-        return self._forecast.correction
+        return self._first.check.correction
 
     def offer(
         self, waiting: Waiting, room: Room, now: float
     ) -> Admission | Refusal:
         """Add a request, or refuse it if it cannot be served in time."""
+        self._slots = room.slots
         known = self._entries.get(waiting.key)
         if known is not None:
             return self._admission(known)
@@ -272,6 +280,7 @@
         Requests that will miss their objective only are moved to the second
         lane, if they likely are served there.
         """
+        self._slots = room.slots
         if 0.0 <= now - self._checked_at < _CHECK_PERIOD_S:
             return []
         self._checked_at = now
@@ -332,8 +341,8 @@
         if len(self._entries) >= _MAX_WAITING:
             return 'full'
         ahead = self._first.index(entry.turn)
-        entry.plain_s = self._plain_wait_s(entry, ahead, room, now)
-        entry.forecast_s = entry.plain_s * self._forecast.correction
+        entry.plain_s = self._wait_s(entry, ahead, room, now)
+        entry.forecast_s = entry.plain_s * self._first.check.correction
         spread_s = _MARGIN * self._forecast.spread_s(waiting.route)
         if now + entry.forecast_s + run_s + spread_s <= entry.limit_at:
             self._first.add(entry)
@@ -349,13 +358,12 @@
         entry.overtaken_s = math.inf
         entry.admitted_at = now
         ahead = self._second.index(entry.turn)
-        entry.plain_s = self._plain_late_wait_s(entry, ahead, room, now)
-        entry.forecast_s = entry.plain_s * self._forecast.correction
+        entry.plain_s = self._late_wait_s(entry, ahead, room, now)
+        entry.forecast_s = entry.plain_s * self._second.check.correction
         run_s = self._run_s(entry, room)
         left_s = entry.waiting.deadline_at - now
-        longest_s = left_s - run_s
-        if not entry.is_owed:
-            longest_s = min(longest_s, left_s * _SECOND_LANE_WAIT_SHARE)
+        share = _OWED_WAIT_SHARE if entry.is_owed else _LATE_WAIT_SHARE
+        longest_s = min(left_s - run_s, left_s * share)
         entry.limit_at = now + longest_s + run_s
         if entry.forecast_s > longest_s:
             return False
@@ -365,8 +373,10 @@
     def _move_late(self, room: Room, now: float) -> list[_Entry]:
         """Move late requests to the second lane; return the hopeless."""
         late: list[_Entry] = []
+        correction = self._first.check.correction
         for place, entry in enumerate(self._first):
-            wait_s = self._wait_s(entry, place - len(late), room, now)
+            plain_s = self._wait_s(entry, place - len(late), room, now)
+            wait_s = plain_s * correction
             run_s = self._run_s(entry, room)
             if now + wait_s + run_s > entry.limit_at + _TOLERANCE_S:
                 late.append(entry)
@@ -381,15 +391,16 @@
     def _find_unreachable(self, room: Room, now: float) -> list[_Entry]:
         """Remove and return the requests that miss their deadline."""
         unreachable: list[_Entry] = []
+        correction = self._second.check.correction
         for place, entry in enumerate(self._second):
-            wait_s = self._forecast.correction * self._plain_late_wait_s(
-                entry, place - len(unreachable), room, now
-            )
+            ahead = place - len(unreachable)
+            wait_s = correction * self._late_wait_s(entry, ahead, room, now)
             run_s = self._run_s(entry, room)
             if now + wait_s + run_s > entry.limit_at + _TOLERANCE_S:
                 unreachable.append(entry)
         for entry in unreachable:
             self._second.remove(entry)
+            self._check(entry, now)
         return unreachable
 
     def _in_order(self) -> collections.abc.Iterator[_Entry]:
@@ -405,7 +416,15 @@
         elif len(self._second):
             self._second_lane_credit += _SECOND_LANE_SHARE
         self._order.record_grant(entry.waiting.route, now)
-        self._forecast.record_wait(
+        if self._granted_at is not None:
+            self._forecast.record_turn(now - self._granted_at, self._slots)
+        self._granted_at = now if self._entries else None
+        self._check(entry, now)
+
+    def _check(self, entry: _Entry, now: float) -> None:
+        """Compare the forecast of a request with its wait until now."""
+        lane = self._second if entry.is_late else self._first
+        lane.check.record(
             entry.plain_s, entry.forecast_s, now - entry.admitted_at
         )
 
@@ -413,6 +432,8 @@
         del self._entries[entry.waiting.key]
         lane = self._second if entry.is_late else self._first
         lane.remove(entry)
+        if not self._entries:
+            self._granted_at = None
 
     def _refusal(
         self, entry: _Entry, reason: str, room: Room, now: float
@@ -435,8 +456,8 @@
         waiting = entry.waiting
         if room.slots <= 0:
             return None
-        interval_s = self._forecast.interval_s(
-            room, 1.0 - _SECOND_LANE_SHARE, now
+        interval_s = self._second.check.correction * (
+            self._forecast.interval_s(room, 1.0 - _SECOND_LANE_SHARE, now)
         )
         room_s = max(interval_s, entry.behind_s)
         return self._returns.plan(
@@ -456,19 +477,16 @@
     def _wait_s(
         self, entry: _Entry, ahead: int, room: Room, now: float
     ) -> float:
-        plain_s = self._plain_wait_s(entry, ahead, room, now)
-        return plain_s * self._forecast.correction
+        """Return the wait of a request with so many ahead, in seconds.
 
-    def _plain_wait_s(
-        self, entry: _Entry, ahead: int, room: Room, now: float
-    ) -> float:
-        """Return the wait of a request with so many ahead, in seconds."""
+        It is not yet corrected.
+        """
         overtaken_s = max(0.0, entry.overtaken_s - (now - entry.admitted_at))
-        return self._forecast.plain_wait_s(
+        return self._forecast.wait_s(
             ahead, room, overtaken_s, 1.0 - _SECOND_LANE_SHARE, now
         )
 
-    def _plain_late_wait_s(
+    def _late_wait_s(
         self, entry: _Entry, ahead: int, room: Room, now: float
     ) -> float:
         """Return the wait with so many ahead in the second lane.
@@ -478,7 +496,7 @@
         """
         if not entry.is_owed:
             ahead += self._returns.expected(now)
-        after_first_s = self._plain_wait_s(
+        after_first_s = self._wait_s(
             entry, len(self._first) + ahead, room, now
         )
         interval_s = self._forecast.interval_s(
