Requests that instances have when they are barred are withdrawn

What callers saw: after a prompt part that crashes instances was found, all gateways refused new requests with it, but those that waited at an instance still ran, and crashed it, with all that ran there.

Cause: gateways checked for barred requests before they sent them, and never again.

Change: when the suspects change, a gateway cancels its attempts on barred requests whose response has not begun and that have no permit, and closes their connections, upon which instances drop them. A request through another gateway is withdrawn by that one, which knows of the permit. The withdrawn request counts as broken: if its instance refuses connections within 0.4 s, it is in the report of the crash.

Withdrawn are only requests of sets of which no complete answer is known; the leader says so in its list.

--- a/features/gateway/part_suspects.feature
+++ b/features/gateway/part_suspects.feature
@@ -29,6 +29,74 @@
     When a request arrives whose prompt has the parts a,f,own
     Then it gets 502, and 1 requests arrived
 
+  # Guards against requests that wait at an instance when their part is barred,
+  # and crash it once they run.
+  Scenario Outline: a request that is barred while an instance has it is withdrawn
+    Given a gateway for <kind> requests whose instances silent; <then>
+    And the leader bars requests with the part f, never answered, 0.05 s after one arrives
+    When a request arrives whose prompt has the parts a,f,own
+    Then it gets 502, and 1 requests arrived
+    And it is answered within 500 ms
+    And it is answered as one that may have run
+    And its instance sees that the connection is closed
+
+    Examples:
+      | kind                | then   |
+      | idempotent          | answer |
+      | non_idempotent      | answer |
+      | streaming           | stream |
+      | streaming resumable | stream |
+
+  Scenario: a request through another gateway is withdrawn
+    Given a gateway for idempotent requests that reaches no instance, and another one whose instances silent; answer
+    And the leader bars requests with the part f, never answered, 0.05 s after one arrives
+    When a request arrives whose prompt has the parts a,f,own
+    Then it gets 502, and 1 requests arrived
+    And it is answered within 500 ms
+    And it is answered as one that may have run
+    And its instance sees that the connection is closed
+
+  Scenario: a request without the part is not withdrawn
+    Given a gateway for non_idempotent requests whose instances silent
+    And the leader bars requests with the part f, never answered, 0.05 s after one arrives
+    When a request arrives whose prompt has the parts a,b,f
+    Then it was not answered before its deadline
+
+  # Its answer may show that the part was barred by mistake.
+  Scenario: a request whose part was answered before is not withdrawn
+    Given a gateway for non_idempotent requests whose instances silent
+    And the leader bars requests with the part f, answered before, 0.05 s after one arrives
+    When a request arrives whose prompt has the parts a,f,own
+    Then it was not answered before its deadline
+
+  Scenario: a request whose response has begun is not withdrawn
+    Given a gateway for streaming requests whose instances stream and wait
+    And the leader bars requests with the part f, never answered, 0.1 s after one arrives
+    When a request arrives whose prompt has the parts a,f,own
+    Then it was not answered before its deadline
+
+  Scenario: a request that the leader permitted is not withdrawn
+    Given a gateway for non_idempotent requests whose instances silent
+    And the leader permits one request with the part f
+    And the leader bars requests with the part f, never answered, 0.05 s after one arrives
+    When a request arrives whose prompt has the parts a,f,own
+    Then it was not answered before its deadline
+
+  Scenario: a withdrawn request counts if its instance crashes right after
+    Given a gateway for non_idempotent requests whose instances silent
+    And the leader bars requests with the part f, never answered, 0.05 s after one arrives
+    When a request arrives whose prompt has the parts a,f,own
+    And the instances that got requests crash
+    And 0.8 seconds pass at the gateway
+    Then 1 ends of instances are detected, with 1 requests
+
+  Scenario: a withdrawn request does not count if its instance lives
+    Given a gateway for non_idempotent requests whose instances silent
+    And the leader bars requests with the part f, never answered, 0.05 s after one arrives
+    When a request arrives whose prompt has the parts a,f,own
+    And 0.8 seconds pass at the gateway
+    Then 0 ends of instances are detected, with 0 requests
+
   Scenario: a repeat waits for the decision about its parts
     Given a gateway for idempotent requests whose instances end; answer
     And the leader asks about the part f, and bars it 0.2 s after an end
--- a/features/policy/part_suspicion.feature
+++ b/features/policy/part_suspicion.feature
@@ -146,6 +146,22 @@
     When the latest of these crashes is reported to it again
     Then requests with f are barred
 
+  Scenario: requests in flight are withdrawn if no answer to them is known
+    Given an empty record of parts
+    When 3 crashes under f are recorded, and gateways could reply
+    Then requests with f are barred
+    And those that instances have are withdrawn
+    When a new leader loads the stored parts
+    Then those that instances have are not withdrawn
+
+  Scenario: requests in flight are not withdrawn if one was answered before
+    Given an empty record of parts
+    When 1 crashes under f are recorded
+    And a gateway reports that f was answered since
+    And 4 crashes under f are recorded, and gateways could reply
+    Then requests with f are barred
+    And those that instances have are not withdrawn
+
   Scenario: an operator clears a part
     Given an empty record of parts
     When 3 crashes under f are recorded, and gateways could reply
@@ -188,6 +204,11 @@
       | it, and crashes of 0.34 every 5 s     | 10      | 7    | 3    | 10      | 70     |
       | it, and 48 instances                  | 20      | 12   | 3    | 5       | 90     |
 
+  Scenario: requests that wait when their part is barred crash few instances
+    Given a fleet whose requests have it in the middle
+    When it is simulated with 8 seeds
+    Then at most 3 instances crash in all after the part is barred
+
   Scenario Outline: no part is blamed for long if none is fatal
     Given a fleet whose requests have <load>
     When it is simulated with 8 seeds
--- a/features/steps/end_steps.py
+++ b/features/steps/end_steps.py
@@ -43,6 +43,17 @@
     context.run(drop())
 
 
+@behave.when('the instances that got requests crash')
+def step_crash(context):
+    async def crash():
+        names = _arrived_at(context.fixture)
+        for instance in context.fixture.instances:
+            if instance.name in names:
+                instance.crash()
+
+    context.run(crash())
+
+
 @behave.when('the instances that got requests are listed as leaving')
 def step_listed_leaving(context):
     async def leave():
--- a/features/steps/gateway_part_steps.py
+++ b/features/steps/gateway_part_steps.py
@@ -1,10 +1,12 @@
 """Steps about gateways that refuse requests with certain prompt parts."""
 
 import asyncio
+import json
 
 import behave
 
 from features.steps import gateway_steps
+from honeyport import errors
 from honeyport.gateway import headers
 from honeyport.policy import traits
 from honeyport.wire import honeyport_pb2 as pb
@@ -12,6 +14,8 @@
 _SERVICE = 'app'
 _POLL_S = 0.002
 _PAUSE_MS = 60_000
+_CLOSED_S = 0.5
+_NEARLY_TIMEOUT_S = 1.4  # the timeout of the route is 1.5 s
 
 
 @behave.given('the leader has barred requests with the part {part}')
@@ -45,12 +49,51 @@
     context.during = lambda: _bar_after_end(context.fixture, part, delay)
 
 
+@behave.given(
+    'the leader bars requests with the part {part}, {answers}, {delay:g} s '
+    'after one arrives'
+)
+def step_bar_in_flight(context, part, answers, delay):
+    fixtures = [context.fixture]
+    if hasattr(context.fixture, 'other'):
+        fixtures.append(context.fixture.other)
+    message = _bar(part, is_unanswered=answers == 'never answered')
+    context.during = lambda: _bar_in_flight(fixtures, message, delay)
+
+
+@behave.given('the leader permits one request with the part {part}')
+def step_permit(context, part):
+    message = _bar(part, is_unanswered=True)
+    message.suspects[0].barred = False
+    context.run(_apply(context.fixture, message))
+    tracker = context.fixture.gateway.suspects
+    tracker.set_sender(lambda item: _grant(tracker, item))
+
+
 @behave.when('a request arrives whose prompt has the parts {prompt}')
 def step_send(context, prompt):
     context.response = context.run(_send(context, prompt))
 
 
-def _bar(part):
+@behave.then('its instance sees that the connection is closed')
+def step_closed(context):
+    [arrival] = context.fixture.script.arrivals
+    context.run(_wait_closed(arrival))
+
+
+@behave.then('it was not answered before its deadline')
+def step_not_withdrawn(context):
+    assert context.took_s > _NEARLY_TIMEOUT_S, context.took_s
+
+
+@behave.then('it is answered as one that may have run')
+def step_may_have_run(context):
+    error = json.loads(context.response.body)['error']
+    assert error['code'] == errors.RequestWithdrawn.code, error
+    assert error['ran'] is None, error
+
+
+def _bar(part, *, is_unanswered=False):
     """Return the message that bars requests with a part."""
     part_set = traits.PartSet(service=_SERVICE, parts=(part,))
     message = pb.Suspects()
@@ -59,6 +102,7 @@
         ends=3,
         barred=True,
         back_ms=_PAUSE_MS,
+        unanswered=is_unanswered,
         set=pb.PartSet(service=_SERVICE, parts=[part]),
     )
     return message
@@ -74,6 +118,28 @@
     await _apply(fixture, _bar(part))
 
 
+async def _bar_in_flight(fixtures, message, delay):
+    while not fixtures[0].script.arrivals:
+        await asyncio.sleep(_POLL_S)
+    await asyncio.sleep(delay)
+    for fixture in fixtures:
+        await _apply(fixture, message)
+
+
+async def _wait_closed(arrival):
+    async with asyncio.timeout(_CLOSED_S):
+        await arrival.disconnected.wait()
+
+
+def _grant(tracker, item):
+    """Receive an item as a leader that grants each permit."""
+    if item.HasField('permit'):
+        answer = pb.PermitAnswer(id=item.permit.id, granted=True)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(tracker.resolve_permit, answer)
+    return True
+
+
 async def _bar_after_end(fixture, part, delay):
     while not fixture.counters.counter('instances_ended'):
         await asyncio.sleep(_POLL_S)
--- a/features/steps/part_suspicion_steps.py
+++ b/features/steps/part_suspicion_steps.py
@@ -288,6 +288,16 @@
     assert not _is_barred(context, part), context.register.suspects()
 
 
+@behave.then('those that instances have are withdrawn')
+def step_withdrawn(context):
+    assert _are_withdrawn(context), context.register.suspects()
+
+
+@behave.then('those that instances have are not withdrawn')
+def step_not_withdrawn(context):
+    assert not _are_withdrawn(context), context.register.suspects()
+
+
 @behave.then('gateways are asked about {part}')
 def step_asked(context, part):
     assert (_SERVICE, part) in context.parts.candidates
@@ -333,6 +343,18 @@
     assert max(late) <= limit, late
 
 
+@behave.then(
+    'at most {limit:d} instances crash in all after the part is barred'
+)
+def step_crashes_after(context, limit):
+    after = 0
+    for fleet in context.fleets:
+        for part, crashed_at in fleet.crashes.items():
+            barred_at = next(at for at, text in fleet.barred if part in text)
+            after += sum(at > barred_at for at in crashed_at)
+    assert after <= limit, after
+
+
 @behave.then('at most {limit:d} in 1000 other requests are refused')
 def step_refused(context, limit):
     refused = sum(fleet.refused for fleet in context.fleets)
@@ -389,6 +411,11 @@
     return traits.PartSet(service=_SERVICE, parts=(part,))
 
 
+def _are_withdrawn(context):
+    [suspect] = context.register.suspects()
+    return suspect.is_withdrawn(context.now)
+
+
 def _is_barred(context, part):
     request = _make_request(context, part)
     return any(
--- a/features/support/part_crashes.py
+++ b/features/support/part_crashes.py
@@ -34,6 +34,9 @@
 _RESTART_S = 4.5
 _MAX_ATTEMPTS = 2  # by a gateway
 _CALLER_RETRY_S = 0.2
+# A request that was withdrawn from an instance this long before it crashed is
+# reported with the crash.
+_PROBED_S = 0.4
 _DOCUMENTS = 12
 
 
@@ -90,6 +93,7 @@
     incarnation: int = 0
     running: dict[_Request, None] = attrs.field(factory=dict)
     queue: collections.deque[_Request] = attrs.field(factory=collections.deque)
+    withdrawn_at: dict[_Request, float] = attrs.field(factory=dict)
 
     @property
     def load(self) -> int:
@@ -102,6 +106,7 @@
     :ivar sent: number of sound requests by the second
     :ivar served: those that were served at the first attempt
     :ivar refused: sound requests that were refused as barred
+    :ivar withdrawn: sound requests that were withdrawn when they were barred
     :ivar crashes: times of the crashes under each fatal part
     :ivar arrived: times at which requests with it arrived at instances
     """
@@ -126,6 +131,7 @@
         self.sent: collections.Counter[int] = collections.Counter()
         self.served: collections.Counter[int] = collections.Counter()
         self.refused = 0
+        self.withdrawn = 0
         self.crashes: dict[str, list[float]] = collections.defaultdict(list)
         self.arrived: dict[str, list[float]] = collections.defaultdict(list)
         self.barred: list[tuple[float, str]] = []
@@ -214,17 +220,8 @@
         usable = [i for i in self._instances if i.up_at <= self._now]
         if not usable:
             return
-        suspects = [
-            suspect
-            for suspect in self._suspects
-            if suspect.request == request.traits.fingerprint
-            or (
-                suspect.part_set is not None
-                and suspect.part_set.matches(request.traits)
-            )
-        ]
         request.permit = ''
-        for suspect in suspects:
+        for suspect in self._suspects_of(request):
             if not self._is_permitted(suspect, request):
                 self.refused += not request.is_fatal
                 return
@@ -239,6 +236,17 @@
         instance.queue.append(request)
         self._start_queued(instance)
 
+    def _suspects_of(self, request: _Request) -> list[suspicion.Suspect]:
+        return [
+            suspect
+            for suspect in self._suspects
+            if suspect.request == request.traits.fingerprint
+            or (
+                suspect.part_set is not None
+                and suspect.part_set.matches(request.traits)
+            )
+        ]
+
     def _is_permitted(
         self, suspect: suspicion.Suspect, request: _Request
     ) -> bool:
@@ -280,6 +288,8 @@
     ) -> None:
         if instance.incarnation != incarnation:
             return
+        if request not in instance.running:  # withdrawn
+            return
         if is_deadly:
             self.crashes[_fatal_part(request)].append(self._now)
             self._crash(instance)
@@ -309,6 +319,12 @@
     def _crash(self, instance: _Instance) -> None:
         """End an instance and all requests that it has."""
         broken = [*instance.running, *instance.queue]
+        withdrawn = [
+            request
+            for request, at in instance.withdrawn_at.items()
+            if at > self._now - _PROBED_S
+        ]
+        instance.withdrawn_at.clear()
         instance.running.clear()
         instance.queue.clear()
         instance.incarnation += 1
@@ -316,7 +332,7 @@
         name = f'i-{instance.number}-{instance.incarnation}'
         at = self._now
         by_gateway = collections.defaultdict(list)
-        for request in broken:
+        for request in broken + withdrawn:
             by_gateway[request.gateway].append(request)
         for requests in by_gateway.values():
             self._schedule(
@@ -369,6 +385,7 @@
         suspects: list[suspicion.Suspect],
     ) -> None:
         self._suspects = suspects
+        self._withdraw_barred()
         new = asked - self._asked
         self._asked = asked
         for gateway in range(self._load.gateways):
@@ -376,6 +393,27 @@
             if new:
                 self._send_answers(gateway)
 
+    def _withdraw_barred(self) -> None:
+        """Withdraw requests that are barred while instances have them."""
+        for instance in self._instances:
+            for request in [*instance.running, *instance.queue]:
+                if not request.permit and any(
+                    suspect.is_withdrawn(self._now)
+                    for suspect in self._suspects_of(request)
+                ):
+                    self._withdraw(instance, request)
+            self._start_queued(instance)
+
+    def _withdraw(self, instance: _Instance, request: _Request) -> None:
+        if request in instance.running:
+            del instance.running[request]
+        else:
+            instance.queue.remove(request)
+        self.withdrawn += not request.is_fatal
+        instance.withdrawn_at[request] = self._now
+        request.attempts = _MAX_ATTEMPTS  # it is not sent to another instance
+        self._retry(request)
+
     def _report_answers(self, gateway: int) -> None:
         self._schedule(
             _ANSWERS_PERIOD_S, lambda: self._report_answers(gateway)
--- a/src/honeyport/control/suspects.py
+++ b/src/honeyport/control/suspects.py
@@ -224,6 +224,7 @@
                 barred=suspect.is_barred(now),
                 back_ms=_milliseconds(suspect.barred_until - now),
                 set=prompt_parts.to_part_set(suspect.part_set),
+                unanswered=suspect.is_unanswered,
             )
         for service, part in sorted(self._candidates):
             message.candidates.add(service=service, part=part)
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -294,6 +294,15 @@
     )
 
 
+@register('HP-3019')
+class RequestWithdrawn(HoneyportError):
+    status = 502
+    hint = (
+        'Several instances crashed while requests like this ran, so it was '
+        'withdrawn from its instance; it may have run.'
+    )
+
+
 @register('HP-3101')
 class KeyInvalid(HoneyportError):
     status = 400
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -74,6 +74,7 @@
         ``''``
     :ivar remote_instance_id: id of the instance that answered through one
     :ivar has_permit: whether the leader permitted the last attempt
+    :ivar is_response_begun: whether bytes of a response to it have arrived
     :ivar sent_at: loop time at which the last attempt was sent
     :ivar waited_s: wait for the lease, in seconds
     :ivar connect_s: total time spent on connecting, in seconds
@@ -106,6 +107,7 @@
     framing: str = ''
     remote_instance_id: str = ''
     has_permit: bool = False
+    is_response_begun: bool = False
     sent_at: float = 0.0
     waited_s: float = 0.0
     connect_s: float = 0.0
@@ -208,7 +210,8 @@
             raise errors.BackendLost(reason)
 
     def on_activity(self) -> None:
-        """Record the time to first byte and restart the silence timeout."""
+        """Record that bytes arrived, and restart the silence timeout."""
+        self.is_response_begun = True
         if self.first_byte_s is None:
             now = asyncio.get_running_loop().time()
             self.first_byte_s = now - self.request.received
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -27,6 +27,7 @@
 from honeyport.gateway import routes
 from honeyport.gateway import silence_timeout
 from honeyport.gateway import stream_directory
+from honeyport.gateway import withdrawals
 from honeyport.policy import begun_streams
 from honeyport.policy import fingerprints
 from honeyport.policy import placement
@@ -101,6 +102,7 @@
         self._budgets = budgets
         self._end_detector = detector
         self._suspects = suspect_tracker
+        self._withdrawals = withdrawals.Withdrawals(suspect_tracker)
         self._connectivity = monitor
         self._detours = peer_detours
         self._streams = streams
@@ -513,7 +515,10 @@
             lambda head: self._observe(connection.instance, head, sent_at),
         )
         return await self._within_silence_timeouts(
-            exchange, lambda: single_attempt.run(exchange.request, headers)
+            exchange,
+            lambda: self._withdrawals.run(
+                exchange, lambda: single_attempt.run(exchange.request, headers)
+            ),
         )
 
     def _observe(
@@ -636,7 +641,8 @@
         instance = exchange.choice.instance
         if isinstance(error, (errors.BackendSilent, errors.DeadlinePassed)):
             self._end_detector.record_timeout(instance, exchange.traits)
-        elif isinstance(error, errors.BackendLost):
+        elif isinstance(error, (errors.BackendLost, errors.RequestWithdrawn)):
+            # A request that was withdrawn may have run until then.
             self._end_detector.record_broken(instance, exchange.traits)
         elif isinstance(error, errors.ConnectionRefused):
             self._end_detector.record_refused(instance)
--- a/src/honeyport/policy/part_suspicion.py
+++ b/src/honeyport/policy/part_suspicion.py
@@ -190,7 +190,9 @@
         for known in predecessors:
             self._register.replace_parts(known, requests)
             self._harmless.pop(known.key, None)
-        is_new = self._register.set_part_ends(requests, blame.crashes)
+        is_new = self._register.set_part_ends(
+            requests, blame.crashes, is_unanswered=blame.answered_at is None
+        )
         if is_new or predecessors:
             return [Change(requests, blame, predecessors)]
         return []
--- a/src/honeyport/policy/suspicion.py
+++ b/src/honeyport/policy/suspicion.py
@@ -13,6 +13,10 @@
 A complete answer clears a request. The leader decides from the reports of all
 gateways.
 
+Requests that instances have when they are barred, running or waiting, are
+withdrawn if no answer to such requests is known. Others may be barred by
+mistake, and then their answers show it.
+
 Requests that have prompt parts in common are restricted in the same way, as a
 set, once these parts explain several ends
 (:mod:`honeyport.policy.part_suspicion`).
@@ -60,6 +64,7 @@
     :ivar barred_until: loop time until which it is refused; minus infinity
         if it may run, infinity if only an operator can clear it
     :ivar part_set: the requests, if it is a set of them
+    :ivar is_unanswered: whether no complete answer to such a request is known
     """
 
     request: str
@@ -67,11 +72,16 @@
     first_end_at: float
     barred_until: float
     part_set: traits.PartSet | None = None
+    is_unanswered: bool = False
 
     def is_barred(self, now: float) -> bool:
         """Whether the request is refused at this time."""
         return self.barred_until > now
 
+    def is_withdrawn(self, now: float) -> bool:
+        """Whether such requests are withdrawn from instances."""
+        return self.is_unanswered and self.is_barred(now)
+
 
 @attrs.frozen
 class StoredSuspect:
@@ -112,12 +122,14 @@
     :ivar part_set: the requests, if it is a set of them
     :ivar trials: permits that were given for a set; several of its requests
         may still be running when it is barred, so that ends do not count them
+    :ivar is_unanswered: whether no complete answer to such a request is known
     """
 
     ends: list[tuple[str, float]] = attrs.field(factory=list)
     holder: str = ''
     part_set: traits.PartSet | None = None
     trials: int = 0
+    is_unanswered: bool = False
 
     @property
     def needs_permit(self) -> bool:
@@ -193,7 +205,7 @@
         """
         if self._is_explained(instance, at):
             return 0
-        record = self._records.setdefault(request, _Record())
+        record = self._records.setdefault(request, _Record(is_unanswered=True))
         if record.has_end(instance, at, self._restored_at):
             return 0
         record.ends.append((instance, at))
@@ -249,6 +261,7 @@
                 first_end_at=record.first_end_at,
                 barred_until=record.barred_until,
                 part_set=record.part_set,
+                is_unanswered=record.is_unanswered,
             )
             for request, record in self._records.items()
             if record.needs_permit
@@ -293,16 +306,21 @@
         self,
         part_set: traits.PartSet,
         ends: collections.abc.Iterable[tuple[str, float]],
+        *,
+        is_unanswered: bool = False,
     ) -> bool:
         """Restrict a set of requests, or update the ends under it.
 
         :param ends: instance ids and loop times
+        :param is_unanswered: whether no complete answer to a request with the
+            part that explains the ends is known
         :returns: whether the set is new
         """
         is_new = not self.has_part_set(part_set)
         record = self._records.setdefault(
             part_set.key, _Record(part_set=part_set)
         )
+        record.is_unanswered = is_unanswered
         known_ends, record.ends = record.ends, list(ends)
         if record.ends != known_ends:
             self._update_explained_ends()
--- a/src/honeyport/router/suspects.py
+++ b/src/honeyport/router/suspects.py
@@ -67,6 +67,7 @@
     def __init__(self, counters: metrics.Metrics) -> None:
         self._metrics = counters
         self._send: Send = lambda item: False
+        self._listeners: list[collections.abc.Callable[[], None]] = []
         self._fleet_suspects: dict[str, suspicion.Suspect] = {}
         # Those that are sets of requests, by one of their parts.
         self._part_sets: dict[part_answers.Key, list[suspicion.Suspect]] = {}
@@ -110,6 +111,12 @@
         """
         self._send = send
 
+    def add_listener(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Add a function to call when the fleet's suspects have changed."""
+        self._listeners.append(listener)
+
     # -- called while requests are served --------------------------------
 
     @contextlib.asynccontextmanager
@@ -151,6 +158,13 @@
                     suspect.barred_until - now, suspect.part_set
                 )
 
+    def is_withdrawn(self, request: traits.Traits) -> bool:
+        """Whether a request is withdrawn if an instance has it."""
+        now = _now()
+        return any(
+            suspect.is_withdrawn(now) for suspect in self._suspects_of(request)
+        )
+
     async def wait_decided(self) -> None:
         """Wait until the leader may have decided about the latest crash."""
         try:
@@ -283,6 +297,8 @@
                 )
             ]
         )
+        for listener in self._listeners:
+            listener()
 
     def _apply_parts(self, message: pb.Suspects) -> None:
         """Apply the sets of suspects, and the parts to report answers with."""
@@ -380,6 +396,7 @@
         first_end_at=now - message.since_ms / 1000,
         barred_until=barred_until,
         part_set=prompt_parts.part_set_of(message),
+        is_unanswered=message.unanswered,
     )
 
 
