--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -1,5 +1,6 @@
 """Steps about a part of prompts that crashes the instances that run it."""
 
+import asyncio
 import json
 
 import behave
@@ -10,6 +11,8 @@
 from honeyport import errors
 
 _TOLERATED_CRASHES = 5
+_RATE = 20  # requests per second
+_WAITING_INTERVAL_S = 0.1
 _MIN_SERVED = 0.95  # share of the requests without the part
 
 
@@ -30,6 +33,39 @@
     context.run(context.traffic.run(rate, seconds))
 
 
+@behave.when(
+    'such requests arrive for {seconds:d} seconds, beside others with the '
+    'part that wait at their instances'
+)
+def step_waiting(context, seconds):
+    context.traffic = part_traffic.Traffic(context.platform, 'middle')
+    context.waiting = part_traffic.Traffic(context.platform, 'middle')
+
+    async def send():
+        await asyncio.gather(
+            context.traffic.run(_RATE, seconds),
+            context.waiting.send_waiting(_WAITING_INTERVAL_S, seconds),
+        )
+
+    context.run(send())
+
+
+@behave.then('some that waited were withdrawn, as ones that may have run')
+def step_withdrawn(context):
+    bodies = [
+        json.loads(request.body)['error']
+        for request in context.waiting.sent
+        if request.body and not request.is_served
+    ]
+    withdrawn = [
+        error
+        for error in bodies
+        if error['code'] == errors.RequestWithdrawn.code
+    ]
+    assert withdrawn, [error['code'] for error in bodies]
+    assert all(error['ran'] is None for error in withdrawn), withdrawn
+
+
 @behave.when('{count:d} requests with the part are sent to every gateway')
 def step_send(context, count):
     context.arrived_before = len(context.crashing.counts.arrived_at)
--- a/features/support/crashing.py
+++ b/features/support/crashing.py
@@ -15,6 +15,9 @@
 
 FATAL_BODY = b'what no instance survives'
 FATAL_PART = 'fa7a1000'
+# A request with such a body waits at its instance before it runs.
+WAITING_BODY = b'waits'
+_WAIT_S = 1.0
 _RUN_S = 0.02  # duration of each request, and until a crash
 _RESTART_S = 1.5  # after a crash; the instance stays in the list meanwhile
 _ZONE = 'thu-duc'
@@ -185,6 +188,8 @@
             )
             return True
         prompt = headers.get('Prompt-Prefix', '')
+        if body.startswith(WAITING_BODY) and await _is_dropped(reader):
+            return False
         crashes = not self._group.is_fixed and (
             body == FATAL_BODY or FATAL_PART in _shared_parts(prompt)
         )
@@ -204,6 +209,16 @@
         return True
 
 
+async def _is_dropped(reader: asyncio.StreamReader) -> bool:
+    """Wait before a request runs; return whether its connection closed."""
+    try:
+        async with asyncio.timeout(_WAIT_S):
+            await reader.read(1)
+    except TimeoutError:
+        return False
+    return True
+
+
 def _shared_parts(prompt: str) -> list[str]:
     """Return the ids of the parts that requests share, all but the last."""
     return [part.partition(':')[0] for part in prompt.split(',')[:-1]]
--- a/features/support/part_traffic.py
+++ b/features/support/part_traffic.py
@@ -71,7 +71,23 @@
                 number = next(self._numbers)
                 group.create_task(self._send(number, is_fatal=True))
 
-    async def _send(self, number: int, is_fatal: bool | None = None) -> None:
+    async def send_waiting(self, interval_s: float, duration_s: float) -> None:
+        """Send requests with the part that wait at their instances."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(round(duration_s / interval_s)):
+                number = next(self._numbers)
+                group.create_task(
+                    self._send(
+                        number,
+                        is_fatal=True,
+                        text=f'{crashing.WAITING_BODY.decode()} {number}',
+                    )
+                )
+                await asyncio.sleep(interval_s)
+
+    async def _send(
+        self, number: int, is_fatal: bool | None = None, text: str = ''
+    ) -> None:
         if is_fatal is None:
             is_fatal = number % _FATAL_EVERY == _FATAL_EVERY - 1
         nodes = self._platform.nodes
@@ -80,7 +96,7 @@
             nodes[number % len(nodes)],
             f'traffic-{number}',
             f'/app/{number}',
-            f'question {number}',
+            text or f'question {number}',
             parts=self._parts(number, is_fatal),
         )
         self.sent.append(Sent(at, is_fatal, status, body))
