--- a/src/honeyport/gateway/crash_guard.py
+++ b/src/honeyport/gateway/crash_guard.py
@@ -75,7 +75,8 @@
         instance = exchange.choice.instance
         if isinstance(error, (errors.BackendSilent, errors.DeadlinePassed)):
             self._end_detector.record_timeout(instance, exchange.traits)
-        elif isinstance(error, errors.BackendLost):
+        elif isinstance(error, (errors.BackendLost, errors.RequestWithdrawn)):
+            # A request that was withdrawn may have run until then.
             self._end_detector.record_broken(instance, exchange.traits)
         elif isinstance(error, errors.ConnectionRefused):
             self._end_detector.record_refused(instance)
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -14,6 +14,7 @@
 from honeyport.gateway import pool
 from honeyport.gateway import request_log
 from honeyport.gateway import responses
+from honeyport.gateway import withdrawals
 from honeyport.policy import placement
 
 _UNAVAILABLE_STATUS = 503
@@ -27,6 +28,7 @@
     :param signals: backoffs and departures that instances announced
     :param factory: checks that the configuration still admits a request
     :param guard: holds back requests that may crash their instance
+    :param withdrawn: withdraws requests that are barred meanwhile
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         connection_pool: pool.Pool,
         factory: exchange_factory.ExchangeFactory,
         guard: crash_guard.CrashGuard,
+        withdrawn: withdrawals.Withdrawals,
         log: request_log.RequestLog,
     ) -> None:
         self._gate = gate
@@ -47,6 +50,7 @@
         self._pool = connection_pool
         self._exchanges = factory
         self._crash_guard = guard
+        self._withdrawals = withdrawn
         self._request_log = log
 
     def choose(self, exchange: exchanges.Exchange) -> placement.Choice:
@@ -129,7 +133,10 @@
             lambda head: self._observe(connection.instance, head, sent_at),
         )
         return await responses.within_silence_timeouts(
-            exchange, lambda: single_attempt.run(exchange.request, headers)
+            exchange,
+            lambda: self._withdrawals.run(
+                exchange, lambda: single_attempt.run(exchange.request, headers)
+            ),
         )
 
     def _observe(
