--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -25,6 +25,7 @@
 from honeyport.gateway import server
 from honeyport.gateway import slot_queues
 from honeyport.gateway import stream_directory
+from honeyport.gateway import withdrawals
 from honeyport.policy import addresses
 from honeyport.policy import cold
 from honeyport.policy import draining
@@ -157,6 +158,7 @@
             self._pool,
             factory,
             guard,
+            withdrawals.Withdrawals(self._suspects),
             log,
             self._slot_queues,
         )
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -15,6 +15,7 @@
 from honeyport.gateway import request_log
 from honeyport.gateway import responses
 from honeyport.gateway import slot_queues
+from honeyport.gateway import withdrawals
 from honeyport.policy import placement
 
 _UNAVAILABLE_STATUS = 503
@@ -28,6 +29,7 @@
     :param signals: backoffs and departures that instances announced
     :param factory: checks that the configuration still admits a request
     :param guard: holds back requests that may crash their instance
+    :param withdrawn: withdraws requests that are barred meanwhile
     :param queues: gets slots of services that have a shared queue
     """
 
@@ -40,6 +42,7 @@
         connection_pool: pool.Pool,
         factory: exchange_factory.ExchangeFactory,
         guard: crash_guard.CrashGuard,
+        withdrawn: withdrawals.Withdrawals,
         log: request_log.RequestLog,
         queues: slot_queues.SlotQueues,
     ) -> None:
@@ -50,6 +53,7 @@
         self._pool = connection_pool
         self._exchanges = factory
         self._crash_guard = guard
+        self._withdrawals = withdrawn
         self._request_log = log
         self._queues = queues
 
@@ -166,7 +170,10 @@
             lambda head: self._observe(connection.instance, head, sent_at),
         )
         return await responses.within_silence_timeouts(
-            exchange, lambda: single_attempt.run(exchange.request, headers)
+            exchange,
+            lambda: self._withdrawals.run(
+                exchange, lambda: single_attempt.run(exchange.request, headers)
+            ),
         )
 
     def _observe(
