Shared queues: failures of the keeper, of gateways, control and instances have tests

A gateway's requests without a grant count until the longest deadline that was seen, so that a gateway that is cut off without an end of its link blocks no slots for good; in the first run of the failures it did.

--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -39,8 +39,10 @@
         extra: float = 1000.0,
         count: int = 3,
         name: str = 'g-1',
+        shared_queues: bool = False,
     ) -> None:
         self.name = name
+        self.slots = 8
         self.script = instances.Script(steps)
         self.instances = [
             instances.Instance(f'i-{number}', self.script)
@@ -58,6 +60,7 @@
                 peer_listen=self.peer_address,
                 control=(local.free_address(),),
                 regions=self.regions,
+                shared_queues=shared_queues,
             ),
             _NAMES,
             draining.DrainTimes(refuse_after_s=0.2, stop_after_s=2.0),
@@ -155,7 +158,7 @@
                 address=self.address_by_instance[instance.name],
                 domain='thu-duc',
                 leaving=instance.name in leaving,
-                slots=8,
+                slots=self.slots,
                 place=instance.name,
                 version=instance.version,
             )
--- a/features/support/gateway_fleet.py
+++ b/features/support/gateway_fleet.py
@@ -12,14 +12,17 @@
 
 
 class Fleet:
-    """Gateways that know each other and have the same instances."""
+    """Gateways that know each other and have the same instances.
 
-    def __init__(self, count, steps):
+    :param options: further arguments of each gateway's fixture
+    """
+
+    def __init__(self, number_of_gateways, steps, **options):
         self.gateways = {
             f'g-{number}': gateway_steps.GatewayFixture(
-                steps, name=f'g-{number}'
+                steps, name=f'g-{number}', **options
             )
-            for number in range(1, count + 1)
+            for number in range(1, number_of_gateways + 1)
         }
         self.first = self.gateways['g-1']
         self.script = self.first.script
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -17,6 +17,8 @@
 EVENTS = 6
 # Time for the events to be relayed.
 _CUT_AFTER_S = 0.02
+# Time until a late answer.
+LATE_S = 0.1
 
 
 @attrs.define
@@ -167,6 +169,9 @@
         writer.write(_stream_head(arrival) + _chunk(events))
         await asyncio.sleep(_CUT_AFTER_S)
         return False
+    if step == 'answer late':
+        await asyncio.sleep(LATE_S)
+        step = 'answer'
     writer.write(_answer_bytes(step, arrival))
     await writer.drain()
     arrival.answered_at = time.monotonic()
--- a/features/support/queue_fleet.py
+++ b/features/support/queue_fleet.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 
 import attrs
@@ -71,6 +72,8 @@
         self.most = 0
         self.arrivals = 0
         self.present = 0
+        self.granted = 0
+        self.most_granted = 0
         self._rng = rng
         self._speed = speed
         self._running = 0
@@ -78,6 +81,16 @@
             collections.deque()
         )
 
+    @contextlib.contextmanager
+    def count_granted(self):
+        """Count a request that a keeper granted."""
+        self.granted += 1
+        self.most_granted = max(self.most_granted, self.granted)
+        try:
+            yield
+        finally:
+            self.granted -= 1
+
     def lose(self) -> None:
         """End at once, with all requests."""
         self.is_up = False
@@ -255,6 +268,9 @@
         self._cut: set[frozenset[str]] = set()
         self._list_number = 0
         self._reporter: asyncio.Task | None = None
+        self._watcher: asyncio.Task | None = None
+        self.most_keepers = 0
+        self.longest_queued_s = 0.0
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.refused_after: list[float] = []
         self.instances = {
@@ -275,9 +291,40 @@
         self.list_instances()
         self.list_gateways()
         self._reporter = asyncio.create_task(self._report())
+        self._watcher = asyncio.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        """Count the gateways that may grant slots at the same time."""
+        while True:
+            self.most_keepers = max(self.most_keepers, len(self.granting()))
+            await asyncio.sleep(LINK_DELAY_S)
+
+    def granting(self) -> list[str]:
+        """Return the names of the gateways that may grant slots now."""
+        now = _now()
+        return [
+            gateway.name
+            for gateway in self.gateways.values()
+            if not gateway.is_dead
+            for queue in gateway.keeper.queues.values()
+            if queue.tenure.may_grant(
+                now - gateway.state.control_silence_s, now
+            )
+        ]
+
+    async def wait_granting(self) -> None:
+        """Wait until a keeper grants slots to other gateways."""
+        while not any(
+            session.is_granting
+            for gateway in self.gateways.values()
+            if not gateway.is_dead
+            for session in gateway.queues.sessions.values()
+        ):
+            await asyncio.sleep(0.01)
 
     def stop(self) -> None:
         self._reporter.cancel()
+        self._watcher.cancel()
         for gateway in self.gateways.values():
             gateway.queues.close()
             gateway.keeper.close()
@@ -350,6 +397,23 @@
             )
             gateway.reported = collections.Counter(gateway.balancer.running)
 
+    def start_gateway(self, name: str, incarnation: str = '1') -> None:
+        """Start a gateway, and list it."""
+        self.gateways[name] = Gateway(self, name, incarnation)
+        listed = next(iter(self.gateways.values())).state.instances
+        self.gateways[name].state.apply_instances(listed)
+        self.list_gateways()
+        self.list_instances()
+
+    def reset(self) -> None:
+        """Forget what was counted so far."""
+        self.outcomes.clear()
+        self.refused_after.clear()
+        self.frames = 0
+        self.longest_queued_s = 0.0
+        for instance in self.instances.values():
+            instance.most = instance.most_granted = instance.arrivals = 0
+
     # -- links and failures ----------------------------------------------
 
     async def connect(self, client, member, receive) -> Link:
@@ -365,6 +429,9 @@
         """Call after a delay, unless the link is cut or the target gone."""
         if self._is_cut(source, target):
             return
+        if source.is_frozen:
+            source.backlog.append(lambda: self.deliver(source, target, call))
+            return
 
         def arrive() -> None:
             if target.is_dead or source.is_dead:
@@ -444,6 +511,9 @@
         except errors.HoneyportError:
             outcome = 'failed'
         self.outcomes[outcome] += 1
+        if gateway.is_dead or gateway.is_frozen:
+            return outcome
+        self.longest_queued_s = max(self.longest_queued_s, exchange.queued_s)
         return outcome
 
     async def _serve(
@@ -475,10 +545,15 @@
             )
             instance: placement.Instance = choice.instance
             tried.add(instance.id)
-            with gateway.balancer.count_in_flight(instance):
+            target = self.instances[instance.id]
+            with contextlib.ExitStack() as stack:
+                stack.enter_context(gateway.balancer.count_in_flight(instance))
+                if granted is not None:
+                    assert granted == instance.id, (granted, instance.id)
+                    stack.enter_context(target.count_granted())
                 await asyncio.sleep(LINK_DELAY_S)
                 try:
-                    await self.instances[instance.id].run(duration_s)
+                    await target.run(duration_s)
                 except errors.HoneyportError as error:
                     gateway.balancer.record_failure(instance, error.code)
                     raise
@@ -487,10 +562,11 @@
 
     async def play(
         self, load: float, seconds: float, duration_s: float = 0.08
-    ) -> None:
+    ) -> int:
         """Send requests at random gateways, and wait for their ends.
 
         :param load: arrivals, as a multiple of what the slots can run
+        :returns: the number of requests that were sent
         """
         slots = sum(instance.slots for instance in self.instances.values())
         until = _now() + seconds
@@ -499,17 +575,17 @@
             await asyncio.sleep(
                 self.rng.expovariate(load * slots / duration_s)
             )
-            gateway = self.rng.choice(
-                [
-                    gateway
-                    for gateway in self.gateways.values()
-                    if not gateway.is_dead and not gateway.is_frozen
-                ]
-            )
-            tasks.append(
-                asyncio.create_task(self.call(gateway, duration_s))
-            )
+            living = [
+                gateway
+                for gateway in self.gateways.values()
+                if not gateway.is_dead and not gateway.is_frozen
+            ]
+            if not living:
+                continue
+            gateway = self.rng.choice(living)
+            tasks.append(asyncio.create_task(self.call(gateway, duration_s)))
         await asyncio.gather(*tasks)
+        return len(tasks)
 
 
 def replay(
@@ -530,10 +606,7 @@
     async def play() -> None:
         await fleet.start()
         await fleet.play(0.6, 3.0)
-        fleet.outcomes.clear()
-        fleet.frames = 0
-        for instance in fleet.instances.values():
-            instance.most = 0
+        fleet.reset()
         if lost:
             asyncio.create_task(_lose_one(fleet, seconds / 2))
         await fleet.play(load, seconds)
--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -267,13 +267,12 @@
         is_update = known is not None and known.is_for(link, number)
         if known is not None and not is_update:
             self._drop_registration(queue, known)
-            queue.counts.lose(known.holder, _now())
         if not is_update:
             queue.counts.forget(holder)  # it has told all that it holds
         running = collections.Counter[str]()
         for entry in held.held:
             running[entry.backend] += entry.running
-        queue.counts.set_held(holder, running)
+        queue.counts.set_held(holder, running, _now())
         if is_update:
             self._pump(queue)
             return
@@ -481,9 +480,12 @@
     def _lose_registration(
         self, queue: ServiceQueue, registration: _Registration
     ) -> None:
-        """Drop what a gateway waits for; keep counting what it holds."""
+        """Drop what a gateway waits for.
+
+        What it holds counts until its deadlines.
+        """
         self._drop_registration(queue, registration)
-        counted = queue.counts.lose(registration.holder, _now())
+        counted = queue.counts.held_by(registration.holder)
         if counted:
             logs.emit(
                 events.SLOT_HOLDER_LOST,
--- a/src/honeyport/policy/slot_counts.py
+++ b/src/honeyport/policy/slot_counts.py
@@ -17,8 +17,8 @@
 # A request that is not released ends at its deadline, when its gateway closes
 # the connection to the instance. Until the instance has noticed:
 _END_DELAY_S = 0.25
-# Requests of which nothing but their number is known end within this time, if
-# none with a known deadline was counted.
+# Requests of which nothing but their number is known end within the longest
+# time that a granted one had left; if there was none, within:
 _DEFAULT_LIFETIME_S = 5.0
 
 
@@ -41,16 +41,15 @@
     until: float
 
 
-@attrs.define
+@attrs.frozen
 class _Held:
     """Requests without a grant.
 
-    :ivar until: when they have ended; ``None`` while their gateway reports
-        them
+    :ivar until: when they have ended, if their gateway reports no change
     """
 
     running: dict[str, int]
-    until: float | None = None
+    until: float
 
 
 class SlotCounts:
@@ -148,13 +147,21 @@
         return True
 
     def set_held(
-        self, holder: Holder, running: collections.abc.Mapping[str, int]
+        self,
+        holder: Holder,
+        running: collections.abc.Mapping[str, int],
+        now: float,
     ) -> None:
-        """Set the requests of a holder without a grant, by instance."""
+        """Set the requests of a holder without a grant, by instance.
+
+        They count until it reports them again, or until their deadlines.
+        """
         self._drop_held(holder)
         if running:
-            self._held[holder] = _Held(dict(running))
+            until = now + (self._longest_s or _DEFAULT_LIFETIME_S)
+            self._held[holder] = _Held(dict(running), until)
             self._running.update(running)
+            self._next_end = min(self._next_end, until)
 
     def forget(self, holder: Holder) -> None:
         """Drop all counts of a holder, which reports them anew."""
@@ -162,25 +169,18 @@
         for grant in self._grants.pop(holder, {}).values():
             self._running[grant.instance] -= 1
 
-    def lose(self, holder: Holder, now: float) -> int:
-        """Record that a holder reports no more; return what remains counted.
-
-        Its requests count until their deadlines.
-        """
-        grants = self._grants.get(holder, {})
+    def held_by(self, holder: Holder) -> int:
+        """Return how many requests of a holder count."""
+        granted = len(self._grants.get(holder, {}))
         held = self._held.get(holder)
-        if held is None:
-            return len(grants)
-        held.until = now + (self._longest_s or _DEFAULT_LIFETIME_S)
-        self._next_end = min(self._next_end, held.until)
-        return len(grants) + sum(held.running.values())
+        return granted + (sum(held.running.values()) if held else 0)
 
     def expire(self, now: float) -> None:
         """Drop the requests whose deadlines have passed."""
         if now < self._next_end:
             return
         for holder, held in list(self._held.items()):
-            if held.until is not None and held.until <= now:
+            if held.until <= now:
                 self._drop_held(holder)
         for holder, grants in list(self._grants.items()):
             for number, grant in list(grants.items()):
@@ -190,8 +190,7 @@
 
     def _iter_ends(self) -> collections.abc.Iterator[float]:
         for held in self._held.values():
-            if held.until is not None:
-                yield held.until
+            yield held.until
         for grants in self._grants.values():
             for grant in grants.values():
                 yield grant.until
