Shared queues: gateways tell a new keeper what they hold, also without new requests

A gateway whose requests ran for seconds told the next keeper of them only with its next request. Now it registers with each list until it has.

Run: features/gateway/shared_queues.feature 24 passed, 0 failed.

--- a/features/gateway/shared_queues.feature
+++ b/features/gateway/shared_queues.feature
@@ -37,6 +37,17 @@
       | an instance is lost                    |
       | an instance is listed no more          |
 
+  Scenario Outline: a keeper knows of requests that it did not grant itself
+    When <failure> while requests run for seconds
+    Then the keeper counts each of them once
+
+    Examples:
+      | failure                               |
+      | the keeper is killed                  |
+      | the keeper is replaced, and learns it last |
+      | all links between gateways are lost   |
+      | the leader is lost for two seconds    |
+
   Scenario: the keeper refuses requests beyond its bound at once
     Given a keeper whose queue is full
     When a gateway asks it for a slot
--- a/features/steps/shared_queue_steps.py
+++ b/features/steps/shared_queue_steps.py
@@ -30,6 +30,17 @@
     context.outcome = queue_failures.play(failure, _LOAD, _SEED)
 
 
+@behave.when('{failure} while requests run for seconds')
+def step_fail_long(context, failure):
+    context.outcome = queue_failures.play_long(failure, _SEED)
+
+
+@behave.then('the keeper counts each of them once')
+def step_counted(context):
+    outcome = context.outcome
+    assert outcome.sent == outcome.counted > 0, outcome
+
+
 @behave.then('no two gateways grant slots at the same time')
 def step_one_keeper(context):
     assert context.outcome.fleet.most_keepers == 1
--- a/features/support/queue_failures.py
+++ b/features/support/queue_failures.py
@@ -11,6 +11,7 @@
 # Time until control has noticed that a gateway or an instance is gone.
 _NOTICE_S = 0.6
 _LAST_S = 5.0
+_LONG_REQUESTS = 8
 
 Fail = collections.abc.Callable[
     [queue_fleet.Fleet, str], collections.abc.Awaitable[None]
@@ -86,6 +87,11 @@
         gateway.has_control = True
 
 
+@failure('all links between gateways are lost')
+async def _lose_links(fleet: queue_fleet.Fleet, keeper: str) -> None:
+    fleet.lose_links()
+
+
 @failure('a gateway that holds slots is killed')
 async def _kill_holder(fleet: queue_fleet.Fleet, keeper: str) -> None:
     holders = [
@@ -172,3 +178,43 @@
 
     simulation.run(run())
     return outcome
+
+
+def play_long(name: str, seed: int) -> Outcome:
+    """Bring a failure about while requests run for seconds.
+
+    Counts are compared as soon as slots are granted again.
+    """
+    fleet = queue_fleet.Fleet(20, 3, 4, seed=seed, speeds=(1.0,))
+    outcome = Outcome(fleet)
+
+    async def run() -> None:
+        await fleet.start()
+        warm_up = asyncio.create_task(fleet.play(0.3, 3.0))
+        await fleet.wait_granting()
+        await warm_up
+        keeper = fleet.keeper()
+        others = [name for name in fleet.gateways if name != keeper]
+        long = [
+            asyncio.create_task(
+                fleet.call(fleet.gateways[name], 20.0, 60.0, 60.0)
+            )
+            for name in others[:_LONG_REQUESTS]
+        ]
+        await asyncio.sleep(1.0)
+        await _FAILURES[name](fleet, keeper)
+        await asyncio.sleep(3.0)
+        await fleet.wait_granting()
+        outcome.sent = sum(
+            instance.present for instance in fleet.instances.values()
+        )
+        outcome.counted = sum(
+            fleet.gateways[name].keeper.taken for name in fleet.granting()
+        )
+        fleet.stop()
+        for task in long:
+            task.cancel()
+        await asyncio.wait(long)
+
+    simulation.run(run())
+    return outcome
--- a/features/support/queue_fleet.py
+++ b/features/support/queue_fleet.py
@@ -459,6 +459,11 @@
             if link.joins(name):
                 link.lose()
 
+    def lose_links(self) -> None:
+        """Lose all links; new ones can be opened."""
+        for link in self._links:
+            link.lose()
+
     def freeze(self, name: str) -> None:
         """Let a gateway handle nothing until it is thawed."""
         self.gateways[name].is_frozen = True
--- a/src/honeyport/gateway/slot_queues.py
+++ b/src/honeyport/gateway/slot_queues.py
@@ -450,6 +450,16 @@
             self._applied = applied
             self._find_keepers()
         self._keeper.apply_state(self._keepers)
+        self._keep_registered()
+
+    def _keep_registered(self) -> None:
+        """Tell each keeper what is held, also if no request asks it."""
+        for service in self._keepers:
+            if not self._running_of(service):
+                continue
+            session = self._session(service)
+            if session is not None and not session.is_granting:
+                session.open_soon()
 
     def _find_keepers(self) -> None:
         """Find the services that need a queue, and who keeps each."""
