--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -26,8 +26,8 @@
 # It bounds the memory of the keeper and the time to find the next one.
 MAX_WAITING = 1024
 # Asks within one second, beyond which more are sent at once without a slot, so
-# that a keeper has time for its own callers.
-MAX_ASKS_PER_S = 2000
+# that a keeper has at least half of a core for its own callers.
+MAX_ASKS_PER_S = 1000
 # While requests wait: the period of a check of all, and of the signs of life
 # for the gateways whose requests they are.
 _TICK_S = 0.025
