Shared queues: a gateway that was missing from one list tells what it holds anew

The keeper dropped its registration with the list, and took its next report for an update: grants from before were not counted. In the scenario 7 of 8 requests were counted, now all.

Run: features/gateway/shared_queues.feature 25 passed, 0 failed; lint.

--- a/features/gateway/shared_queues.feature
+++ b/features/gateway/shared_queues.feature
@@ -46,6 +46,7 @@
       | the keeper is killed                  |
       | the keeper is replaced, and learns it last |
       | all links between gateways are lost   |
+      | a gateway is missing from one list    |
       | the leader is lost for two seconds    |
 
   Scenario: the keeper refuses requests beyond its bound at once
--- a/features/support/queue_failures.py
+++ b/features/support/queue_failures.py
@@ -92,6 +92,20 @@
     fleet.lose_links()
 
 
+@failure('a gateway is missing from one list')
+async def _miss(fleet: queue_fleet.Fleet, keeper: str) -> None:
+    holder = next(
+        gateway
+        for gateway in fleet.gateways.values()
+        if gateway.queues.held and gateway.name != keeper
+    )
+    fleet.list_gateways(but=(holder.name,))
+    await asyncio.sleep(0.3)
+    fleet.list_gateways()
+    # Its next request finds that the keeper does not know it.
+    await fleet.call(holder)
+
+
 @failure('a gateway that holds slots is killed')
 async def _kill_holder(fleet: queue_fleet.Fleet, keeper: str) -> None:
     holders = [
--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -263,6 +263,16 @@
             return
         holder = slot_counts.Holder(held.gateway, held.incarnation)
         known = queue.registrations.get(held.gateway)
+        earlier = link.registrations.get(held.service)
+        if (
+            earlier is not None
+            and earlier is not known
+            and earlier.number == number
+        ):
+            # It was dropped here with its grants, which the gateway has to
+            # tell anew.
+            earlier.tell(held.service, granting=False)
+            return
         # Sent again, it only tells a change of what the gateway holds.
         is_update = known is not None and known.is_for(link, number)
         if known is not None and not is_update:
