Shared queues: a keeper grants through a usual change of the leader

It stopped 1 s after its last contact with control. Now it is 1.5 s, and the wait of a new keeper 2 s.

--- a/features/policy/queue_keepers.feature
+++ b/features/policy/queue_keepers.feature
@@ -26,8 +26,8 @@
 
     Examples:
       | event                                             | when             |
-      | its first list makes it the keeper                | after 1500 ms    |
-      | it was the keeper and hears nothing               | until 1000 ms    |
-      | it was the keeper and heard nothing for 1200 ms   | after 1500 ms    |
-      | it was the keeper and heard nothing for 900 ms    | after 0 ms       |
+      | its first list makes it the keeper                | after 2000 ms    |
+      | it was the keeper and hears nothing               | until 1500 ms    |
+      | it was the keeper and heard nothing for 1700 ms   | after 2000 ms    |
+      | it was the keeper and heard nothing for 1400 ms   | after 0 ms       |
       | another list makes another gateway the keeper     | until 0 ms       |
--- a/features/steps/shared_queue_steps.py
+++ b/features/steps/shared_queue_steps.py
@@ -93,7 +93,7 @@
     """Return the keeper's answer to one ask more than it lets wait."""
     fleet = queue_fleet.Fleet(20, 1, 1)
     await fleet.start()
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(3.0)
     keeper = fleet.gateways[fleet.keeper()].keeper
     frames = []
     link = keeper.open(frames.append)
--- a/features/support/queue_failures.py
+++ b/features/support/queue_failures.py
@@ -217,7 +217,7 @@
         ]
         await asyncio.sleep(1.0)
         await _FAILURES[name](fleet, keeper)
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(4.0)
         await fleet.wait_granting()
         outcome.sent = sum(
             instance.present for instance in fleet.instances.values()
--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -548,7 +548,7 @@
             registration = queue.registrations[refusal.key.gateway]
             self._refuse(queue, registration.link, refusal)
         if is_heartbeat_due:
-            for gateway in {key.gateway for key in queue.asked}:
+            for gateway in dict.fromkeys(key.gateway for key in queue.asked):
                 queue.registrations[gateway].tell(queue.service, True)
 
 
--- a/src/honeyport/policy/queue_keepers.py
+++ b/src/honeyport/policy/queue_keepers.py
@@ -14,9 +14,9 @@
 from honeyport.policy import hashing
 
 # A keeper grants for this time after the last report that control answered
-# was sent. Several reports may be lost meanwhile; requests last about as long
-# as it takes to wait it out.
-MAX_SILENCE_S = 1.0
+# was sent. Several reports may be lost meanwhile, and a new leader is usually
+# found within it. While a next keeper waits it out, requests are sent at once.
+MAX_SILENCE_S = 1.5
 # Time until control has sent a list to all gateways that it answers.
 LIST_DELAY_S = 0.5
 # A queue remains until the slots exceed the gateways by this factor.
--- a/src/honeyport/policy/slot_counts.py
+++ b/src/honeyport/policy/slot_counts.py
@@ -104,8 +104,8 @@
         """
         free = [
             instance
-            for instance in allowed
-            if instance in self._slots and self._has_room(instance)
+            for instance in self._slots
+            if instance in allowed and self._has_room(instance)
         ]
         if not free:
             return None
