--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -26,8 +26,8 @@
 # It bounds the memory of the keeper and the time to find the next one.
 MAX_WAITING = 1024
 # Asks within one second, beyond which more are sent at once without a slot, so
-# that a keeper has time for its own callers.
-MAX_ASKS_PER_S = 2000
+# that a keeper has at least half of a core for its own callers.
+MAX_ASKS_PER_S = 1000
 # While requests wait: the period of a check of all, and of the signs of life
 # for the gateways whose requests they are.
 _TICK_S = 0.025
@@ -263,17 +263,26 @@
             return
         holder = slot_counts.Holder(held.gateway, held.incarnation)
         known = queue.registrations.get(held.gateway)
+        earlier = link.registrations.get(held.service)
+        if (
+            earlier is not None
+            and earlier is not known
+            and earlier.number == number
+        ):
+            # It was dropped here with its grants, which the gateway has to
+            # tell anew.
+            earlier.tell(held.service, granting=False)
+            return
         # Sent again, it only tells a change of what the gateway holds.
         is_update = known is not None and known.is_for(link, number)
         if known is not None and not is_update:
             self._drop_registration(queue, known)
-            queue.counts.lose(known.holder, _now())
         if not is_update:
             queue.counts.forget(holder)  # it has told all that it holds
         running = collections.Counter[str]()
         for entry in held.held:
             running[entry.backend] += entry.running
-        queue.counts.set_held(holder, running)
+        queue.counts.set_held(holder, running, _now())
         if is_update:
             self._pump(queue)
             return
@@ -481,9 +490,12 @@
     def _lose_registration(
         self, queue: ServiceQueue, registration: _Registration
     ) -> None:
-        """Drop what a gateway waits for; keep counting what it holds."""
+        """Drop what a gateway waits for.
+
+        What it holds counts until its deadlines.
+        """
         self._drop_registration(queue, registration)
-        counted = queue.counts.lose(registration.holder, _now())
+        counted = queue.counts.held_by(registration.holder)
         if counted:
             logs.emit(
                 events.SLOT_HOLDER_LOST,
@@ -536,7 +548,7 @@
             registration = queue.registrations[refusal.key.gateway]
             self._refuse(queue, registration.link, refusal)
         if is_heartbeat_due:
-            for gateway in {key.gateway for key in queue.asked}:
+            for gateway in dict.fromkeys(key.gateway for key in queue.asked):
                 queue.registrations[gateway].tell(queue.service, True)
 
 
