--- a/src/honeyport/policy/slot_forecast.py
+++ b/src/honeyport/policy/slot_forecast.py
@@ -19,7 +19,8 @@
 _HELD_WEIGHT = 0.05
 # Weight of each new time between two slots that got free.
 _SLOT_WEIGHT = 0.01
-# How many durations of a route, or times between slots, are
+# How many durations of a route, or times between slots, are needed until they
+# alone count.
 _ENOUGH_VALUES = 20
 # Weight of each new wait in the correction.
 _WAIT_WEIGHT = 0.005
--- a/src/honeyport/policy/wait_queue.py
+++ b/src/honeyport/policy/wait_queue.py
@@ -23,6 +23,7 @@
 # The part of the slots that is kept for the second lane if anyone waits
 # there. Returns are planned for it, so that a planned return finds room.
 _SECOND_LANE_SHARE = 0.2
+_FIRST_LANE_SHARE = 1.0 - _SECOND_LANE_SHARE
 # A request enters the second lane only if its forecast wait is within this
 # share of the time that its caller has left. A caller that has already missed
 # its objective is better off with a refusal than with a long wait.
@@ -42,7 +43,7 @@
 # loses its place, in seconds. Single slow requests come and go.
 _TOLERANCE_S = 0.01
 # Shortest time between two checks of the waiting requests, in seconds.
-_CHECK_PERIOD_S = 0.005
+_CHECK_PERIOD_S = 0.02
 # Reasons of refusals after which room is likely soon.
 _TEMPORARY = frozenset(('forecast', 'full', 'overtaken'))
 
@@ -157,7 +158,6 @@
     turn: tuple[bool, float, int]
     lag_s: float
     overtaken_s: float
-    behind_s: float
     limit_at: float
     admitted_at: float
     is_late: bool = False
@@ -261,7 +261,7 @@
         tried: set[frozenset[str]] = set()
         for entry in self._in_order():
             allowed = entry.waiting.allowed
-            if allowed in tried:
+            if allowed in tried or entry.waiting.deadline_at <= now:
                 continue
             instance = find_free(allowed)
             if instance is not None:
@@ -288,6 +288,8 @@
         hopeless += self._find_unreachable(room, now)
         for entry in hopeless:
             del self._entries[entry.waiting.key]
+        if not self._entries:
+            self._granted_at = None
         return [
             self._refusal(entry, 'overtaken', room, now) for entry in hopeless
         ]
@@ -326,9 +328,7 @@
         if self._order.is_protected(waiting.route, now):
             limit_at = waiting.deadline_at
         turn = (not is_owed, now + lag_s, next(self._numbers))
-        return _Entry(
-            waiting, turn, lag_s, overtaken_s, overtaken_s, limit_at, now
-        )
+        return _Entry(waiting, turn, lag_s, overtaken_s, limit_at, now)
 
     def _admit(self, entry: _Entry, room: Room, now: float) -> str:
         """Add a request to a lane, or return the reason why not."""
@@ -355,7 +355,6 @@
     def _try_second_lane(self, entry: _Entry, room: Room, now: float) -> bool:
         """Add a request to the second lane if it is soon served there."""
         entry.is_late = True
-        entry.overtaken_s = math.inf
         entry.admitted_at = now
         ahead = self._second.index(entry.turn)
         entry.plain_s = self._late_wait_s(entry, ahead, room, now)
@@ -457,9 +456,9 @@
         if room.slots <= 0:
             return None
         interval_s = self._second.check.correction * (
-            self._forecast.interval_s(room, 1.0 - _SECOND_LANE_SHARE, now)
+            self._forecast.interval_s(room, _FIRST_LANE_SHARE, now)
         )
-        room_s = max(interval_s, entry.behind_s)
+        room_s = max(interval_s, entry.overtaken_s)
         return self._returns.plan(
             waiting.fingerprint,
             room_s=room_s,
@@ -483,7 +482,7 @@
         """
         overtaken_s = max(0.0, entry.overtaken_s - (now - entry.admitted_at))
         return self._forecast.wait_s(
-            ahead, room, overtaken_s, 1.0 - _SECOND_LANE_SHARE, now
+            ahead, room, overtaken_s, _FIRST_LANE_SHARE, now
         )
 
     def _late_wait_s(
@@ -496,12 +495,10 @@
         """
         if not entry.is_owed:
             ahead += self._returns.expected(now)
-        after_first_s = self._wait_s(
-            entry, len(self._first) + ahead, room, now
-        )
-        interval_s = self._forecast.interval_s(
-            room, 1.0 - _SECOND_LANE_SHARE, now
+        after_first_s = self._forecast.wait_s(
+            len(self._first) + ahead, room, math.inf, _FIRST_LANE_SHARE, now
         )
+        interval_s = self._forecast.interval_s(room, _FIRST_LANE_SHARE, now)
         return min(after_first_s, (ahead + 1) * interval_s)
 
     def _admission(self, entry: _Entry) -> Admission:
