--- a/features/policy/wait_queue.feature
+++ b/features/policy/wait_queue.feature
@@ -97,6 +97,13 @@
     And request "b1" of account "b" asks
     Then "a1, b1, a2, a3" is the order of the grants
 
+  Scenario: a route whose requests got no slots goes first
+    Given a queue before 4 slots, of which 4 are taken
+    And 10 requests of route "often" got slots, and 10 of route "never" did not
+    When request "usual" of route "often" asks with priority 5
+    And request "passed over" of route "never" asks with priority 9
+    Then "passed over, usual" is the order of the grants
+
   Scenario: a request whose forecast worsens is refused at once
     Given a queue before 8 slots, of which 8 are taken
     When 20 requests ask
--- a/features/steps/wait_queue_steps.py
+++ b/features/steps/wait_queue_steps.py
@@ -204,6 +204,27 @@
     _ask(context, name, account=account)
 
 
+@behave.given(
+    '{count:d} requests of route "{served}" got slots, and {others:d} of route'
+    ' "{passed}" did not'
+)
+def step_routes(context, count, served, others, passed):
+    for _ in range(count):
+        _ask(context, route=served)
+        assert _take(context) is not None
+    for _ in range(others):
+        key = wait_queue.Key('gone', next(context.numbers))
+        _ask(context, key=key, route=passed)
+        context.queue.remove(key)
+
+
+@behave.when(
+    'request "{name}" of route "{route}" asks with priority {priority:d}'
+)
+def step_route(context, name, route, priority):
+    _ask(context, name, route=route, priority=priority)
+
+
 @behave.when('{count:d} requests ask')
 @behave.when('{count:d} more requests ask')
 def step_many(context, count):
