--- a/features/policy/wait_queue.feature
+++ b/features/policy/wait_queue.feature
@@ -100,8 +100,8 @@
   Scenario: a route whose requests got no slots goes first
     Given a queue before 4 slots, of which 4 are taken
     And 10 requests of route "often" got slots, and 10 of route "never" did not
-    When request "usual" of route "often" asks with priority 5
-    And request "passed over" of route "never" asks with priority 9
+    When on route "often", request "usual" asks with priority 5
+    And on route "never", request "passed over" asks with priority 9
     Then "passed over, usual" is the order of the grants
 
   Scenario: a request whose forecast worsens is refused at once
--- a/features/steps/wait_queue_steps.py
+++ b/features/steps/wait_queue_steps.py
@@ -219,7 +219,7 @@
 
 
 @behave.when(
-    'request "{name}" of route "{route}" asks with priority {priority:d}'
+    'on route "{route}", request "{name}" asks with priority {priority:d}'
 )
 def step_route(context, name, route, priority):
     _ask(context, name, route=route, priority=priority)
