gateway: bound the bytes held for callers and instances

Whole answers that callers do not read were held twice, without a bound; a caller that left a stream that it had not read was counted as a failure of the instance: tornado replaces the cancellation by an error of its own, so that the attempt ended as 'the response is incomplete'.

Each gateway now counts bodies, collected answers and unsent bytes, refuses large bodies before they are read, passes large answers on unfinished while memory is short, and cuts off callers that read nothing.

--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -4,6 +4,7 @@
 import collections.abc
 import json
 import time
+import typing
 import zlib
 
 import behave
@@ -39,6 +40,7 @@
         extra: float = 1000.0,
         count: int = 3,
         name: str = 'g-1',
+        **settings: typing.Any,
     ) -> None:
         self.name = name
         self.script = instances.Script(steps)
@@ -49,6 +51,7 @@
         self.address = local.free_address()
         self.peer_address = local.free_address()
         self.regions: dict[str, str] = {}
+        self.timeout_ms = _TIMEOUT_MS
         self.counters = metrics.Metrics()
         self.gateway = gateway_daemon.Gateway(
             roles.Router(
@@ -58,6 +61,7 @@
                 peer_listen=self.peer_address,
                 control=(local.free_address(),),
                 regions=self.regions,
+                **settings,
             ),
             _NAMES,
             draining.DrainTimes(refuse_after_s=0.2, stop_after_s=2.0),
@@ -111,7 +115,7 @@
             prefix='/r/',
             semantics=semantics,
             weights={'app': 1},
-            timeout_ms=_TIMEOUT_MS,
+            timeout_ms=self.timeout_ms,
             attempts=2,
             objective_ms=_OBJECTIVE_MS,
             gap_ms=_GAP_MS,
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -14,7 +14,9 @@
 
 NAMES = gateway_headers.HeaderNames()
 BODY = b'the whole answer'
+LARGE_BODY = b'a large answer ' * 262_144
 EVENTS = 6
+_LONG_EVENTS = (b'data: ' + b'x' * 2000 + b'\n\n') * 3000
 # Time for the events to be relayed.
 _CUT_AFTER_S = 0.02
 
@@ -198,19 +200,22 @@
 
 
 def _answer(
-    arrival: Arrival, status: str = '200 OK', **extra_headers: str
+    arrival: Arrival,
+    status: str = '200 OK',
+    body: bytes = BODY,
+    **extra_headers: str,
 ) -> bytes:
     headers = {
         NAMES.request_id: arrival.headers[NAMES.request_id],
         NAMES.digest: 'd1',
-        'Content-Length': str(len(BODY)),
+        'Content-Length': str(len(body)),
     }
     headers |= {
         name.replace('_', '-'): text for name, text in extra_headers.items()
     }
     lines = [f'{name}: {text}' for name, text in headers.items() if text]
     head = '\r\n'.join([f'HTTP/1.1 {status}', *lines])
-    return head.encode() + b'\r\n\r\n' + BODY
+    return head.encode() + b'\r\n\r\n' + body
 
 
 def _foreign(arrival: Arrival) -> bytes:
@@ -248,6 +253,10 @@
     return _stream_head(arrival) + chunks + b'0\r\n\r\n'
 
 
+def _long_stream(arrival: Arrival) -> bytes:
+    return _stream_head(arrival) + _chunk(_LONG_EVENTS) + b'0\r\n\r\n'
+
+
 def _truncated_stream(arrival: Arrival) -> bytes:
     events = _events(arrival)
     complete_events = b''.join(events[:2])
@@ -278,7 +287,13 @@
     return '\r\n'.join(headers).encode() + b'\r\n\r\n' + body
 
 
-_CLOSING_STEPS = ('cut', 'unframed', 'stream cut', 'garbage')
+_CLOSING_STEPS = (
+    'cut',
+    'large answer cut',
+    'unframed',
+    'stream cut',
+    'garbage',
+)
 _FRAMINGS = ('unframed', 'chunked', 'sized')
 # Endings of a stream, by their name in a step.
 _ENDINGS: dict[str, collections.abc.Callable[[list[bytes]], bytes]] = {
@@ -318,5 +333,8 @@
         _answer(arrival) + _foreign(arrival)
     ),
     'stream': _stream,
+    'long stream': _long_stream,
+    'large answer': lambda arrival: _answer(arrival, body=LARGE_BODY),
+    'large answer cut': lambda arrival: _answer(arrival, body=LARGE_BODY)[:-9],
     'stream cut': _truncated_stream,
 }
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -16,7 +16,10 @@
 
 _MAX_HEADER_BYTES = 64 * 1024
 _MAX_BODY_BYTES = 64 * 1024 * 1024
-_CHUNK_BYTES = 64 * 1024
+# A stream whose caller does not read holds some copies of a chunk.
+_CHUNK_BYTES = pool.CHUNK_BYTES
+# Larger bodies are written apart from the head; together, they are copied.
+_MAX_COPIED_BYTES = 64 * 1024
 _EVENT_STREAM = 'text/event-stream'
 # Answers to other requests that are discarded before the expected one.
 _MAX_FOREIGN_RESPONSES = 2
@@ -95,6 +98,19 @@
     def on_activity(self) -> None:
         """Handle the arrival of any bytes."""
 
+    def on_collected(self, size: int) -> bool:
+        """Handle bytes of a whole response that is collected.
+
+        :param size: bytes of its body that have arrived
+        :returns: whether it is to be passed on before it is complete
+        """
+
+    async def write_unfinished(self, head: Head, body: bytes) -> None:
+        """Pass on the start of a response that is not collected further."""
+
+    async def write_body(self, chunk: bytes) -> None:
+        """Pass on further bytes of it."""
+
 
 # Called with the head of each response on a connection, including responses to
 # other requests.
@@ -119,7 +135,10 @@
         self.is_for_other_request = False
         self.is_relayed = False
         self.is_complete = False
+        self.relay_error: BaseException | None = None
         self.body = bytearray()
+        self._is_unfinished = False
+        self._may_pass_on = False
 
     def headers_received(
         self,
@@ -139,9 +158,12 @@
             return None
         self.head = head
         has_digest = self._header_names.digest in headers
-        if self.head.is_success and self.head.is_stream and has_digest:
+        if not (self.head.is_success and has_digest):
+            return None
+        if self.head.is_stream:
             self.is_relayed = True
-            return self._relay.begin(self.head)
+            return self._record_error(self._relay.begin(self.head))
+        self._may_pass_on = True
         return None
 
     def data_received(
@@ -150,14 +172,38 @@
         self._relay.on_activity()
         if self.is_for_other_request:
             return None
+        if self._is_unfinished:
+            return self._record_error(self._relay.write_body(chunk))
         if self.is_relayed:
-            return self._relay.write_events(chunk)
+            return self._record_error(self._relay.write_events(chunk))
         self.body += chunk
+        passes_on = self._relay.on_collected(len(self.body))
+        if passes_on and self._may_pass_on and self.head is not None:
+            self.is_relayed = self._is_unfinished = True
+            body, self.body = bytes(self.body), bytearray()
+            return self._record_error(
+                self._relay.write_unfinished(self.head, body)
+            )
         return None
 
     def finish(self) -> None:
         self.is_complete = True
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether it was relayed as an event stream."""
+        return self.is_relayed and not self._is_unfinished
+
+    async def _record_error(
+        self, relayed: collections.abc.Awaitable[None]
+    ) -> None:
+        """Wait for the relay; keep its error, which the parser replaces."""
+        try:
+            await relayed
+        except BaseException as error:
+            self.relay_error = error
+            raise
+
 
 class Attempt:
     """Sends a request once and reads its response."""
@@ -198,10 +244,14 @@
                     _write_request(http, request, headers)
                 http.finish()
                 await http.read_response(reader)
+                if reader.relay_error is not None:
+                    break
                 if not reader.is_for_other_request:
                     return self._complete_response(reader)
         except _CONNECTION_ERRORS as error:
             raise errors.BackendLost(_describe_cause(error)) from None
+        if reader.relay_error is not None:  # not the instance's fault
+            raise reader.relay_error
         raise errors.ForeignAnswer('received only responses to other requests')
 
     def _new_http(self) -> http1connection.HTTP1Connection:
@@ -235,7 +285,7 @@
             )
         if head.is_success and self._header_names.digest not in head.headers:
             raise errors.ForeignAnswer('a success response without a digest')
-        if reader.is_relayed:
+        if reader.is_event_stream:
             self._relay.check_end()
         return Response(head, bytes(reader.body), reader.is_relayed)
 
@@ -272,8 +322,14 @@
     start_line = httputil.RequestStartLine(
         request.method, request.target, 'HTTP/1.1'
     )
-    written = http.write_headers(start_line, headers, request.body or None)
+    body = request.body
+    is_small = len(body) <= _MAX_COPIED_BYTES
+    written = http.write_headers(
+        start_line, headers, body if body and is_small else None
+    )
     written.add_done_callback(_ignore_result)
+    if not is_small:
+        http.write(body).add_done_callback(_ignore_result)
 
 
 def _ignore_result(future: 'asyncio.Future[None]') -> None:
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -15,6 +15,7 @@
 from honeyport.gateway import forward
 from honeyport.gateway import forwarded
 from honeyport.gateway import headers as gateway_headers
+from honeyport.gateway import held_bytes
 from honeyport.gateway import instance_attempts
 from honeyport.gateway import instance_signals
 from honeyport.gateway import lease_gate
@@ -51,6 +52,7 @@
 _LINK_IDLE_S = 10.0
 # Maximum number of instances in backoff that one report lists.
 _MAX_BACKOFFS_REPORTED = 64
+_BYTES_PER_MB = 1_000_000
 
 
 class Gateway:
@@ -104,9 +106,17 @@
             counters,
         )
         self._forwarder = self._create_forwarder(names, allowance)
-        self._caller_server = server.CallerServer(self._forwarder, names)
+        self._held_bytes = held_bytes.HeldBytes(
+            int(settings.held_max_mb * _BYTES_PER_MB), counters
+        )
+        self._caller_server = server.CallerServer(
+            self._forwarder, names, self._held_bytes
+        )
         self._forwarded = forwarded.ForwardedRequests(
-            self._forwarder, names, lambda: self._caller_server.refusing
+            self._forwarder,
+            names,
+            lambda: self._caller_server.refusing,
+            self._held_bytes,
         )
         self._session = session.Session(
             settings,
@@ -255,6 +265,7 @@
             )
         process_supervisor.on_stop('connections', self._close)
         process_supervisor.start_task('session', self._session.run)
+        process_supervisor.start_task('held-bytes', self._held_bytes.run)
         process_supervisor.on_stop('drain', self._drain)
 
     async def _drain(self) -> None:
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -11,6 +11,7 @@
 from honeyport import errors
 from honeyport.gateway import attempt
 from honeyport.gateway import headers as gateway_headers
+from honeyport.gateway import held_bytes
 from honeyport.gateway import routes
 from honeyport.gateway import silence_timeout
 from honeyport.policy import placement
@@ -29,6 +30,10 @@
     def is_started(self) -> bool:
         """Whether the head of a response has been written."""
 
+    @property
+    def holding(self) -> held_bytes.Holding:
+        """The bytes that are held for the request."""
+
     async def begin(self, head: attempt.Head) -> None:
         """Write the head of a stream."""
 
@@ -72,6 +77,8 @@
     :ivar on_begun: called when the first event of a new stream is passed on
     :ivar framing: what marks the end of the last stream (``Head.framing``), or
         ``''``
+    :ivar is_passed_on: whether a whole response was passed on before it was
+        complete, so that no other attempt may follow
     :ivar remote_instance_id: id of the instance that answered through one
     :ivar has_permit: whether the leader permitted the last attempt
     :ivar sent_at: loop time at which the last attempt was sent
@@ -104,6 +111,7 @@
     stream_version: str | None = None
     on_begun: 'StreamCallback' = attrs.field(default=lambda exchange: None)
     framing: str = ''
+    is_passed_on: bool = False
     remote_instance_id: str = ''
     has_permit: bool = False
     sent_at: float = 0.0
@@ -120,6 +128,8 @@
     def may_repeat(self) -> bool:
         """Whether the route allows another run."""
         route = self.match.route
+        if self.is_passed_on:
+            return False
         return route.repeatable and self.possible_runs < route.attempts
 
     @property
@@ -190,11 +200,14 @@
     async def write_events(self, chunk: bytes) -> None:
         """Pass on complete events."""
         complete = self.splitter.feed(chunk)
+        self.reply.holding.update(
+            held_bytes.EVENT, len(self.splitter.partial())
+        )
         if self.splitter.has_events and self.stream_version is None:
             self.stream_version = self.attempt_version
             self.on_begun(self)
         if complete:
-            await self.reply.write(complete)
+            await self._write(complete)
 
     def check_end(self) -> None:
         """Check that a stream that ends here is whole.
@@ -207,6 +220,34 @@
         if reason:
             raise errors.BackendLost(reason)
 
+    def on_collected(self, size: int) -> bool:
+        """Count the bytes of a response that is collected.
+
+        :returns: whether it is to be passed on before it is complete
+        """
+        self.reply.holding.update(held_bytes.ANSWER, size)
+        return self.reply.holding.passes_on_unfinished(size)
+
+    async def write_unfinished(self, head: attempt.Head, body: bytes) -> None:
+        """Pass on the start of a response that is not collected further."""
+        self.is_passed_on = True
+        self.framing = head.framing
+        self.reply.holding.update(held_bytes.ANSWER, 0)
+        await self.reply.begin(head)
+        await self._write(body)
+
+    async def write_body(self, chunk: bytes) -> None:
+        """Pass on further bytes of it."""
+        await self._write(chunk)
+
+    async def _write(self, chunk: bytes) -> None:
+        """Write to the caller; the instance is not silent meanwhile."""
+        if self.idle_timer is not None:
+            self.idle_timer.pause()
+        await self.reply.write(chunk)
+        if self.idle_timer is not None:
+            self.idle_timer.reset()
+
     def on_activity(self) -> None:
         """Record the time to first byte and restart the silence timeout."""
         if self.first_byte_s is None:
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -9,6 +9,8 @@
 import collections.abc
 import functools
 
+from tornado import iostream
+
 from honeyport import errors
 from honeyport.gateway import connectivity
 from honeyport.gateway import crash_guard
@@ -130,7 +132,7 @@
             )
             log(event, request, exchange, error)
             await reply.refuse(error)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, iostream.StreamClosedError):
             log(events.REQUEST_ABANDONED, request, exchange)
             raise
         finally:
--- a/src/honeyport/gateway/forwarded.py
+++ b/src/honeyport/gateway/forwarded.py
@@ -11,6 +11,7 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import exchanges
 from honeyport.gateway import headers as gateway_headers
+from honeyport.gateway import held_bytes
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 
@@ -27,6 +28,7 @@
     """Turns the response to a forwarded request into frames.
 
     :param call: the request, as the other gateway sent it
+    :param holding: counts the bytes that are held for it
     :ivar exchange: set as soon as the request is admitted
     """
 
@@ -34,8 +36,10 @@
         self,
         call: messages.Call,
         running: collections.abc.Callable[[], int],
+        holding: held_bytes.Holding,
     ) -> None:
         self.call = call
+        self.holding = holding
         self.exchange: exchanges.Exchange | None = None
         self._running = running
         self._queue: asyncio.Queue[messages.Frame | errors.HoneyportError] = (
@@ -44,6 +48,7 @@
         self._is_started = False
         self._frames = 0
         self._length = 0
+        self._unsent = 0
 
     @property
     def is_started(self) -> bool:
@@ -59,6 +64,8 @@
             frame = await self._queue.get()
             if isinstance(frame, errors.HoneyportError):
                 raise frame
+            if isinstance(frame, messages.Data):
+                self._count_unsent(-len(frame.payload))
             yield frame
             if isinstance(frame, messages.End):
                 return
@@ -81,6 +88,7 @@
     async def write(self, chunk: bytes) -> None:
         self._frames += 1
         self._length += len(chunk)
+        self._count_unsent(len(chunk))
         await self._queue.put(messages.Data(self._frames, chunk))
 
     async def end(self) -> None:
@@ -95,6 +103,10 @@
     async def refuse(self, error: errors.HoneyportError) -> None:
         await self._queue.put(error)
 
+    def _count_unsent(self, change: int) -> None:
+        self._unsent += change
+        self.holding.update(held_bytes.UNSENT, self._unsent)
+
 
 class Forwarder(typing.Protocol):
     """The part of :class:`gateway.forward.Forwarder` that is used here."""
@@ -113,6 +125,7 @@
     """Serves the requests of other gateways.
 
     :param is_refusing: returns whether new requests are refused
+    :param account: counts the bytes that are held
     """
 
     def __init__(
@@ -120,10 +133,12 @@
         forwarder: Forwarder,
         names: gateway_headers.HeaderNames,
         is_refusing: collections.abc.Callable[[], bool],
+        account: held_bytes.HeldBytes,
     ) -> None:
         self._forwarder = forwarder
         self._names = names
         self._is_refusing = is_refusing
+        self._held_bytes = account
         self._running = 0
 
     async def answer(
@@ -141,7 +156,9 @@
                 f'{self._running} requests of other gateways are in flight',
                 retry_after=_RETRY_AFTER_S,
             )
-        reply = PeerReply(call, lambda: self._forwarder.running)
+        holding = held_bytes.Holding(self._held_bytes)
+        reply = PeerReply(call, lambda: self._forwarder.running, holding)
+        holding.update(held_bytes.REQUEST, len(call.body))
         self._running += 1
         task = asyncio.create_task(self._serve(reply))
         try:
@@ -151,6 +168,7 @@
             self._running -= 1
             task.cancel()
             await asyncio.wait([task])
+            holding.release()
 
     async def _serve(self, reply: PeerReply) -> None:
         request = _to_request(reply.call, self._names)
--- /dev/null
+++ b/src/honeyport/gateway/held_bytes.py
@@ -0,0 +1,164 @@
+"""The account of the bytes that a gateway holds for callers and instances."""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import typing
+
+from honeyport import errors
+from honeyport.policy import held_bytes
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
+
+# Parts of a request that take memory.
+REQUEST = 'request'  # its body
+ANSWER = 'answer'  # what was collected of a whole answer
+EVENT = 'event'  # the start of an incomplete event
+UNSENT = 'unsent'  # what was written, but not taken by the caller
+# Interval at which callers are checked for progress.
+_CHECK_INTERVAL_S = 0.5
+
+
+class Reader(typing.Protocol):
+    """A caller that is sent bytes."""
+
+    @property
+    def request_id(self) -> str:
+        """Id of its request."""
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes that it has taken, since its connection was opened."""
+
+    def cut_off(self) -> None:
+        """Close its connection."""
+
+
+class Holding:
+    """The bytes that are held for one request."""
+
+    def __init__(self, account: 'HeldBytes') -> None:
+        self._account = account
+        self._parts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def total(self) -> int:
+        """All bytes of the request."""
+        return self._parts.total()
+
+    def update(self, part: str, held: int) -> None:
+        """Set the number of bytes of one part."""
+        change = held - self._parts[part]
+        self._parts[part] = held
+        self._account.change(change)
+
+    def passes_on_unfinished(self, answer_bytes: int) -> bool:
+        """Whether an answer is passed on before it is complete."""
+        return self._account.passes_on_unfinished(answer_bytes)
+
+    def release(self) -> None:
+        """Release all bytes."""
+        for part in self._parts:
+            self.update(part, 0)
+
+
+class HeldBytes:
+    """Counts what is held, and cuts off callers that read nothing.
+
+    :param max_bytes: that should be held at most
+    """
+
+    def __init__(self, max_bytes: int, counters: metrics.Metrics) -> None:
+        self._limits = held_bytes.Limits(max_bytes)
+        self._rate = held_bytes.ReleaseRate()
+        self._metrics = counters
+        self._total = 0
+        # Caller to its request's holding, the bytes that it had taken, and
+        # when it last took any.
+        self._reading: dict[Reader, tuple[Holding, int, float]] = {}
+        counters.gauge('held_bytes', lambda: self._total)
+        counters.gauge('held_bytes_max', lambda: max_bytes)
+
+    @property
+    def total(self) -> int:
+        """All bytes that are held."""
+        return self._total
+
+    def change(self, change: int) -> None:
+        """Count bytes that are held, or are not any more."""
+        self._total += change
+        if change < 0:
+            now = asyncio.get_running_loop().time()
+            self._rate.record(-change, now)
+
+    def check_body(
+        self, request_id: str, body_bytes: int, holding: Holding
+    ) -> None:
+        """Check that there is room for a body that was not read yet.
+
+        :param holding: counts what has been read of it
+        :raises errors.Overloaded: if there is no room
+        """
+        held = self._total - holding.total
+        if self._limits.admits(held, body_bytes):
+            return
+        rate = self._rate.at(asyncio.get_running_loop().time())
+        back_s = self._limits.back_s(held, body_bytes, rate)
+        logs.emit(
+            events.BODY_REFUSED,
+            request=request_id,
+            body_bytes=body_bytes,
+            held_bytes=self._total,
+            back_s=round(back_s, 2),
+        )
+        self._metrics.count('bodies_refused')
+        raise errors.Overloaded(
+            f'no memory for a body of {body_bytes} bytes: {self._total} are '
+            'held',
+            retry_after=back_s,
+        )
+
+    def passes_on_unfinished(self, answer_bytes: int) -> bool:
+        """Whether an answer is passed on before it is complete."""
+        return self._limits.passes_on_unfinished(self._total, answer_bytes)
+
+    @contextlib.contextmanager
+    def watch(
+        self, reader: Reader, holding: Holding
+    ) -> collections.abc.Iterator[None]:
+        """Watch a caller for progress while it is sent bytes."""
+        now = asyncio.get_running_loop().time()
+        self._reading[reader] = (holding, reader.sent_bytes, now)
+        try:
+            yield
+        finally:
+            del self._reading[reader]
+
+    async def run(self) -> None:
+        """Cut off callers that read nothing, until cancelled."""
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            self.cut_off_stalled(asyncio.get_running_loop().time())
+
+    def cut_off_stalled(self, now: float) -> None:
+        """Cut off callers that have read nothing for too long."""
+        for reader, (holding, sent_bytes, _) in self._reading.items():
+            if reader.sent_bytes != sent_bytes:
+                self._reading[reader] = (holding, reader.sent_bytes, now)
+        waiting = [
+            held_bytes.Stalled(reader, progress_at, holding.total)
+            for reader, (holding, _, progress_at) in self._reading.items()
+        ]
+        for stalled in self._limits.select_stalled(waiting, self._total, now):
+            reader = typing.cast(Reader, stalled.key)
+            logs.emit(
+                events.CALLER_CUT_OFF,
+                request=reader.request_id,
+                stalled_s=round(now - stalled.progress_at, 1),
+                request_bytes=stalled.held,
+                held_bytes=self._total,
+            )
+            self._metrics.count('callers_cut_off')
+            reader.cut_off()
--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -28,6 +28,7 @@
 # Instances limit the connections of all callers together.
 _MAX_IDLE_PER_INSTANCE = 4
 _MAX_BUFFER_BYTES = 1024 * 1024
+CHUNK_BYTES = 16 * 1024  # that are read at a time
 # Retry-After if no connection can be made.
 _RETRY_AFTER_S = 0.5
 
@@ -164,6 +165,7 @@
         if stream.closed():  # its socket is gone
             raise ConnectionResetError('closed as soon as it was established')
         stream.set_nodelay(True)
+        stream.read_chunk_size = CHUNK_BYTES
         _enable_keep_alive(stream.socket)
         return stream
 
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -1,10 +1,13 @@
 """HTTP server for the connections of callers."""
 
 import asyncio
+import contextlib
+import fcntl
 import http
 import json
 import socket
 import struct
+import termios
 import typing
 
 from tornado import http1connection
@@ -17,15 +20,19 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import forward
 from honeyport.gateway import headers as gateway_headers
+from honeyport.gateway import held_bytes
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 
 # Deadline for callers that name none.
 _DEFAULT_DEADLINE_S = 600.0
 _CHUNK_BYTES = 64 * 1024
+# Larger bodies are written apart from the head; together, they are copied.
+_MAX_COPIED_BYTES = 64 * 1024
 # Values of SO_LINGER: closing resets the connection, or ends it regularly.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _END_ON_CLOSE = struct.pack('ii', 0, 0)
+_C_INT = struct.Struct('i')
 _CHUNKS_VERSION = 'HTTP/1.1'
 
 
@@ -34,15 +41,18 @@
 
     :param forwarder: serves the requests
     :param names: header names
+    :param account: counts the bytes that are held
     """
 
     def __init__(
         self,
         forwarder: forward.Forwarder,
         names: gateway_headers.HeaderNames,
+        account: held_bytes.HeldBytes,
     ) -> None:
         self._forwarder = forwarder
         self._names = names
+        self._held_bytes = account
         self._server = httpserver.HTTPServer(
             typing.cast(typing.Any, self), chunk_size=_CHUNK_BYTES
         )
@@ -60,6 +70,11 @@
         """Forwarder that serves the requests."""
         return self._forwarder
 
+    @property
+    def held_bytes(self) -> held_bytes.HeldBytes:
+        """Counts the bytes that are held."""
+        return self._held_bytes
+
     @property
     def closing(self) -> bool:
         """Whether responses carry ``Connection: close``."""
@@ -124,12 +139,36 @@
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
         self._is_started = False
+        self._is_refused = False
+        self._holding = held_bytes.Holding(caller_server.held_bytes)
 
     @property
     def is_started(self) -> bool:
         """Whether the head of a response has been written."""
         return self._is_started
 
+    @property
+    def holding(self) -> held_bytes.Holding:
+        """The bytes that are held for the request."""
+        return self._holding
+
+    @property
+    def request_id(self) -> str:
+        """Id that the caller gave the request, or ``''``."""
+        return self._headers.get(self._caller_server.names.request_id, '')
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes that the caller has taken on this connection."""
+        # Tornado has no public access to it.
+        written = self._stream._total_write_done_index
+        return written - _unacknowledged_bytes(self._stream.socket)
+
+    def cut_off(self) -> None:
+        """Close the connection of a caller that reads nothing."""
+        self._set_linger(_RESET_ON_CLOSE)
+        self._stream.close()
+
     # -- httputil.HTTPMessageDelegate ------------------------------------
 
     def headers_received(
@@ -137,9 +176,35 @@
     ) -> None:
         self._start_line = start_line
         self._headers = headers
+        self._check_room(_content_length(headers))
 
     def data_received(self, chunk: bytes) -> None:
-        self._body += chunk
+        if self._is_refused:
+            return
+        # The length was counted when it was announced.
+        if 'Content-Length' not in self._headers:
+            self._check_room(len(self._body) + len(chunk))
+        if not self._is_refused:
+            self._body += chunk
+
+    def _check_room(self, body_bytes: int) -> None:
+        """Count a body, or refuse the request before it is read."""
+        try:
+            self._caller_server.held_bytes.check_body(
+                self.request_id, body_bytes, self._holding
+            )
+        except errors.Overloaded as error:
+            self._is_refused = True
+            self._body.clear()
+            self._holding.release()
+            self._task = asyncio.create_task(self._refuse_unread(error))
+            return
+        self._holding.update(held_bytes.REQUEST, body_bytes)
+
+    async def _refuse_unread(self, error: errors.Overloaded) -> None:
+        """Refuse a request; the parser discards its body."""
+        with contextlib.suppress(iostream.StreamClosedError):
+            await self.refuse(error)
 
     def finish(self) -> None:
         self._connection.set_close_callback(self._on_closed)
@@ -147,6 +212,8 @@
 
     def on_connection_close(self) -> None:
         self._on_closed()
+        if self._task is None:
+            self._holding.release()
 
     def _on_closed(self) -> None:
         if self._task is not None:
@@ -160,16 +227,20 @@
         except Exception as error:
             logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
             self._stream.close()
+        finally:
+            self._holding.release()
 
     async def _forward_request(self) -> None:
         assert self._start_line is not None
+        body = bytes(self._body)
+        self._body.clear()
         try:
             if self._caller_server.refusing:
                 raise errors.Draining(retry_after=0.1)
             request = gateway_headers.decode(
                 self._start_line,
                 self._headers,
-                bytes(self._body),
+                body,
                 self._caller_server.names,
                 _DEFAULT_DEADLINE_S,
             )
@@ -190,7 +261,10 @@
         await self._write_head(head.status, head.reason, headers)
 
     async def write(self, chunk: bytes) -> None:
-        await self._connection.write(chunk)
+        self._holding.update(held_bytes.UNSENT, len(chunk))
+        with self._watch():
+            await self._connection.write(chunk)
+        self._holding.update(held_bytes.UNSENT, 0)
 
     async def end(self) -> None:
         if self._ends_with_connection:
@@ -203,7 +277,12 @@
         headers = self._forwarded_headers(head)
         if head.status not in (204, 304):
             headers['Content-Length'] = str(len(body))
-        await self._write_head(head.status, head.reason, headers, body)
+        with self._watch():
+            if len(body) <= _MAX_COPIED_BYTES:
+                await self._write_head(head.status, head.reason, headers, body)
+            else:
+                await self._write_head(head.status, head.reason, headers)
+                await self._connection.write(body)
         self._connection.finish()
 
     async def refuse(self, error: errors.HoneyportError) -> None:
@@ -216,8 +295,9 @@
         request_id = self._headers.get(self._caller_server.names.request_id)
         if request_id:
             headers[self._caller_server.names.request_id] = request_id
-        if isinstance(error, errors.NotReady):
+        if isinstance(error, errors.NotReady) or self._is_refused:
             # Further requests of this caller should go to another gateway.
+            # A connection with an unread body cannot be kept.
             headers['Connection'] = 'close'
         if error.retry_after is not None:
             headers['Retry-After'] = f'{error.retry_after:.2f}'
@@ -225,6 +305,10 @@
         await self._write_head(error.status, reason, headers, body)
         self._connection.finish()
 
+    def _watch(self) -> contextlib.AbstractContextManager[None]:
+        """Watch whether the caller reads."""
+        return self._caller_server.held_bytes.watch(self, self._holding)
+
     @property
     def _ends_with_connection(self) -> bool:
         """Whether a stream to this caller has no chunks."""
@@ -256,3 +340,20 @@
             headers['Connection'] = 'close'
         start_line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
         await self._connection.write_headers(start_line, headers, body or None)
+
+
+def _unacknowledged_bytes(sock: socket.socket | None) -> int:
+    """Return how many bytes the kernel holds for a peer, if it tells."""
+    if sock is None:
+        return 0
+    try:
+        data = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_C_INT.size))
+    except OSError:
+        return 0  # progress is seen as the kernel takes further bytes
+    return int(_C_INT.unpack(data)[0])
+
+
+def _content_length(headers: httputil.HTTPHeaders) -> int:
+    """Return the length of a body that its head names, or 0."""
+    text = headers.get('Content-Length', '')
+    return int(text) if text.isascii() and text.isdigit() else 0
--- a/src/honeyport/gateway/silence_timeout.py
+++ b/src/honeyport/gateway/silence_timeout.py
@@ -24,6 +24,10 @@
     async def __aexit__(self, *exc_info: typing.Any) -> bool | None:
         return await self._timeout.__aexit__(*exc_info)
 
+    def pause(self) -> None:
+        """Wait without a limit until the next reset."""
+        self._timeout.reschedule(None)
+
     def reset(self) -> None:
         """Restart the timeout after bytes arrived."""
         if self._limits is None:
--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -20,6 +20,7 @@
 _RETRY_WINDOW_S = 10.0
 _TTL_S = 5.0
 _BANDWIDTH_MBPS = 1000.0
+_MEMORY_MB = 0.0  # unknown
 _COLD_MULTIPLE = 1.0  # of the rate that a cold instance is designed for
 _COLD_EXTRA = 0.0  # requests in a second
 _UNEVEN_LOAD_CONTRACT = 'pressure'
@@ -61,6 +62,7 @@
         seconds
     :ivar regions: the region of each failure domain
     :ivar bandwidth_mbps: bandwidth of the machine's link, in Mbit/s
+    :ivar memory_mb: memory of the machine, in megabytes; 0 if it is unknown
     :ivar cold_multiple: the multiple of a service's cold rate that a cold
         instance tolerates within one second
     :ivar cold_extra: further requests that it tolerates
@@ -90,6 +92,7 @@
     max_ttl_s: float
     regions: dict[str, str]
     bandwidth_mbps: float
+    memory_mb: float
     cold_multiple: float
     cold_extra: float
     uneven_load: bool
@@ -195,6 +198,7 @@
             max_ttl_s=self._number('bounds.ttl_max_s', _TTL_S),
             regions=self._regions(),
             bandwidth_mbps=self._number('limits.link_mbps', _BANDWIDTH_MBPS),
+            memory_mb=self._number('limits.memory_mb', _MEMORY_MB),
             cold_multiple=self._number('bounds.cold_overage', _COLD_MULTIPLE),
             cold_extra=self._number('bounds.cold_tolerance', _COLD_EXTRA),
             uneven_load=_UNEVEN_LOAD_CONTRACT
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -27,6 +27,10 @@
 from honeyport.telemetry import metrics
 
 _POLL_INTERVAL_S = 2.0  # between checks of the settings file
+# Share of the machine's memory for requests and answers that are not read yet,
+# and its minimum. The process itself takes most of the rest.
+_HELD_SHARE = 1 / 8
+_MIN_HELD_MB = 8.0
 
 
 def main() -> None:
@@ -74,8 +78,16 @@
             cold_extra=self._boot_settings.cold_extra,
             shared_queues=self._boot_settings.uneven_load,
             prompt_balancing=self._boot_settings.uneven_load,
+            **self._memory_settings(),
         )
 
+    def _memory_settings(self) -> dict[str, float]:
+        """Return the settings that the machine's memory calls for."""
+        memory_mb = self._boot_settings.memory_mb
+        if not self._boot_settings.uneven_load or not memory_mb:
+            return {}
+        return {'held_max_mb': max(_MIN_HELD_MB, memory_mb * _HELD_SHARE)}
+
     async def start(
         self, settings: roles.Router, tree: supervisor.Supervisor
     ) -> None:
--- /dev/null
+++ b/src/honeyport/policy/held_bytes.py
@@ -0,0 +1,132 @@
+"""Bounds of the bytes that a gateway holds for callers and instances.
+
+Answers the load of callers that read slowly, of instances that read slowly
+and of bursts of large requests: a gateway that runs out of memory breaks all
+of its requests at once.
+"""
+
+import collections.abc
+import math
+
+import attrs
+
+# Requests with larger bodies are the first to be refused: one of them takes
+# the room of many others.
+_LARGE_BODY_BYTES = 64 * 1024
+# Share of the maximum from which large bodies are refused. The rest is left to
+# small requests, and to the answers to requests under way.
+_LARGE_BODY_SHARE = 0.5
+# Share of the maximum from which whole answers are passed on while they
+# arrive, and callers that read nothing are cut off sooner.
+_PRESSURE_SHARE = 0.75
+# Time without progress after which a caller is cut off. A phone that changes
+# networks goes on within it.
+_STALL_S = 30.0
+# The same under pressure. Several retransmissions of a lost packet fit.
+_STALL_UNDER_PRESSURE_S = 5.0
+# Mean time over which the rate of releases is averaged.
+_RATE_WINDOW_S = 1.0
+_MIN_BACK_S = 0.05
+
+
+@attrs.frozen
+class Stalled:
+    """A caller that has unread bytes.
+
+    :ivar key: identifies it
+    :ivar progress_at: when it last took any bytes, in seconds
+    :ivar held: bytes that are held for its request
+    """
+
+    key: collections.abc.Hashable
+    progress_at: float
+    held: int
+
+
+class ReleaseRate:
+    """The rate at which held bytes become free."""
+
+    def __init__(self) -> None:
+        self._bytes_per_s = 0.0
+        self._updated_at = 0.0
+
+    def record(self, released: int, now: float) -> None:
+        """Record that bytes became free."""
+        self._bytes_per_s = self.at(now) + released / _RATE_WINDOW_S
+        self._updated_at = now
+
+    def at(self, now: float) -> float:
+        """Return the rate in bytes per second."""
+        age_s = max(0.0, now - self._updated_at)
+        return self._bytes_per_s * math.exp(-age_s / _RATE_WINDOW_S)
+
+
+@attrs.frozen
+class Limits:
+    """Decides who is refused or cut off as memory gets short.
+
+    :ivar max_bytes: that should be held at most
+    """
+
+    max_bytes: int
+
+    def admits(self, held: int, body_bytes: int) -> bool:
+        """Whether a request may be read whose body was not read yet.
+
+        While nothing is held, any request may: one that is larger than the
+        maximum is served alone.
+        """
+        if not held:
+            return True
+        return held + body_bytes <= self._limit_for(body_bytes)
+
+    def back_s(self, held: int, body_bytes: int, rate: float) -> float:
+        """Return when a refused caller should come back, in seconds.
+
+        :param rate: at which held bytes become free, in bytes per second
+        """
+        excess = held + body_bytes - self._limit_for(body_bytes)
+        if rate <= 0:
+            return _STALL_UNDER_PRESSURE_S
+        return min(max(excess / rate, _MIN_BACK_S), _STALL_UNDER_PRESSURE_S)
+
+    def is_under_pressure(self, held: int) -> bool:
+        """Whether memory is short."""
+        return held > self.max_bytes * _PRESSURE_SHARE
+
+    def passes_on_unfinished(self, held: int, answer_bytes: int) -> bool:
+        """Whether an answer is passed on before it is complete.
+
+        That bounds what is held for it, but it can no longer be taken from
+        another instance if this one fails.
+        """
+        return answer_bytes > _LARGE_BODY_BYTES and self.is_under_pressure(
+            held
+        )
+
+    def select_stalled(
+        self,
+        waiting: collections.abc.Iterable[Stalled],
+        held: int,
+        now: float,
+    ) -> list[Stalled]:
+        """Return the callers to cut off, the longest stalled first.
+
+        A caller that takes any bytes is kept, however slow it is.
+        """
+        selected = []
+        for caller in sorted(waiting, key=lambda each: each.progress_at):
+            stalled_s = now - caller.progress_at
+            is_expected = (
+                stalled_s < _STALL_UNDER_PRESSURE_S
+                or not self.is_under_pressure(held)
+            )
+            if is_expected and stalled_s < _STALL_S:
+                break
+            selected.append(caller)
+            held -= caller.held
+        return selected
+
+    def _limit_for(self, body_bytes: int) -> float:
+        is_large = body_bytes > _LARGE_BODY_BYTES
+        return self.max_bytes * (_LARGE_BODY_SHARE if is_large else 1.0)
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -67,6 +67,13 @@
         'read, and by how slow instances say they are',
         False,
     )
+    held_max_mb: float = fields.field(
+        'memory for requests and answers that callers and instances have not '
+        'read yet, in megabytes; as it runs out, requests with large bodies '
+        'are refused first',
+        256.0,
+        check=fields.at_least(1),
+    )
     drain_s: float = fields.field(
         'maximum wait for running requests at shutdown, in seconds',
         600.0,
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -634,6 +634,20 @@
     'Another gateway could not be told which software versions began streams; '
     'the next ones are.',
 )
+BODY_REFUSED = define(
+    3250,
+    'body_refused',
+    'warning',
+    'A request was refused before its body was read, as the gateway holds too '
+    'many bytes for callers and instances; it was not run.',
+)
+CALLER_CUT_OFF = define(
+    3251,
+    'caller_cut_off',
+    'warning',
+    'A caller read nothing of its answer for too long; its connection was '
+    'closed.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
