--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -43,6 +43,7 @@
         **settings: typing.Any,
     ) -> None:
         self.name = name
+        self.slots = 8
         self.script = instances.Script(steps)
         self.instances = [
             instances.Instance(f'i-{number}', self.script)
@@ -159,7 +160,7 @@
                 address=self.address_by_instance[instance.name],
                 domain='thu-duc',
                 leaving=instance.name in leaving,
-                slots=8,
+                slots=self.slots,
                 place=instance.name,
                 version=instance.version,
             )
