--- a/features/steps/telemetry_steps.py
+++ b/features/steps/telemetry_steps.py
@@ -160,3 +160,77 @@
 @behave.then('the only reason for requests not served is "{reason}"')
 def step_reason(context, reason):
     assert list(context.losses.reasons) == [reason], context.losses
+
+
+@behave.given(
+    'a log line of a request that waited {queued:d} ms for a slot, of '
+    '{first:d} ms in all'
+)
+def step_queued(context, queued, first):
+    line = _end_line('request_served', first_ms=first, queued_ms=queued)
+    context.logs = [[line]]
+
+
+@behave.given(
+    'log lines of requests that waited {waits} ms where {forecast:d} ms were '
+    'forecast'
+)
+def step_forecasts(context, waits, forecast):
+    context.logs = [
+        [
+            _end_line(
+                'request_served', queued_ms=int(wait), forecast_ms=forecast
+            )
+            for wait in waits.split(', ')
+        ]
+    ]
+
+
+@behave.given(
+    'log lines of {refused:d} requests refused as "{reason}" and {sent:d} '
+    'sent as "{direct}"'
+)
+def step_no_slot(context, refused, reason, sent, direct):
+    context.logs += [
+        [
+            _end_line(
+                'request_refused',
+                code='HP-3213',
+                queue_reason=reason,
+                forecast_ms=900,
+            )
+        ]
+        * refused,
+        [_end_line('request_served', queue_reason=direct)] * sent,
+    ]
+
+
+@behave.given(
+    'log lines of streams with pauses of {pauses} ms where {gap:d} ms are '
+    'allowed'
+)
+def step_pauses(context, pauses, gap):
+    context.logs.append(
+        [
+            _end_line('request_served', pause_ms=int(pause), gap_ms=gap)
+            for pause in pauses.split(', ')
+        ]
+    )
+
+
+@behave.then(
+    'the reasons for no slot are "{first}" {count:d} times, "{second}" '
+    '{other:d} times'
+)
+def step_no_slot_reasons(context, first, count, second, other):
+    assert context.losses.queue_reasons == {first: count, second: other}
+
+
+@behave.then(
+    'the forecasts differ by {size:d} ms, and {count:d} streams paused for '
+    'too long'
+)
+def step_forecast_errors(context, size, count):
+    found = [abs(error) for error in context.losses.forecast_errors_ms]
+    assert found and set(found) == {size}, found
+    assert context.losses.paused == {'yard': count}, context.losses.paused
--- a/features/support/queue_fleet.py
+++ b/features/support/queue_fleet.py
@@ -57,6 +57,13 @@
     service: str = choices.SERVICE
     fingerprint: str = 'f'
     queued_s: float = 0.0
+    queue_place: int = 0
+    queue_forecast_s: float | None = None
+    queue_reason: str = ''
+
+    def record_place(self, place, forecast_s):
+        self.queue_place = place
+        self.queue_forecast_s = forecast_s
 
 
 class Instance:
--- a/features/telemetry/logs.feature
+++ b/features/telemetry/logs.feature
@@ -22,6 +22,19 @@
       | 350   | 0      | 301     | connecting to instances               |
       | 360   | 0      | 4       | instance i-1, copying from i-2        |
 
+  Scenario: a request is slow as it waited for a slot
+    Given a log line of a request that waited 300 ms for a slot, of 500 ms in all
+    When the logs are summarized with a limit of 300 ms
+    Then the slow request is attributed to "waited for a slot"
+
+  Scenario: refusals, forecasts and pauses are summed
+    Given log lines of requests that waited 30, 50 ms where 40 ms were forecast
+    And log lines of 2 requests refused as "late" and 1 sent as "no_keeper"
+    And log lines of streams with pauses of 90, 310, 400 ms where 300 ms are allowed
+    When the logs are summarized with a limit of 300 ms
+    Then the reasons for no slot are "late" 2 times, "no_keeper" 1 times
+    And the forecasts differ by 10 ms, and 2 streams paused for too long
+
   Scenario: requests that were not served are counted per second
     Given log lines of 3 served and 2 refused requests
     When the logs are summarized with a limit of 300 ms
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -381,6 +381,9 @@
     status = 503
     ran = False
     hint = 'No slot of the service is free in time; it was not run.'
+    # Why, and when one likely is, in seconds; by the keeper of the queue.
+    reason = ''
+    forecast_s: float | None = None
 
 
 @register('HP-3208')
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -84,6 +84,9 @@
     :ivar sent_at: loop time at which the last attempt was sent
     :ivar waited_s: wait for the lease, in seconds
     :ivar queued_s: total wait for slots of shared queues, in seconds
+    :ivar queue_place: its place in the last queue; 0 if it did not wait
+    :ivar queue_forecast_s: its forecast wait there, in seconds
+    :ivar queue_reason: why it was refused there, or sent without a slot
     :ivar connect_s: total time spent on connecting, in seconds
     :ivar first_byte_s: time from its arrival to the first byte of a response,
         in seconds
@@ -118,6 +121,9 @@
     sent_at: float = 0.0
     waited_s: float = 0.0
     queued_s: float = 0.0
+    queue_place: int = 0
+    queue_forecast_s: float | None = None
+    queue_reason: str = ''
     connect_s: float = 0.0
     first_byte_s: float | None = None
 
@@ -192,8 +198,19 @@
         }
         if self.queued_s:
             fields['queued_ms'] = round(self.queued_s * 1000, 1)
+        if self.queue_place:
+            fields['place'] = self.queue_place
+        if self.queue_forecast_s is not None:
+            fields['forecast_ms'] = _to_ms(self.queue_forecast_s)
+        if self.queue_reason:
+            fields['queue_reason'] = self.queue_reason
         return fields
 
+    def record_place(self, place: int, forecast_s: float) -> None:
+        """Record that it waits in a shared queue."""
+        self.queue_place = place
+        self.queue_forecast_s = forecast_s
+
     # -- attempt.Relay ---------------------------------------------------
 
     async def begin(self, head: attempt.Head) -> None:
--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -192,7 +192,8 @@
         self._listed = listed
         for service in keepers:
             if service not in self._queues and keepers[service] == self._name:
-                self._queues[service] = ServiceQueue(service)
+                self._queues[service] = queue = ServiceQueue(service)
+                self._register_gauges(queue)
         for service, queue in self._queues.items():
             queue.tenure.update(
                 is_keeper=keepers.get(service) == self._name,
@@ -230,6 +231,18 @@
             }
         )
 
+    def _register_gauges(self, queue: ServiceQueue) -> None:
+        def is_kept() -> bool:
+            return queue.is_granting
+
+        for name, read in (
+            ('queue_service_slots', lambda: queue.counts.slots),
+            ('queue_service_taken', lambda: queue.counts.taken),
+            ('queue_service_waiting', lambda: len(queue.waiting)),
+            ('queue_service_kept', is_kept),
+        ):
+            self._metrics.gauge(name, read, service=queue.service)
+
     def handle(self, link: KeeperLink, frame: pb.Frame) -> None:
         """Handle a frame of a gateway."""
         kind = frame.WhichOneof('body')
--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -77,6 +77,7 @@
                 fields['stream_version'] = exchange.stream_version
             if exchange.framing:
                 fields['framing'] = exchange.framing
+                fields['gap_ms'] = exchange.match.route.gap_ms
             if exchange.via:
                 fields['via'] = exchange.via
                 fields['backend'] = exchange.remote_instance_id
--- a/src/honeyport/gateway/slot_queues.py
+++ b/src/honeyport/gateway/slot_queues.py
@@ -44,6 +44,9 @@
 
 # Returns the instances that a request may be sent to now.
 FindAllowed = collections.abc.Callable[[], frozenset[str]]
+# Called with the place of a request in the queue and its forecast wait, in
+# seconds.
+OnPlaced = collections.abc.Callable[[int, float], None]
 Running = collections.abc.Mapping[str, int]
 
 
@@ -83,6 +86,7 @@
 
     result: asyncio.Future[str | None]
     sent_at: float
+    on_placed: OnPlaced
     place: int = 0
 
 
@@ -172,18 +176,20 @@
         self._report()
 
     async def ask(
-        self, ask: pb.SlotAsk
+        self, ask: pb.SlotAsk, on_placed: OnPlaced
     ) -> tuple[_Slot | None, errors.NoSlot | None]:
         """Wait for a slot; return it, or the reason of a refusal.
 
         Returns neither if the request is to be sent without a slot.
+
+        :param on_placed: called as soon as it waits
         """
         streams = self._streams
         if streams is None or not self._is_granting:
             return None, None
         number = streams.open()
         loop = asyncio.get_running_loop()
-        waiting = _Ask(loop.create_future(), loop.time())
+        waiting = _Ask(loop.create_future(), loop.time(), on_placed)
         self._asks[number] = waiting
         streams.send(pb.Frame(stream=number, ask=ask))
         self._start_checks()
@@ -292,7 +298,9 @@
             ask.result.set_exception(_to_error(frame.refusal))
         elif kind == 'keeper':
             ask.place = frame.keeper.place
-            if not ask.place:
+            if ask.place:
+                ask.on_placed(ask.place, frame.keeper.forecast_ms / 1000)
+            else:
                 self._close_stream(frame.stream)
                 ask.result.set_result(None)
             if not frame.keeper.granting:
@@ -519,7 +527,13 @@
             return
         started_at = _now()
         slot = await self._get_slot(session, exchange, find_allowed)
-        exchange.queued_s += _now() - started_at
+        queued_s = _now() - started_at
+        exchange.queued_s += queued_s
+        if slot is not None and exchange.queue_forecast_s is not None:
+            self._metrics.observe(
+                'queue_forecast_error_seconds',
+                abs(queued_s - exchange.queue_forecast_s),
+            )
         if slot is None:
             self._report_soon(exchange.service)
             try:
@@ -559,8 +573,10 @@
             return None
         for _ in range(_MAX_ASKS):
             ask = _to_ask(exchange, find_allowed())
-            slot, refusal = await session.ask(ask)
+            slot, refusal = await session.ask(ask, exchange.record_place)
             if refusal is not None:
+                exchange.queue_reason = refusal.reason
+                exchange.queue_forecast_s = refusal.forecast_s
                 self._log_refused(exchange, session, refusal)
                 raise refusal
             if slot is None:
@@ -616,6 +632,7 @@
         }
 
     def _count_direct(self, exchange: exchanges.Exchange, reason: str) -> None:
+        exchange.queue_reason = reason
         self._metrics.count(
             'queue_bypassed', service=exchange.service, reason=reason
         )
@@ -633,6 +650,7 @@
             service=exchange.service,
             keeper=session.keeper.router,
             detail=refusal.detail,
+            reason=refusal.reason,
             retry_after_s=refusal.retry_after,
         )
 
@@ -656,10 +674,13 @@
 
 
 def _to_error(refusal: pb.SlotRefusal) -> errors.NoSlot:
-    return errors.NoSlot(
+    error = errors.NoSlot(
         f'{refusal.reason}: a slot is likely free in {refusal.forecast_ms} ms',
         retry_after=refusal.back_ms / 1000 or None,
     )
+    error.reason = refusal.reason
+    error.forecast_s = refusal.forecast_ms / 1000
+    return error
 
 
 def _is_same(
--- a/src/honeyport/telemetry/losses.py
+++ b/src/honeyport/telemetry/losses.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import statistics
 import typing
 
 import attrs
@@ -37,6 +38,12 @@
     :ivar instances: logging instance to counts by outcome
     :ivar reasons: outcome and error code to the number of failed requests
     :ivar stages: slowest stage to the number of slow requests
+    :ivar queue_reasons: why requests got no slot of a shared queue, to their
+        number
+    :ivar forecast_errors_ms: differences between the forecast and the true
+        wait of those that got one
+    :ivar paused: route to the number of served streams whose longest pause
+        between two events exceeded the objective of the route
     """
 
     seconds: dict[str, Counts] = attrs.field(factory=dict)
@@ -44,6 +51,9 @@
     instances: dict[str, Counts] = attrs.field(factory=dict)
     reasons: Counts = attrs.field(factory=collections.Counter)
     stages: Counts = attrs.field(factory=collections.Counter)
+    queue_reasons: Counts = attrs.field(factory=collections.Counter)
+    forecast_errors_ms: list[float] = attrs.field(factory=list)
+    paused: Counts = attrs.field(factory=collections.Counter)
 
     def record(self, fields: lines.Fields, slow_ms: float) -> None:
         """Count a log line if it is about the end of a request."""
@@ -52,7 +62,10 @@
         outcome = _OUTCOMES_BY_EVENT.get(fields['event'])
         if outcome is None:
             return
+        self._record_queue(fields)
         first_ms = fields.get('first_ms') or 0.0
+        if outcome == SERVED and _is_paused(fields):
+            self.paused[fields.get('route', '-')] += 1
         if outcome == SERVED and first_ms > slow_ms:
             outcome = SLOW
             self.stages[slowest_stage(fields)] += 1
@@ -67,12 +80,33 @@
         ):
             table.setdefault(key, collections.Counter())[outcome] += 1
 
+    def _record_queue(self, fields: lines.Fields) -> None:
+        reason = fields.get('queue_reason')
+        if reason:
+            self.queue_reasons[reason] += 1
+            return
+        forecast_ms = fields.get('forecast_ms')
+        # The wait is the sum of all attempts, the forecast that of the last.
+        if forecast_ms is not None and (fields.get('offers') or 1) <= 1:
+            queued_ms = fields.get('queued_ms') or 0.0
+            self.forecast_errors_ms.append(queued_ms - forecast_ms)
+
+
+def _is_paused(fields: lines.Fields) -> bool:
+    pause_ms, gap_ms = fields.get('pause_ms'), fields.get('gap_ms')
+    return bool(pause_ms and gap_ms and pause_ms > gap_ms)
+
 
 def slowest_stage(fields: lines.Fields) -> str:
     """Return the stage that took most of the time to the first byte."""
     waited_ms = fields.get('waited_ms') or 0.0
     connect_ms = fields.get('connect_ms') or 0.0
-    remaining_ms = (fields.get('first_ms') or 0.0) - waited_ms - connect_ms
+    queued_ms = fields.get('queued_ms') or 0.0
+    remaining_ms = (
+        (fields.get('first_ms') or 0.0) - waited_ms - connect_ms - queued_ms
+    )
+    if queued_ms > max(waited_ms, connect_ms, remaining_ms):
+        return 'waited for a slot'
     if waited_ms >= max(connect_ms, remaining_ms):
         return 'waited for the lease'
     if connect_ms >= remaining_ms:
@@ -117,10 +151,25 @@
             _table('instance', losses.instances),
             _ranked('why not served', losses.reasons),
             _ranked('why slow', losses.stages),
+            _ranked('why no slot', losses.queue_reasons),
+            _ranked('paused for longer than allowed', losses.paused),
+            _describe_forecasts(losses.forecast_errors_ms),
         )
     )
 
 
+def _describe_forecasts(errors_ms: list[float]) -> str:
+    """Describe how the forecasts of shared queues differed."""
+    if not errors_ms:
+        return 'forecasts of waits: none'
+    mean_ms = statistics.fmean(errors_ms)
+    size_ms = statistics.fmean(map(abs, errors_ms))
+    return (
+        f'forecasts of waits: {len(errors_ms)}, true wait longer by '
+        f'{mean_ms:.1f} ms on average, mean difference {size_ms:.1f} ms'
+    )
+
+
 def _table(
     name: str, rows: dict[str, Counts], *, lost_only: bool = False
 ) -> str:
