--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -47,6 +47,8 @@
 bounds.revocation_ms=5000
 bounds.grace_period_s=8
 bounds.ttl_max_s=5
+contracts={contracts}
+limits.memory_mb={memory_mb}
 """
 _ZONES = ('thu-duc', 'tan-binh', 'binh-chanh')
 _WITH_DISKS = (1, 2, 3)
@@ -138,6 +140,8 @@
     :ivar executed_ids: ids of the requests that the service ran
     :ivar list_entries: the entries of the instance list
     :ivar configurations: the acknowledged configurations by version
+    :ivar contracts: names of the contracts in the settings
+    :ivar memory_mb: memory of each machine in the settings
     :ivar seeds: the IP addresses of the seeds in the settings
     :ivar target_node: the node that gets all operator requests, or ``None``
         for each node in turn
@@ -154,6 +158,8 @@
         self.tolerated_losses = 1
         self.suspendable = False
         self.redirected = False
+        self.contracts = ''
+        self.memory_mb = 200
         self.configurations: dict[int, typing.Any] = {}
         self.ports = _free_ports(5)
         self.nodes = [self.make_node(number) for number in _WITH_DISKS]
@@ -422,6 +428,8 @@
                 data=node.data or '',
                 cloud=self._list_address,
                 losses=self.tolerated_losses,
+                contracts=self.contracts,
+                memory_mb=self.memory_mb,
             )
         )
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Run soaks: ``python -m soak many --seeds=1,2 --first=9 --count=4``."""
 
 import asyncio
+import collections.abc
 import concurrent.futures
 import os
 import pathlib
@@ -16,6 +17,7 @@
 from honeyport.telemetry import log as logs
 from soak import callers
 from soak import checks
+from soak import crowd as soak_crowd
 from soak import faults
 from soak import operator as soak_operator
 from soak import records as soak_records
@@ -25,6 +27,11 @@
 _FIRST_HOST = 60  # last octet of 127.0.0.x
 _STARTUP_TIMEOUT_S = 20.0
 _CALLERS = 8
+# Sites of this and higher seeds have a service with few slots.
+_FIRST_SMALL_SEED = 11000
+# From the first requests until the first keeper grants, and those that were
+# sent before have ended.
+_FIRST_GRANT_S = 4.0
 _FAULT_COUNT = (6, 16)  # (minimum, maximum)
 _FAULT_WINDOW_S = 12.0  # in which all faults begin
 # From the end of the last fault until requests have to be served again.
@@ -52,7 +59,13 @@
     """Run the soak of one seed; return the violations."""
     plan = _draw_plan(seed, names)
     records = soak_records.Records()
-    site = soak_site.Site(folder, records, random.Random(seed))
+    site = soak_site.Site(
+        folder,
+        records,
+        random.Random(seed),
+        has_small_service=seed >= _FIRST_SMALL_SEED,
+    )
+    crowd = soak_crowd.Crowd(site, random.Random(seed + 1))
     operator = soak_operator.Operator(site)
     await site.start()
     tasks: list[asyncio.Task[None]] = []
@@ -66,8 +79,12 @@
                 operator.run_changes(),
                 operator.run_reads(),
                 *(callers.Caller(site).run() for _ in range(_CALLERS)),
+                *_crowd_activities(crowd, site),
             )
         ]
+        records.queues_expected_at = (
+            asyncio.get_running_loop().time() + _FIRST_GRANT_S
+        )
         await asyncio.sleep(1.0)
         names_text = ' '.join(planned.name for planned in plan)
         print(f'seed {seed}: {names_text}', flush=True)
@@ -80,21 +97,34 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await crowd.stop()
         await operator.read_final_configuration()
     finally:
         await site.stop()
     violations = checks.violations(records)
     served = sum(result.status == 200 for result in records.results)
+    peak_mb = max(records.peak_memory_mb.values(), default=0.0)
+    granted = len(checks.held_under_grants(records))
     went_on = sum(stream.went_on for stream in records.streams)
     print(
         f'seed {seed}: {len(records.results)} requests, {served} served, '
         f'{went_on} of {len(records.streams)} streams taken up went on, '
-        f'{len(records.accepted)} changes, {len(violations)} violations',
+        f'{len(records.accepted)} changes, {len(violations)} violations'
+        f'; {len(records.held_by_instances)} requests to few slots, '
+        f'{granted} of them under grants, {peak_mb:.0f} MB',
         flush=True,
     )
     return violations
 
 
+def _crowd_activities(
+    crowd: soak_crowd.Crowd, site: soak_site.Site
+) -> list[collections.abc.Coroutine[None, None, None]]:
+    if not site.has_small_service:
+        return []
+    return [crowd.run_requests(), crowd.run_readers(), crowd.watch_memory()]
+
+
 def _draw_plan(seed: int, names: tuple[str, ...]) -> list[_PlannedFault]:
     """Return the plan of a seed, which is the same on every call.
 
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -14,6 +14,8 @@
 FATAL_PART_PREFIX = 'fa7a'  # of the ids of prompt parts that crash it
 _EVENT_INTERVAL_S = 0.03
 _SERVICE_TIME_S = 0.03
+SMALL_SERVICE_TIME_S = 0.2  # of the service with few slots
+_LARGE_REPEATS = 60_000
 _SLOWDOWN = 10.0  # factor of the failure mode 'slow'
 _SHUTDOWN_HEADER = 'Server-Leaving: 1\r\n'
 # From a response until its Retry-After has to be respected.
@@ -27,6 +29,11 @@
     return f'{request_id} by {instance};'.encode() * 20
 
 
+def large_body_of(request_id: str, instance: str) -> bytes:
+    """Return the response body of a request for a large answer."""
+    return f'{request_id} by {instance};'.encode() * _LARGE_REPEATS
+
+
 def _find_fatal_part(prompt: str) -> str:
     """Return the part that crashes an instance, or ``''``.
 
@@ -48,6 +55,7 @@
 
     :param records: receives the arrivals and executions
     :param version: software version, which its events name
+    :param slots: requests that it runs at once; others wait
     """
 
     def __init__(
@@ -57,8 +65,10 @@
         records: soak_records.Records,
         rng: random.Random,
         version: str,
+        slots: int,
     ) -> None:
         self.name = name
+        self.slots = slots
         self.service = service
         self.version = version
         self.state = 'ready'
@@ -73,6 +83,9 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._unframed_streams: set[str] = set()
+        self._running = asyncio.Semaphore(slots)
+        # Requests to the deadline by which their gateway leaves them.
+        self._held: dict[str, float] = {}
 
     def to_entry(self) -> dict[str, object]:
         """Return the entry of the platform's list."""
@@ -82,7 +95,7 @@
             'address': self.relay.address,
             'zone': 'thu-duc',
             'version': self.version,
-            'slots': 64,
+            'slots': self.slots,
             'state': self.state,
             'cold_remaining_ms': 0,
         }
@@ -210,6 +223,17 @@
         if self.failure_mode == 'errors':
             writer.write(self._format_response(request_id, '500 Error', True))
             return True
+        if self.service == 'desk':
+            deadline_ms = float(headers['Deadline-Ms'])
+            return await self._run_in_slot(
+                request_id, deadline_ms / 1000, reader, writer
+            )
+        if '/report/' in request_line:
+            writer.write(
+                self._format_response(request_id, '200 OK', True, large=True)
+            )
+            await writer.drain()
+            return True
         if '/chat/' in request_line or '/talk/' in request_line:
             first_event = int(headers.get('Last-Event-Id', 0)) + 1
             return await self._stream(
@@ -224,6 +248,45 @@
         writer.write(response)
         return True
 
+    async def _run_in_slot(
+        self,
+        request_id: str,
+        remaining_s: float,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Run a request as soon as a slot is free, unless its gateway leaves.
+
+        :param remaining_s: until its deadline, in seconds
+        """
+        now = asyncio.get_running_loop().time()
+        self._held[request_id] = now + remaining_s
+        left = sum(deadline <= now for deadline in self._held.values())
+        self._records.held_by_instances.append(
+            soak_records.Held(
+                self.name, now, len(self._held) - left, self.slots
+            )
+        )
+        work = asyncio.create_task(self._work())
+        closed = asyncio.create_task(reader.read(1))
+        try:
+            await asyncio.wait(
+                (work, closed), return_when=asyncio.FIRST_COMPLETED
+            )
+            is_done = work.done()
+        finally:
+            del self._held[request_id]
+            for task in (work, closed):
+                task.cancel()
+            await asyncio.gather(work, closed, return_exceptions=True)
+        if is_done:
+            writer.write(self._format_response(request_id, '200 OK', True))
+        return is_done
+
+    async def _work(self) -> None:
+        async with self._running:
+            await asyncio.sleep(SMALL_SERVICE_TIME_S)
+
     async def _stream(
         self,
         request_id: str,
@@ -267,9 +330,15 @@
         return not is_unframed
 
     def _format_response(
-        self, request_id: str, status: str, executed: bool
+        self,
+        request_id: str,
+        status: str,
+        executed: bool,
+        *,
+        large: bool = False,
     ) -> bytes:
-        body = body_of(request_id, self.name) if executed else b''
+        make_body = large_body_of if large else body_of
+        body = make_body(request_id, self.name) if executed else b''
         lines = [
             f'HTTP/1.1 {status}',
             f'Attempt-Id: {request_id}',
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,7 +29,9 @@
 
 
 @attrs.frozen
-class _Response:
+class Response:
+    """A response, of which the body may be incomplete."""
+
     status: int
     headers: dict[str, str]
     body: bytes
@@ -95,7 +97,7 @@
             await self._take_up(request_id, key, response)
 
     async def _take_up(
-        self, first_id: str, key: str, response: _Response
+        self, first_id: str, key: str, response: Response
     ) -> None:
         """Take up a broken stream at other gateways, until it is whole."""
         versions: set[str] = set()
@@ -140,14 +142,14 @@
 
     async def _send(
         self, kind: str, key: str, headers: dict[str, str]
-    ) -> tuple[str, _Response]:
+    ) -> tuple[str, Response]:
         """Send a request; return its id and the response."""
         deadline_ms = self._site.rng.choice(_DEADLINES_MS)
         request_id = f'{kind}-{next(self._request_numbers)}-{deadline_ms}'
         self._site.records.sent_request_ids.add(request_id)
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        response = _Response(0, {}, b'', False)
+        response = Response(0, {}, b'', False)
         with contextlib.suppress(
             OSError, TimeoutError, asyncio.IncompleteReadError, ValueError
         ):
@@ -195,7 +197,7 @@
         deadline_ms: int,
         key: str,
         headers: dict[str, str],
-    ) -> _Response:
+    ) -> Response:
         assert self._streams is not None
         reader, writer = self._streams
         prefix = self._site.rng.randrange(8)
@@ -216,17 +218,18 @@
             ).encode()
             + body
         )
-        return await _read_response(reader)
+        return await read_response(reader)
 
 
-async def _read_response(reader: asyncio.StreamReader) -> _Response:
+async def read_response(reader: asyncio.StreamReader) -> Response:
+    """Read a response until its end, or the end of the connection."""
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
     status_line, *header_lines = head.strip().split('\r\n')
     headers = dict(header_line.split(': ', 1) for header_line in header_lines)
     status = int(status_line.split()[1])
     if 'Content-Length' in headers:
         body = await reader.readexactly(int(headers['Content-Length']))
-        return _Response(status, headers, body, True)
+        return Response(status, headers, body, True)
     body = b''
     try:
         while size := int(await reader.readuntil(b'\r\n'), 16):
@@ -234,12 +237,12 @@
             await reader.readexactly(2)
         await reader.readexactly(2)
     except (asyncio.IncompleteReadError, OSError):
-        return _Response(status, headers, body, False)
-    return _Response(status, headers, body, True)
+        return Response(status, headers, body, False)
+    return Response(status, headers, body, True)
 
 
 def _find_problem(
-    kind: str, request_id: str, response: _Response, last_event: int
+    kind: str, request_id: str, response: Response, last_event: int
 ) -> str:
     """Return the defect of a response, or ``''``.
 
@@ -265,7 +268,7 @@
 
 
 def _find_stream_problem(
-    request_id: str, response: _Response, last_event: int
+    request_id: str, response: Response, last_event: int
 ) -> str:
     events = _EVENT.findall(response.body)
     numbers = [int(number) for number, _, _ in events]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -27,6 +27,15 @@
 # Fewer streams that were taken up say nothing.
 _MIN_TAKEN_UP = 12
 _MIN_TAKEN_UP_RATIO = 0.5  # of the share of new streams that begin
+# Kinds of requests that must not be repeated.
+_RUN_ONCE = ('file', 'talk', 'desk')
+# Requests that a keeper grants to an instance beyond its slots.
+_EXTRA_REQUESTS = 1
+# Without a keeper, gateways send without grants. So long after the last
+# disturbance, which includes the time until another keeper grants, the
+# requests of that time have ended.
+_DIRECT_SENDS_S = 1.5
+_MAX_MEMORY_MB = 200.0  # of each machine, by its settings
 _MIN_SERVED_SHARE = 0.9  # of the requests sent after the recovery
 
 Check = collections.abc.Callable[
@@ -104,7 +113,7 @@
 ) -> collections.abc.Iterator[str]:
     for result in records.results:
         executions = records.executions_of(result.request_id)
-        if result.kind in ('file', 'talk') and len(executions) > 1:
+        if result.kind in _RUN_ONCE and len(executions) > 1:
             yield (
                 f'{result.request_id} ({result.kind}) was executed '
                 f'{len(executions)} times'
@@ -307,6 +316,40 @@
             )
 
 
+def held_under_grants(
+    records: soak_records.Records,
+) -> list[soak_records.Held]:
+    """Return what instances held while a keeper granted all slots."""
+    return [
+        held
+        for held in records.held_by_instances
+        if held.time >= records.queues_expected_at
+        and not records.is_disturbed(held.time - _DIRECT_SENDS_S, held.time)
+    ]
+
+
+@invariant
+def instances_hold_what_was_granted(
+    records: soak_records.Records,
+) -> collections.abc.Iterator[str]:
+    for held in held_under_grants(records):
+        allowed = held.slots + _EXTRA_REQUESTS
+        if held.requests > allowed:
+            yield (
+                f'{held.instance} held {held.requests} requests, '
+                f'{allowed} are allowed'
+            )
+
+
+@invariant
+def memory_is_bounded(
+    records: soak_records.Records,
+) -> collections.abc.Iterator[str]:
+    for name, peak_mb in records.peak_memory_mb.items():
+        if peak_mb > _MAX_MEMORY_MB:
+            yield f'{name} used {peak_mb:.0f} MB'
+
+
 @invariant
 def service_recovers(
     records: soak_records.Records,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 import signal
 
 from features.support import platform
+from honeyport.policy import queue_keepers
 from soak import backend
 from soak import operator as soak_operator
 from soak import records as soak_records
@@ -164,6 +165,53 @@
         site.send_signal(node, signal.SIGCONT)
 
 
+def _choose_keeper(
+    site: soak_site.Site, rng: random.Random
+) -> platform.Node | None:
+    """Return the node that keeps the queue of the small service."""
+    name = queue_keepers.find_keeper(
+        'desk',
+        [
+            queue_keepers.Candidate(node.name, frozenset())
+            for node in site.nodes
+        ],
+    )
+    keepers = [node for node in site.nodes if node.name == name]
+    return _choose_free_node(site, keepers, rng)
+
+
+@fault_from_seed(11000)
+async def kill_keeper(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    rng: random.Random,
+) -> None:
+    """Kill the keeper of the queue and restart it."""
+    node = _choose_keeper(site, rng)
+    if node is None:
+        return
+    with _reserved(site, node):
+        site.kill(node)
+        await _sleep_random(rng, 0.1, 3.0)
+        site.restart(node)
+
+
+@fault_from_seed(11000)
+async def freeze_keeper(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    rng: random.Random,
+) -> None:
+    """Suspend the keeper of the queue and resume it."""
+    node = _choose_keeper(site, rng)
+    if node is None:
+        return
+    with _reserved(site, node):
+        site.send_signal(node, signal.SIGSTOP)
+        await _sleep_random(rng, 0.1, 3.0)
+        site.send_signal(node, signal.SIGCONT)
+
+
 @fault
 async def terminate(
     site: soak_site.Site,
--- a/soak/records.py
+++ b/soak/records.py
@@ -19,6 +19,20 @@
     time: float
 
 
+@attrs.frozen
+class Held:
+    """The requests at an instance as one more arrived, that one included.
+
+    Requests whose deadline has passed are not counted: their gateways close
+    the connections, which the instance sees a moment later.
+    """
+
+    instance: str
+    time: float
+    requests: int
+    slots: int
+
+
 @attrs.frozen
 class BackoffWindow:
     """A period in which an instance has asked for no requests.
@@ -102,6 +116,9 @@
         )
         self.arrivals: list[RequestEvent] = []
         self.backoff_windows: list[BackoffWindow] = []
+        self.held_by_instances: list[Held] = []
+        self.queues_expected_at = 0.0  # from then on, if not disturbed
+        self.peak_memory_mb: dict[str, float] = {}
         self.sent_request_ids: set[str] = set()
         self.results: list[RequestResult] = []
         self.streams: list[StreamResult] = []
@@ -141,6 +158,11 @@
             if name is None or disturbance.name == name
         )
 
+    def record_memory(self, name: str, used_mb: float) -> None:
+        """Record the memory that a node's process uses."""
+        peak_mb = self.peak_memory_mb.get(name, 0.0)
+        self.peak_memory_mb[name] = max(peak_mb, used_mb)
+
     def add_violation(self, violation: str) -> None:
         """Record a violation detected while the soak runs."""
         self.violations.append(violation)
--- a/soak/site.py
+++ b/soak/site.py
@@ -15,6 +15,11 @@
 HOST = 'yard.example'
 MAIN_KEY = 'key-main'
 _DISKLESS_NODES = 2
+# Slots of each instance, by service; all others have more than are used.
+_SLOTS = {'desk': 2}
+_MANY_SLOTS = 64
+_SMALL_INSTANCES = 2
+SMALL_SLOTS = _SLOTS['desk'] * _SMALL_INSTANCES
 # Above the shutdown timeout of a node; a longer shutdown is a violation.
 _SHUTDOWN_LIMIT_S = 12.0
 # (path segment, route kind, resumable, service, maximum attempts)
@@ -25,12 +30,18 @@
     ('talk', 'streaming', False, 'model', 1),
 )
 KINDS = tuple(route[0] for route in _ROUTES)
+# Routes of a site that has a service with fewer slots than nodes.
+_SMALL_ROUTES = (
+    ('desk', 'non_idempotent', False, 'desk', 1),
+    ('report', 'idempotent', False, 'plain', 2),
+)
 
 
 class Site(platform.Platform):
     """Runs the nodes of a soak and the instances behind them.
 
     :ivar core: the nodes that have a disk
+    :ivar has_small_service: whether one has fewer slots than there are nodes
     :ivar versions: software version of the latest instance, by service
     :ivar disk_lost: whether a node has already lost its disk
     :ivar reserved: node names that a fault has reserved
@@ -41,8 +52,12 @@
         folder: pathlib.Path,
         records: soak_records.Records,
         rng: random.Random,
+        *,
+        has_small_service: bool = False,
     ) -> None:
         super().__init__(folder)
+        self.has_small_service = has_small_service
+        self.contracts = 'pressure' if has_small_service else ''
         self.records = records
         self.rng = rng
         self.core = list(self.nodes)
@@ -59,7 +74,8 @@
     async def start(self) -> None:
         """Start the nodes and the first instances."""
         await super().start()
-        for service, count in (('plain', 2), ('model', 3)):
+        small = _SMALL_INSTANCES if self.has_small_service else 0
+        for service, count in (('plain', 2), ('model', 3), ('desk', small)):
             for _ in range(count):
                 await self.add_instance(service)
 
@@ -90,6 +106,7 @@
             self.records,
             self.rng,
             self.versions[service],
+            _SLOTS.get(service, _MANY_SLOTS),
         )
         await instance.start()
         self.instances.append(instance)
@@ -198,6 +215,12 @@
 
         :param salt: distinguishes two contents of the same version
         """
+        routes, small_services = _ROUTES, []
+        if self.has_small_service:
+            routes += _SMALL_ROUTES
+            small_services = [
+                {'name': 'desk', 'health_path': '/h', 'max_connections': 99}
+            ]
         return {
             'version': version,
             'routes': [
@@ -216,7 +239,7 @@
                     'resumable': resumable,
                     'gap_target_ms': 300,
                 }
-                for kind, route_kind, resumable, service, attempts in _ROUTES
+                for kind, route_kind, resumable, service, attempts in routes
             ],
             'services': [
                 {'name': 'plain', 'health_path': '/h', 'max_connections': 99},
@@ -226,6 +249,7 @@
                     'max_connections': 99,
                     'engine': {'slots': 64},
                 },
+                *small_services,
             ],
             'limits': {'idle_timeout_ms': 15000},
             'tenants': [
