gateway: log the longest pause of each stream and the reported load

Streams are late by pauses between events; the line of a request told the time to its first byte only. It now tells the number of events, the longest pause, after which event and when it arose, how long the caller took to read, and the load that the instance reported, as it was sent.

--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -10,6 +10,7 @@
 
 from honeyport import errors
 from honeyport.gateway import attempt
+from honeyport.gateway import event_timing
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import routes
 from honeyport.gateway import silence_timeout
@@ -74,6 +75,9 @@
         ``''``
     :ivar remote_instance_id: id of the instance that answered through one
     :ivar has_permit: whether the leader permitted the last attempt
+    :ivar timing: times between the events of the stream
+    :ivar reported_load: load that the instance reported with its last answer,
+        as it was sent
     :ivar sent_at: loop time at which the last attempt was sent
     :ivar waited_s: wait for the lease, in seconds
     :ivar connect_s: total time spent on connecting, in seconds
@@ -106,6 +110,10 @@
     framing: str = ''
     remote_instance_id: str = ''
     has_permit: bool = False
+    timing: event_timing.EventTiming = attrs.field(
+        factory=event_timing.EventTiming
+    )
+    reported_load: str = ''
     sent_at: float = 0.0
     waited_s: float = 0.0
     connect_s: float = 0.0
@@ -177,7 +185,7 @@
             'waited_ms': round(self.waited_s * 1000, 1),
             'connect_ms': round(self.connect_s * 1000, 1),
             'first_ms': _to_ms(self.first_byte_s),
-        }
+        } | self.timing.log_fields(self.request.received)
 
     # -- attempt.Relay ---------------------------------------------------
 
@@ -193,8 +201,13 @@
         if self.splitter.has_events and self.stream_version is None:
             self.stream_version = self.attempt_version
             self.on_begun(self)
-        if complete:
-            await self.reply.write(complete)
+        if not complete:
+            return
+        loop = asyncio.get_running_loop()
+        arrived_at = loop.time()
+        self.timing.record_events(self.splitter.events, arrived_at)
+        await self.reply.write(complete)
+        self.timing.record_write(loop.time() - arrived_at)
 
     def check_end(self) -> None:
         """Check that a stream that ends here is whole.
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -126,20 +126,27 @@
             connection,
             self._names,
             exchange,
-            lambda head: self._observe(connection.instance, head, sent_at),
+            lambda head: self._observe(
+                exchange, connection.instance, head, sent_at
+            ),
         )
         return await responses.within_silence_timeouts(
             exchange, lambda: single_attempt.run(exchange.request, headers)
         )
 
     def _observe(
-        self, instance: placement.Instance, head: attempt.Head, sent_at: float
+        self,
+        exchange: exchanges.Exchange,
+        instance: placement.Instance,
+        head: attempt.Head,
+        sent_at: float,
     ) -> None:
         """Process the head of a response on a connection."""
         self._signals.observe(instance, head, sent_at)
+        exchange.reported_load = head.headers.get(self._names.load, '')
         self._balancer.record_answer(
             instance,
-            gateway_headers.parse_load(head.headers.get(self._names.load, '')),
+            gateway_headers.parse_load(exchange.reported_load),
             is_rejected=head.status == _UNAVAILABLE_STATUS
             and self._names.not_run in head.headers,
         )
--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -14,6 +14,8 @@
 
 # Prompt parts in the line of a request.
 _MAX_LOGGED_PARTS = 16
+# Characters of the load that an instance reported.
+_MAX_LOGGED_LOAD = 48
 
 
 class RequestLog:
@@ -75,6 +77,10 @@
                 fields['parts'] = exchange.traits.parts[:_MAX_LOGGED_PARTS]
             if exchange.stream_version is not None:
                 fields['stream_version'] = exchange.stream_version
+            if exchange.reported_load:
+                fields['reported_load'] = exchange.reported_load[
+                    :_MAX_LOGGED_LOAD
+                ]
             if exchange.framing:
                 fields['framing'] = exchange.framing
             if exchange.via:
--- a/src/honeyport/sse.py
+++ b/src/honeyport/sse.py
@@ -23,7 +23,7 @@
     def __init__(self) -> None:
         self._partial = b''
         self._last_event_id = ''
-        self._has_events = False
+        self._events = 0
 
     @property
     def last_event_id(self) -> str:
@@ -33,7 +33,12 @@
     @property
     def has_events(self) -> bool:
         """Whether any event was complete."""
-        return self._has_events
+        return self._events > 0
+
+    @property
+    def events(self) -> int:
+        """Number of complete events."""
+        return self._events
 
     @property
     def is_within_event(self) -> bool:
@@ -56,7 +61,7 @@
         """
         if self.is_within_event:
             return 'the stream ended inside an event'
-        if not self._has_events and not is_resumed:
+        if not self._events and not is_resumed:
             return 'the stream ended before its first event'
         return ''
 
@@ -71,7 +76,7 @@
         self._partial = data[end:]
         complete = data[:end]
         lines = complete.splitlines()
-        self._has_events = self._has_events or any(map(_is_field, lines))
+        self._events += _count_events(lines)
         self._last_event_id = _last_event_id(lines) or self._last_event_id
         return complete
 
@@ -89,6 +94,19 @@
     return bool(line) and not line.startswith(_COMMENT)
 
 
+def _count_events(lines: list[bytes]) -> int:
+    """Count the events in lines that end with a blank line."""
+    count = 0
+    has_fields = False
+    for line in lines:
+        if line:
+            has_fields = has_fields or _is_field(line)
+        else:
+            count += has_fields
+            has_fields = False
+    return count
+
+
 def _last_event_id(lines: list[bytes]) -> str:
     """Return the last event id in the lines of events, or ``''``."""
     for line in reversed(lines):
