--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -77,6 +77,10 @@
                 fields['parts'] = exchange.traits.parts[:_MAX_LOGGED_PARTS]
             if exchange.stream_version is not None:
                 fields['stream_version'] = exchange.stream_version
+            if exchange.parts:
+                fields['prompt_tokens'] = sum(
+                    part.tokens for part in exchange.parts
+                )
             if exchange.reported_load:
                 fields['reported_load'] = exchange.reported_load[
                     :_MAX_LOGGED_LOAD
--- a/src/honeyport/policy/prefixes.py
+++ b/src/honeyport/policy/prefixes.py
@@ -93,3 +93,16 @@
                 self._holders[part] = kept
             else:
                 del self._holders[part]
+
+
+def uncached_tokens(parts: Parts, instance: str, holders: Holders) -> int:
+    """Return the tokens of a prompt that an instance may have to read.
+
+    A part is cached only if all parts before it are.
+    """
+    cached = 0
+    for part in shared_parts(parts):
+        if instance not in holders.holders_of(part.id):
+            break
+        cached += part.tokens
+    return sum(part.tokens for part in parts) - cached
