Tests of the groups of prompts, of reported loads and sizes

Loads of four fields are read; sizes that are no number, or an absurd one, count as unknown (a superscript digit ended the request with an error).

--- a/features/support/choices.py
+++ b/features/support/choices.py
@@ -10,12 +10,15 @@
 SERVICE = 'llm'
 
 
-def make_balancer(name, domain, regions):
-    """Return a balancer without signals from instances."""
+def make_balancer(name, domain, regions, groups=None):
+    """Return a balancer without signals from instances.
+
+    :param groups: of long and short prompts, if they are divided
+    """
     signals = instance_signals.InstanceSignals(
         headers.HeaderNames(), metrics.Metrics()
     )
-    return balancer.Balancer(name, domain, regions, signals)
+    return balancer.Balancer(name, domain, regions, signals, groups)
 
 
 def prompt_parts(subject):
--- a/src/honeyport/gateway/headers.py
+++ b/src/honeyport/gateway/headers.py
@@ -31,7 +31,9 @@
         'content-length',
     )
 )
-_LOAD_FIELDS = 3
+# A fourth field, how slow the instance's machine is now, is not used: machines
+# are slow for shorter than it takes to learn it.
+_LOAD_FIELDS = (3, 4)
 # Longer numbers do not fit into the messages between processes.
 _MAX_COUNT_DIGITS = 9
 _CREDENTIALS_HEADER = 'Authorization'
@@ -184,10 +186,13 @@
 def parse_load(text: str) -> brittle.ReportedLoad | None:
     """Parse the load of an instance in the format ``running,waiting,slots``.
 
+    A fourth field may follow.
+
     :returns: ``None`` if it is missing or unreadable
     """
-    counts = [parse_count(field.strip()) for field in text.split(',')]
-    if len(counts) != _LOAD_FIELDS or None in counts:
+    fields = text.split(',')
+    counts = [parse_count(field.strip()) for field in fields[:3]]
+    if len(fields) not in _LOAD_FIELDS or None in counts:
         return None
     running, waiting, _ = counts
     return brittle.ReportedLoad(running, waiting)
@@ -238,12 +243,13 @@
 
 
 def _parse_parts(text: str) -> tuple[prefixes.Part, ...]:
-    """Parse prompt parts in the format ``id:tokens,id:tokens``."""
+    """Parse prompt parts in the format ``id:tokens,id:tokens``.
+
+    An unreadable or absurd number of tokens counts as unknown.
+    """
     parts = []
     for item in text.split(','):
         part_id, _, tokens = item.strip().partition(':')
         if part_id:
-            parts.append(
-                prefixes.Part(part_id, int(tokens) if tokens.isdigit() else 0)
-            )
+            parts.append(prefixes.Part(part_id, parse_count(tokens) or 0))
     return tuple(parts)
