Long prompts have no places of their own: it did not help callers

Change tried: places of their own for prompts that take long to read. So it is taken out again, with its fields in the reports.

--- a/features/router/loads.feature
+++ b/features/router/loads.feature
@@ -46,11 +46,3 @@
     Then all gateways know that an instance survives 2 rejections
     When no gateway reports a brittle service any more
     Then no gateway knows of a brittle service
-
-  Scenario: all gateways know the requests with long prompts, from all gateways
-    Given the reports of three gateways, two of them in one domain
-    When gateway 1 reports 4 requests with long prompts
-    And gateway 3 reports 2 requests with long prompts
-    Then all gateways know of 6 requests with long prompts
-    When no gateway reports requests with long prompts any more
-    Then all gateways know of 0 requests with long prompts
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -37,7 +37,6 @@
         }
         self.backing_off = dict.fromkeys(_ROUTERS, ())
         self.tolerances = {}
-        self.long_prompts = {}
         self.sessions = {
             name: self.fleet.register(
                 pb.Hello(router=name, domain=domain, **hello),
@@ -66,10 +65,6 @@
                 report.brittle.add(
                     service='llm', rejections=self.tolerances[name]
                 )
-            if name in self.long_prompts:
-                report.long_prompts.add(
-                    service='llm', running=self.long_prompts[name]
-                )
             for server, running in self.running[name].items():
                 report.residuals.add(backend=server, running=running)
             report.loads.add(
@@ -132,25 +127,6 @@
         assert state.rejection_tolerances == {'llm': count}
 
 
-@behave.when('gateway {number:d} reports {count:d} requests with long prompts')
-def step_long_prompts(context, number, count):
-    context.fixture.long_prompts[_ROUTERS[number - 1]] = count
-    context.fixture.exchange_loads()
-
-
-@behave.when('no gateway reports requests with long prompts any more')
-def step_no_long_prompts(context):
-    context.fixture.long_prompts.clear()
-    context.fixture.exchange_loads()
-
-
-@behave.then('all gateways know of {count:d} requests with long prompts')
-def step_running_long(context, count):
-    expected = {'llm': count} if count else {}
-    for state in context.fixture.states.values():
-        assert state.running_long == expected, state.running_long
-
-
 @behave.then('no gateway knows of a brittle service')
 def step_none_brittle(context):
     for state in context.fixture.states.values():
--- a/features/support/choices.py
+++ b/features/support/choices.py
@@ -10,15 +10,12 @@
 SERVICE = 'llm'
 
 
-def make_balancer(name, domain, regions, groups=None):
-    """Return a balancer without signals from instances.
-
-    :param groups: of long and short prompts, if they are divided
-    """
+def make_balancer(name, domain, regions):
+    """Return a balancer without signals from instances."""
     signals = instance_signals.InstanceSignals(
         headers.HeaderNames(), metrics.Metrics()
     )
-    return balancer.Balancer(name, domain, regions, signals, groups)
+    return balancer.Balancer(name, domain, regions, signals)
 
 
 def prompt_parts(subject):
--- a/src/honeyport/control/fleet.py
+++ b/src/honeyport/control/fleet.py
@@ -40,7 +40,6 @@
     :ivar resting: instances that asked it to send nothing for a while
     :ivar brittle: tolerated rejections within one second, by service whose
         instances announced to it that they are brittle
-    :ivar long_prompts: its requests in flight with long prompts, by service
     :ivar evacuated: the failure domains that are evacuated there
     :ivar silent: whether its stream ended, or its reports are overdue, while
         its lease is still valid
@@ -64,7 +63,6 @@
     down: frozenset[str] = frozenset()
     resting: frozenset[str] = frozenset()
     brittle: dict[str, int] = attrs.field(factory=dict)
-    long_prompts: dict[str, int] = attrs.field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     silent: bool = False
     replica: str = ''
@@ -218,9 +216,6 @@
         router.brittle = {
             entry.service: entry.rejections for entry in report.brittle
         }
-        router.long_prompts = {
-            load.service: load.running for load in report.long_prompts
-        }
         router.evacuated = frozenset(report.evacuated)
         if report.cut_off != router.advertised_member.cut_off:
             advertised_member = pb.Member()
@@ -305,13 +300,11 @@
         """
         totals: collections.Counter[str] = collections.Counter()
         running: collections.Counter[str] = collections.Counter()
-        long_prompts: collections.Counter[str] = collections.Counter()
         down: set[str] = set()
         for router in self._routers.values():
             if router.last_report_at < now - max_age_s:
                 self.mark_silent(router)
             running.update(router.residuals)
-            long_prompts.update(router.long_prompts)
             if router.has_view:  # it alone probes its engines
                 down.update(router.down)
             router.counted_report_number = router.report_number
@@ -331,7 +324,6 @@
                 down=tuple(sorted(down)),
                 leaving=tuple(sorted(leaving)),
                 brittle=self._brittle(),
-                long_prompts=dict(long_prompts),
             )
         )
 
--- a/src/honeyport/control/loads.py
+++ b/src/honeyport/control/loads.py
@@ -29,7 +29,6 @@
     :ivar down: backend servers that do not answer
     :ivar leaving: backend servers that are leaving
     :ivar brittle: tolerated rejections within one second, by brittle service
-    :ivar long_prompts: requests in flight with long prompts, by service
     """
 
     totals: dict[str, int]
@@ -39,7 +38,6 @@
     down: tuple[str, ...]
     leaving: tuple[str, ...]
     brittle: dict[str, int]
-    long_prompts: dict[str, int] = attrs.field(factory=dict)
 
 
 class Loads:
@@ -98,8 +96,6 @@
             message.totals.add(service=service, running=running)
         for service, rejections in sorted(latest.brittle.items()):
             message.brittle.add(service=service, rejections=rejections)
-        for service, running in sorted(latest.long_prompts.items()):
-            message.long_prompts.add(service=service, running=running)
         self._add_instance_loads(
             message, {**dict.fromkeys(change.removed, 0), **change.put}
         )
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -14,7 +14,6 @@
 
 from honeyport import errors
 from honeyport.gateway import instance_signals
-from honeyport.gateway import prompt_groups
 from honeyport.gateway import slot_limits
 from honeyport.gateway import warmth
 from honeyport.policy import brittle
@@ -44,8 +43,6 @@
     :param domain: failure domain of this gateway
     :param regions: region of each failure domain
     :param signals: backoffs and departures that instances announced
-    :param groups: places of long and short prompts; ``None`` if all places
-        serve both
     """
 
     def __init__(
@@ -54,10 +51,8 @@
         domain: str,
         regions: collections.abc.Mapping[str, str],
         signals: instance_signals.InstanceSignals,
-        groups: prompt_groups.PromptGroups | None = None,
     ) -> None:
         self._signals = signals
-        self._groups = groups
         self._domain = domain
         self._regions = regions
         self._evacuated: NameSet = frozenset()
@@ -169,7 +164,6 @@
         self._remote_running = remote_running
         self._remote_counted_at = counted_at
         if instances.number == self._list_number:
-            self._update_groups()
             return None
         had_list = self._list_number > 0
         self._list_number = instances.number
@@ -210,7 +204,6 @@
         self._signals.retain(listed_ids)
         self._cold_start.retain(listed_ids)
         self._slot_limits.retain(listed_ids)
-        self._set_group_instances()
         logs.emit(
             events.INSTANCES_APPLIED,
             list_number=self._list_number,
@@ -277,51 +270,11 @@
             return placement.choose_by_load(
                 candidates.preferred, counts, self._domain
             )
-        candidates = attrs.evolve(
-            candidates,
-            group=self._group(service, parts, candidates.preferred),
-        )
         choice = placement.choose_by_prefix(
             parts, candidates, counts, self._domain
         )
         return self._with_cache_source(service, parts, choice, regions)
 
-    def _group(
-        self, service: str, parts: prefixes.Parts, instances: Instances
-    ) -> list[placement.Instance]:
-        """Return the instances for prompts like this one.
-
-        :returns: none if the prompts of the service are not divided
-        """
-        if self._groups is None:
-            return []
-        return self._groups.select(service, parts, instances)
-
-    def _update_groups(self) -> None:
-        """Pass instances and load counts to the groups of prompts."""
-        if self._groups is None:
-            return
-        for service, instances in self._instances_by_service.items():
-            counts = self._load_counts(service)
-            self._groups.update(
-                service,
-                sum(counts.total(instance.id) for instance in instances),
-            )
-
-    def _set_group_instances(self) -> None:
-        """Pass a new list of instances to the groups of prompts."""
-        if self._groups is None:
-            return
-        self._groups.set_instances(
-            {
-                service: [
-                    instance for instance in instances if not instance.leaving
-                ]
-                for service, instances in self._instances_by_service.items()
-            }
-        )
-        self._update_groups()
-
     def _load_counts(self, service: str) -> stale.LoadCounts:
         return stale.LoadCounts(
             own=lambda name: self._running[name],
@@ -409,19 +362,15 @@
 
     @contextlib.contextmanager
     def count_in_flight(
-        self, instance: placement.Instance, parts: prefixes.Parts = ()
+        self, instance: placement.Instance
     ) -> collections.abc.Iterator[None]:
-        """Count a request as in flight on an instance.
-
-        :param parts: prompt parts, if the instance caches prefixes
-        """
+        """Count a request as in flight on an instance."""
         self._running[instance.id] += 1
         started_at = _now()
         self._cold_start.record_sent(instance)
         self._slot_limits.record_sent(instance)
         try:
-            with self._count_prompt(instance.service, parts):
-                yield
+            yield
             # Only successful requests count.
             self._durations.add(instance.service, _now() - started_at)
         finally:
@@ -429,13 +378,6 @@
             if not self._running[instance.id]:
                 del self._running[instance.id]
 
-    def _count_prompt(
-        self, service: str, parts: prefixes.Parts
-    ) -> contextlib.AbstractContextManager[None]:
-        if self._groups is None:
-            return contextlib.nullcontext()
-        return self._groups.count_in_flight(service, parts)
-
     def record_answer(
         self,
         instance: placement.Instance,
@@ -601,11 +543,7 @@
             and self._is_allowed(instance, regions)
         ]
         source = placement.find_cache_source(
-            parts,
-            choice.instance,
-            sources,
-            self._prefix_holders,
-            self._group(service, parts, sources),
+            parts, choice.instance, sources, self._prefix_holders
         )
         uncached = prefixes.uncached_tokens(
             parts, choice.instance.id, self._prefix_holders
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -19,7 +19,6 @@
 from honeyport.gateway import instance_signals
 from honeyport.gateway import lease_gate
 from honeyport.gateway import pool
-from honeyport.gateway import prompt_groups
 from honeyport.gateway import request_log
 from honeyport.gateway import server
 from honeyport.gateway import stream_directory
@@ -72,15 +71,8 @@
         self._signals = instance_signals.InstanceSignals(
             names, counters, lambda name: self._end_detector.mark_leaving(name)
         )
-        self._prompt_groups = (
-            prompt_groups.PromptGroups() if settings.prompt_balancing else None
-        )
         self._balancer = balancer.Balancer(
-            settings.name,
-            settings.domain,
-            settings.regions,
-            self._signals,
-            self._prompt_groups,
+            settings.name, settings.domain, settings.regions, self._signals
         )
         self._pool = pool.Pool()
         self._gate = lease_gate.LeaseGate(self._state)
@@ -296,10 +288,6 @@
         report.cut_off.extend(self._connectivity.cut_off)
         for service, rejections in self._signals.rejection_tolerances.items():
             report.brittle.add(service=service, rejections=rejections)
-        if self._prompt_groups is not None:
-            running_long = self._prompt_groups.running_long
-            for service, running in running_long.items():
-                report.long_prompts.add(service=service, running=running)
         report.resting.extend(
             self._signals.in_backoff[:_MAX_BACKOFFS_REPORTED]
         )
@@ -319,10 +307,6 @@
         )
         self._balancer.set_fleet_unreachable(self._state.unreachable)
         self._balancer.set_brittle(self._state.rejection_tolerances)
-        if self._prompt_groups is not None:
-            self._prompt_groups.set_fleet_running_long(
-                self._state.running_long
-            )
         not_leaving_ids = self._balancer.apply_instances(
             self._state.instances,
             self._state.running_elsewhere,
@@ -362,9 +346,6 @@
             }
         )
 
-        if self._prompt_groups is not None:
-            self._prompt_groups.set_gaps(prompt_groups.shortest_gaps(bundle))
-
     def _update_end_detector(self) -> None:
         """Pass a new list of instances to the end detector."""
         listed = self._state.instances.instances
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -74,7 +74,7 @@
         exchange.choice = choice or self.choose(exchange)
         instance = exchange.choice.instance
         exchange.attempt_version = instance.version
-        with self._balancer.count_in_flight(instance, exchange.parts):
+        with self._balancer.count_in_flight(instance):
             try:
                 response = await self._send(exchange, instance)
             except errors.HoneyportError as error:
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -82,14 +82,11 @@
         bound
     :ivar peers: all instances whose load counts into the mean, including
         those that must not get this request
-    :ivar group: those of the preferred ones that a prompt is sent to unless
-        they are at the bound (:mod:`honeyport.policy.prompt_load`)
     """
 
     preferred: Instances
     reserve: Instances
     peers: Instances
-    group: Instances = ()
 
 
 def choose_by_prefix(
@@ -112,11 +109,7 @@
         _BOUND_MEAN_MULTIPLE * (total + 1) / len(candidates.peers)
         + _BOUND_EXTRA_REQUESTS
     )
-    for instances in (
-        candidates.group,
-        candidates.preferred,
-        candidates.reserve,
-    ):
+    for instances in (candidates.preferred, candidates.reserve):
         choice = _first_below_bound(parts, instances, counts, bound)
         if choice is not None:
             return choice
@@ -180,7 +173,6 @@
     chosen: Instance,
     available_sources: Instances,
     holders: prefixes.Holders,
-    group: Instances = (),
 ) -> Instance | None:
     """Return the instance to copy the prefix from, or ``None``.
 
@@ -189,7 +181,6 @@
 
     :param available_sources: instances that may be copied from, without the
         chosen one
-    :param group: those of them that prompts like this one are sent to
     """
     shared = prefixes.shared_parts(parts)
     if not shared or chosen.id in holders.holders_of(shared[-1].id):
@@ -198,7 +189,7 @@
     for holder_id in holders.holders_of(shared[-1].id):
         if holder_id in by_id:
             return by_id[holder_id]
-    return _best_ranked(parts, group or available_sources)
+    return _best_ranked(parts, available_sources)
 
 
 def _best_ranked(
--- a/src/honeyport/router/fleetstate.py
+++ b/src/honeyport/router/fleetstate.py
@@ -54,7 +54,6 @@
         self._down: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
         self._rejection_tolerances: dict[str, int] = {}
-        self._running_long: dict[str, int] = {}
         self._instances = pb.Instances()
         self._evacuated: frozenset[str] = frozenset()
         self._serving_routers: list[pb.Member] = []
@@ -131,11 +130,6 @@
         """Tolerated rejections within one second, by brittle service."""
         return self._rejection_tolerances
 
-    @property
-    def running_long(self) -> dict[str, int]:
-        """Requests in flight with long prompts of all gateways, by service."""
-        return self._running_long
-
     @property
     def evacuated(self) -> frozenset[str]:
         """The failure domains whose instances get no new requests."""
@@ -337,9 +331,6 @@
         self._rejection_tolerances = {
             entry.service: entry.rejections for entry in loads.brittle
         }
-        self._running_long = {
-            load.service: load.running for load in loads.long_prompts
-        }
 
     def apply_own_report(self, report: pb.Report) -> None:
         """Apply the report of this router that the loads include."""
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -634,13 +634,6 @@
     'Another gateway could not be told which software versions began streams; '
     'the next ones are.',
 )
-PROMPT_GROUPS_CHANGED = define(
-    3240,
-    'prompt_groups_changed',
-    'info',
-    'The number of places that long prompts of a service have for themselves '
-    'changed with the share of long prompts in its load.',
-)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
