--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -582,7 +582,10 @@
         source = placement.find_cache_source(
             parts, choice.instance, sources, self._prefix_holders
         )
-        return attrs.evolve(choice, source=source)
+        uncached = prefixes.uncached_tokens(
+            parts, choice.instance.id, self._prefix_holders
+        )
+        return attrs.evolve(choice, source=source, uncached=uncached)
 
 
 def _describe(service: str, version: str | None) -> str:
@@ -599,6 +602,7 @@
         'bound': round(choice.bound, 1),
         'usable': choice.usable,
         'source': choice.source.id if choice.source else None,
+        'uncached': choice.uncached,
     }
 
 
--- a/src/honeyport/policy/placement.py
+++ b/src/honeyport/policy/placement.py
@@ -57,6 +57,8 @@
     :ivar usable: the number of instances to choose from
     :ivar source: the cache source, which likely caches more of the prompt's
         prefix
+    :ivar uncached: tokens of the prompt that the instance is not known to
+        cache
     """
 
     instance: Instance
@@ -65,6 +67,7 @@
     bound: float
     usable: int
     source: Instance | None = None
+    uncached: int = 0
 
 
 Instances = collections.abc.Collection[Instance]
