Shared queues start with the first reported slowdown, where settings allow it

A deployment whose instances share machines with others has uneven demand and instances, also if its settings do not name the contract; its instances say so in their load.

The scenario of the keeper's bound met the forecast's refusal first, since the wait queue replaces the stub; it has more slots now, and the bound and the answer that it checks are the same.

--- a/features/gateway/shared_queues.feature
+++ b/features/gateway/shared_queues.feature
@@ -62,6 +62,18 @@
       | load | more |
       | 0.8  | 0.03 |
 
+  Scenario Outline: reported slowdowns switch shared queues on
+    Given 83 gateways that share queues <when> before few slots
+    When an instance reports the load "<load>" to each
+    Then <number> of them know a keeper
+
+    Examples:
+      | when                         | load       | number |
+      | if instances report slowdown | 1,0,6,130  | 83     |
+      | if instances report slowdown | 1,0,6      | 0      |
+      | if instances report slowdown | 1,0,6,fast | 0      |
+      | never                        | 1,0,6,130  | 0      |
+
   Scenario: gateways with enough slots share no queue
     When callers of 10 gateways send 0.8 of what the slots run, with and without a queue
     Then no gateway asks another one for a slot
--- a/features/steps/shared_queue_steps.py
+++ b/features/steps/shared_queue_steps.py
@@ -12,6 +12,7 @@
 from features.support import queue_failures
 from features.support import queue_fleet
 from features.support import simulation
+from honeyport.gateway import headers
 from honeyport.gateway import queue_keeper
 from honeyport.wire import honeyport_pb2 as pb
 
@@ -91,7 +92,8 @@
 
 async def _ask_full_queue():
     """Return the keeper's answer to one ask more than it lets wait."""
-    fleet = queue_fleet.Fleet(20, 1, 1)
+    # Enough slots that the bound is met before the forecast refuses.
+    fleet = queue_fleet.Fleet(20, 3, 6)
     await fleet.start()
     await asyncio.sleep(3.0)
     keeper = fleet.gateways[fleet.keeper()].keeper
@@ -103,7 +105,7 @@
     link.handle(pb.Frame(stream=1, held=held))
     ask = pb.SlotAsk(
         service=choices.SERVICE,
-        allowed=['i-0'],
+        allowed=['i-0', 'i-1', 'i-2'],
         objective_ms=100_000_000,
         deadline_ms=100_000_000,
     )
@@ -345,3 +347,37 @@
 
     context.run(wait_free())
     assert len(fleet.script.arrivals) == 2 + _EXTRA, fleet.script.arrivals
+
+
+@behave.given('{count:d} gateways that share queues {when} before few slots')
+def step_switched_off(context, count, when):
+    context.gateway_count = count
+    context.if_uneven = when == 'if instances report slowdown'
+
+
+@behave.when('an instance reports the load "{load}" to each')
+def step_report_load(context, load):
+    async def run() -> int:
+        fleet = queue_fleet.Fleet(
+            context.gateway_count,
+            seed=_SEED,
+            has_queues=False,
+            if_uneven=context.if_uneven,
+        )
+        await fleet.start()
+        for gateway in fleet.gateways.values():
+            gateway.queues.record_load(headers.parse_load(load))
+        known = [
+            gateway
+            for gateway in fleet.gateways.values()
+            if gateway.queues.keepers
+        ]
+        fleet.stop()
+        return len(known)
+
+    context.known = simulation.run(run())
+
+
+@behave.then('{number:d} of them know a keeper')
+def step_know_keeper(context, number):
+    assert context.known == number, context.known
--- a/features/support/queue_fleet.py
+++ b/features/support/queue_fleet.py
@@ -236,6 +236,7 @@
         self.keeper = queue_keeper.QueueKeeper(name, self.state, self.counters)
         self.queues = slot_queues.SlotQueues(
             fleet.has_queues,
+            fleet.if_uneven,
             name,
             incarnation,
             self.state,
@@ -255,6 +256,7 @@
     """Gateways and instances; control tells all gateways all lists.
 
     :param has_queues: whether gateways share queues
+    :param if_uneven: whether they do once an instance reports a slowdown
     """
 
     def __init__(
@@ -265,9 +267,11 @@
         *,
         seed: int = 1,
         has_queues: bool = True,
+        if_uneven: bool = False,
         speeds=(1.0, 1.0, 1.3, 1.0),
     ) -> None:
         self.has_queues = has_queues
+        self.if_uneven = if_uneven
         self.rng = random.Random(seed)
         random.seed(seed)  # the policy uses the global generator
         self.frames = 0
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -114,6 +114,7 @@
         )
         self._slot_queues = slot_queues.SlotQueues(
             settings.shared_queues,
+            settings.shared_queues_if_uneven,
             settings.name,
             uuid.uuid4().hex[:12],
             self._state,
--- a/src/honeyport/gateway/headers.py
+++ b/src/honeyport/gateway/headers.py
@@ -186,7 +186,7 @@
 def parse_load(text: str) -> brittle.ReportedLoad | None:
     """Parse the load of an instance in the format ``running,waiting,slots``.
 
-    A fourth field may follow.
+    A fourth field may follow: how slow its machine is now, in hundredths.
 
     :returns: ``None`` if it is missing or unreadable
     """
@@ -195,7 +195,10 @@
     if len(fields) not in _LOAD_FIELDS or None in counts:
         return None
     running, waiting, _ = counts
-    return brittle.ReportedLoad(running, waiting)
+    has_slowdown = (
+        len(fields) > 3 and parse_count(fields[3].strip()) is not None
+    )
+    return brittle.ReportedLoad(running, waiting, has_slowdown)
 
 
 def parse_count(text: str) -> int | None:
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -188,9 +188,11 @@
         """Process the head of a response on a connection."""
         self._signals.observe(instance, head, sent_at)
         exchange.reported_load = head.headers.get(self._names.load, '')
+        load = gateway_headers.parse_load(exchange.reported_load)
+        self._queues.record_load(load)
         self._balancer.record_answer(
             instance,
-            gateway_headers.parse_load(exchange.reported_load),
+            load,
             is_rejected=head.status == _UNAVAILABLE_STATUS
             and self._names.not_run in head.headers,
         )
--- a/src/honeyport/gateway/slot_queues.py
+++ b/src/honeyport/gateway/slot_queues.py
@@ -16,6 +16,7 @@
 from honeyport import errors
 from honeyport.gateway import exchanges
 from honeyport.gateway import queue_keeper
+from honeyport.policy import brittle
 from honeyport.policy import queue_keepers
 from honeyport.router import fleetstate
 from honeyport.router import relay
@@ -382,6 +383,8 @@
     """Gets slots for requests to services that have a shared queue.
 
     :param enabled: whether services may have one
+    :param enabled_if_uneven: whether they may once an instance reports how
+        slow its machine is
     :param name: name of this gateway
     :param incarnation: identifies this run of its process
     :param state: this instance's view of the fleet
@@ -394,6 +397,7 @@
     def __init__(
         self,
         enabled: bool,
+        enabled_if_uneven: bool,
         name: str,
         incarnation: str,
         state: fleetstate.FleetState,
@@ -403,6 +407,7 @@
         counters: metrics.Metrics,
     ) -> None:
         self._enabled = enabled
+        self._enabled_if_uneven = enabled_if_uneven
         self._name = name
         self._incarnation = incarnation
         self._state = state
@@ -445,6 +450,19 @@
         self._sessions.clear()
         self._keepers = {}
 
+    def record_load(self, load: brittle.ReportedLoad | None) -> None:
+        """Record the load that an instance reported.
+
+        Gateways learn this at their first answers, which differ in time. Until
+        then they send at once, like those that reach no keeper.
+        """
+        if self._enabled or not self._enabled_if_uneven:
+            return
+        if load is not None and load.has_slowdown:
+            self._enabled = True
+            logs.emit(events.QUEUES_ENABLED)
+            self.apply_state()
+
     def apply_state(self) -> None:
         """Apply new lists of gateways and instances."""
         if not self._enabled:
--- a/src/honeyport/policy/brittle.py
+++ b/src/honeyport/policy/brittle.py
@@ -54,10 +54,15 @@
 
 @attrs.frozen
 class ReportedLoad:
-    """The load that an instance reported in an answer."""
+    """The load that an instance reported in an answer.
+
+    :ivar has_slowdown: whether it says how slow its machine is now, since it
+        shares the machine with others
+    """
 
     running: int
     waiting: int
+    has_slowdown: bool = False
 
 
 class RoomEstimates:
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -62,6 +62,11 @@
         'one queue for all gateways',
         False,
     )
+    shared_queues_if_uneven: bool = fields.field(
+        'whether shared_queues is switched on once an instance reports how '
+        'slow its machine is, which it shares with others',
+        False,
+    )
     prompt_balancing: bool = fields.field(
         'whether prompts are balanced by the tokens that instances have to '
         'read, and by how slow instances say they are',
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -674,6 +674,13 @@
     'A request got no slot; the line has the reason, the forecast and the '
     'wait.',
 )
+QUEUES_ENABLED = define(
+    3236,
+    'queues_enabled',
+    'info',
+    'An instance reported how slow its machine is; services with fewer slots '
+    'than gateways have shared queues from now on.',
+)
 BODY_REFUSED = define(
     3250,
     'body_refused',
