gateway: sessions with keepers and the local link have modules of their own

Run: features/gateway/shared_queues.feature and features/docs/reference.feature 28 passed, 0 failed; lint.

--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -24,6 +24,7 @@
 from honeyport.gateway import request_log
 from honeyport.gateway import server
 from honeyport.gateway import slot_queues
+from honeyport.gateway import slot_session
 from honeyport.gateway import stream_directory
 from honeyport.policy import addresses
 from honeyport.policy import cold
@@ -362,7 +363,7 @@
 
     async def _open_slots(
         self, member: pb.Member, receive: relay.ReceiveSlots
-    ) -> slot_queues.Streams:
+    ) -> slot_session.Streams:
         """Open the asking side of a link to the keeper of a queue."""
         return await self._links.get(member.peer_address).open_slots(receive)
 
