--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -66,8 +66,8 @@
     :ivar cold_multiple: the multiple of a service's cold rate that a cold
         instance tolerates within one second
     :ivar cold_extra: further requests that it tolerates
-    :ivar uneven_load: whether services with few slots get shared queues, and
-        prompts are balanced by tokens (the platform's ``pressure`` contract)
+    :ivar uneven_load: whether services with few slots get shared queues
+        (the platform's ``pressure`` contract)
     """
 
     name: str
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -78,7 +78,6 @@
             cold_extra=self._boot_settings.cold_extra,
             shared_queues=self._boot_settings.uneven_load,
             shared_queues_if_uneven=True,
-            prompt_balancing=self._boot_settings.uneven_load,
             **self._memory_settings(),
         )
 
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -67,11 +67,6 @@
         'slow its machine is, which it shares with others',
         False,
     )
-    prompt_balancing: bool = fields.field(
-        'whether prompts are balanced by the tokens that instances have to '
-        'read, and by how slow instances say they are',
-        False,
-    )
     held_max_mb: float = fields.field(
         'memory for requests and answers that callers and instances have not '
         'read yet, in megabytes; as it runs out, requests with large bodies '
