Refused large bodies come back when what is held has been released

Cause: Retry-After was the time until room for one body is free. New requests and all others that were refused compete for that room. It is the time now until what is held has been released. The table of times to come back expects 3.2 s where 0.9 was expected, by the new rule.

--- a/features/policy/held_bytes.feature
+++ b/features/policy/held_bytes.feature
@@ -9,9 +9,9 @@
 
     Examples: a large body is held for 1 s, a small one for 0.1 s
       | large | small | served | returned |
-      | 5     | 1.0   | 0.95   | 0.0      |
-      | 12    | 1.0   | 0.75   | 0.15     |
-      | 40    | 1.0   | 0.25   | 0.1      |
+      | 5     | 1.0   | 1.0    | 0.0      |
+      | 12    | 1.0   | 0.8    | 0.4      |
+      | 40    | 1.0   | 0.28   | 0.1      |
 
   Scenario Outline: who is refused first
     Given 24 MB of which <held> MB are held
@@ -35,7 +35,7 @@
     Examples:
       | rate | low  | high |
       | 1    | 4    | 5    |
-      | 5    | 0.9  | 1.2  |
+      | 5    | 3.2  | 3.3  |
       | 500  | 0.05 | 0.06 |
       | 0    | 5    | 5    |
 
--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -54,7 +54,7 @@
             held_s = self._random.uniform(0.5, 1.5) * mean_s
             self._schedule(at + held_s, 'end', size)
         elif kind == 'arrive':
-            back_s = self._limits.back_s(self._held, size, self._rate.at(at))
+            back_s = self._limits.back_s(self._held, self._rate.at(at))
             self._schedule(at + back_s, 'return', size)
 
     def _schedule(self, at, kind, size):
@@ -135,7 +135,7 @@
 )
 def step_back(context, low, high):
     rate = context.rate.at(5.0)
-    actual = context.limits.back_s(context.held, _MB, rate)
+    actual = context.limits.back_s(context.held, rate)
     assert low <= actual <= high, actual
 
 
--- a/src/honeyport/gateway/held_bytes.py
+++ b/src/honeyport/gateway/held_bytes.py
@@ -105,7 +105,7 @@
         if self._limits.admits(held, body_bytes):
             return
         rate = self._rate.at(asyncio.get_running_loop().time())
-        back_s = self._limits.back_s(held, body_bytes, rate)
+        back_s = self._limits.back_s(held, rate)
         logs.emit(
             events.BODY_REFUSED,
             request=request_id,
--- a/src/honeyport/policy/held_bytes.py
+++ b/src/honeyport/policy/held_bytes.py
@@ -80,15 +80,16 @@
             return True
         return held + body_bytes <= self._limit_for(body_bytes)
 
-    def back_s(self, held: int, body_bytes: int, rate: float) -> float:
+    def back_s(self, held: int, rate: float) -> float:
         """Return when a refused caller should come back, in seconds.
 
         :param rate: at which held bytes become free, in bytes per second
         """
-        excess = held + body_bytes - self._limit_for(body_bytes)
         if rate <= 0:
             return _STALL_UNDER_PRESSURE_S
-        return min(max(excess / rate, _MIN_BACK_S), _STALL_UNDER_PRESSURE_S)
+        # When room for this body is free, new requests compete for it; by the
+        # time that all that is held has been released, the load has changed.
+        return min(max(held / rate, _MIN_BACK_S), _STALL_UNDER_PRESSURE_S)
 
     def is_under_pressure(self, held: int) -> bool:
         """Whether memory is short."""
