--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -98,13 +98,15 @@
         :raises errors.HoneyportError: if that instance did not answer it
         """
         self._exchanges.check_admitted(exchange)
+        queued_s = exchange.queued_s
         async with self._queues.hold(
             exchange, lambda: self._find_allowed(exchange, choice)
         ) as granted:
-            if granted is not None:
+            if granted is not None or exchange.queued_s > queued_s:
                 # Routes and keys may have been removed while it waited.
                 self._exchanges.check_admitted(exchange)
-                choice = self.choose(exchange, granted)
+                only = granted or (choice.instance.id if choice else None)
+                choice = self.choose(exchange, only)
             response = await self._run_once(exchange, choice)
         await responses.write(exchange, response)
 
--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -10,6 +10,8 @@
 import collections.abc
 
 import attrs
+import math
+import random
 
 from honeyport.policy import queue_keepers
 from honeyport.policy import slot_counts
@@ -36,6 +38,8 @@
 _FULL = 'queue_full'
 # When a caller that met a full queue should come back, in seconds.
 _FULL_RETRY_S = 0.5
+# The largest number of milliseconds that fits into a message.
+_MAX_MS = 2**32 - 1
 
 Key = wait_queue.Key
 
@@ -329,7 +333,7 @@
                 wait_queue.Refusal(
                     key=Key(registration.holder.gateway, number),
                     reason=_FULL,
-                    back_s=_FULL_RETRY_S,
+                    back_s=_full_back_s(ask.deadline_ms / 1000),
                     forecast_s=0.0,
                 ),
             )
@@ -373,7 +377,7 @@
             held_s = release.held_ms / 1000
             if release.completed:
                 queue.record_held(held_s)
-            queue.waiting.record_end(waiting, held_s, _now())
+                queue.waiting.record_end(waiting, held_s, _now())
         self._pump(queue)
 
     # -- grants ----------------------------------------------------------
@@ -415,13 +419,14 @@
         waiting = grant.waiting
         key = waiting.key
         registration = queue.registrations[key.gateway]
-        queue.asked.pop(key, None)
+        # The queue bounds the wait; a slot is held until the true deadline.
+        asked = queue.asked.pop(key, waiting)
         queue.granted[key] = waiting
         queue.counts.grant(
             registration.holder,
             key.number,
             grant.instance,
-            waiting.deadline_at,
+            asked.deadline_at,
             now,
         )
         self._metrics.count('queue_grants')
@@ -588,9 +593,22 @@
     )
 
 
+def _full_back_s(left_s: float) -> float | None:
+    """Return when a caller comes back whose request did not fit, in seconds.
+
+    Spread, since many are refused at the same time.
+
+    :param left_s: until its deadline, in seconds
+    :returns: ``None`` if that is after its deadline
+    """
+    back_s = _FULL_RETRY_S * random.uniform(0.5, 1.5)
+    return back_s if back_s < left_s else None
+
+
 def _to_ms(seconds: float) -> int:
-    """Return whole milliseconds, rounded up."""
-    return max(0, -int(-seconds * 1000 // 1))
+    """Return whole milliseconds, rounded up, within the field's range."""
+    milliseconds = min(max(0.0, seconds * 1000), _MAX_MS)
+    return math.ceil(milliseconds)
 
 
 def _now() -> float:
--- a/src/honeyport/gateway/slot_session.py
+++ b/src/honeyport/gateway/slot_session.py
@@ -150,6 +150,8 @@
             return  # tried again with a request after a pause
         finally:
             self._opener = None
+        if self._is_granting and self._is_open:
+            return  # the keeper began to grant meanwhile
         if self._streams is not None:
             self._streams.close(self._number)
         self._streams = streams
@@ -335,6 +337,7 @@
             if ask.place
             else now - ask.sent_at > _ANSWER_TIMEOUT_S
             for ask in self._asks.values()
+            if not ask.result.done()
         )
         if not silent:
             self._start_checks()
--- a/src/honeyport/router/relay.py
+++ b/src/honeyport/router/relay.py
@@ -459,11 +459,16 @@
         batches: collections.abc.AsyncIterator[pb.FrameBatch],
         link: _ServerLink,
     ) -> None:
-        with contextlib.suppress(grpc.RpcError):
-            async for batch in batches:
-                for frame in batch.frames:
-                    self._handle_frame(frame, link)
-        link.box.close()
+        try:
+            with contextlib.suppress(grpc.RpcError):
+                async for batch in batches:
+                    for frame in batch.frames:
+                        self._handle_frame(frame, link)
+        except Exception as error:
+            logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
+        finally:
+            # Without it, the peer would wait for answers on a dead link.
+            link.box.close()
 
     def _handle_frame(self, frame: pb.Frame, link: _ServerLink) -> None:
         frame_type = frame.WhichOneof('body')
