--- a/src/honeyport/gateway/queue_keeper.py
+++ b/src/honeyport/gateway/queue_keeper.py
@@ -8,11 +8,11 @@
 import asyncio
 import collections
 import collections.abc
-
-import attrs
 import math
 import random
 
+import attrs
+
 from honeyport.policy import queue_keepers
 from honeyport.policy import slot_counts
 from honeyport.policy import stale
