--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -77,7 +77,6 @@
             cold_multiple=self._boot_settings.cold_multiple,
             cold_extra=self._boot_settings.cold_extra,
             shared_queues=self._boot_settings.uneven_load,
-            shared_queues_if_uneven=True,
             **self._memory_settings(),
         )
 
