--- a/review/support/standin.py
+++ b/review/support/standin.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import itertools
 import json
 import os
 import pathlib
@@ -24,6 +25,9 @@
 METRICS_PORT = 9464  # deploy/system.toml
 ZONES = ('sala-heredia', 'sala-cartago', 'sala-alajuela')
 HOST = 'ficu95.example'
+# Of the addresses: one for this process, and one for each installation.
+_SECOND_OCTET = random.randint(64, 250)
+_THIRD_OCTETS = itertools.count(1)
 KEY = 'n2ctnfzs989anu6wsjnb'
 TENANT = 'hule930'
 SETTINGS = """\
@@ -131,7 +135,7 @@
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.disk_mb = disk_mb
-        self.net = f'127.{random.randint(64, 250)}.{random.randint(1, 250)}'
+        self.net = f'127.{_SECOND_OCTET}.{next(_THIRD_OCTETS)}'
         self.ports = _free_ports(f'{self.net}.1', 5)
         self.machines = []
         self.servers = []
