Log the state of a control group that is not at its target size

The logs ended with the demotion of the member (members_changed) and could not tell three causes apart: no replica was there to be added, a change was proposed and not committed, or the leader chose no change.

Change: the leader logs the members, with role and whether they answer, and the candidates, whenever that changes while the group is not complete.

--- a/src/honeyport/control/membership_manager.py
+++ b/src/honeyport/control/membership_manager.py
@@ -37,13 +37,16 @@
         self._node = node
         self._sessions = routers
         self._target_size = target_size
+        self._logged_state: tuple[list[str], list[str]] | None = None
 
     async def run(self) -> None:
         """Check the members at intervals until cancelled."""
         while True:
             await asyncio.sleep(_PERIOD_S)
             if not self._node.leads:
+                self._logged_state = None
                 continue
+            self._log_members()
             try:
                 await self._step()
             except errors.HoneyportError as error:
@@ -53,6 +56,37 @@
                     detail=error.detail,
                 )
 
+    def _log_members(self) -> None:
+        """Log the members whenever their state changes."""
+        members = list(self._node.members.replicas)
+        is_complete = len(members) == self._target_size and all(
+            member.voter and not self._is_unreachable(member)
+            for member in members
+        )
+        if is_complete:
+            if self._logged_state is not None:
+                logs.emit(events.MEMBERS_COMPLETE, target=self._target_size)
+            self._logged_state = None
+            return
+        descriptions = [self._describe(member) for member in members]
+        candidates = sorted(
+            set(self._sessions.fleet.attached_replicas())
+            - {member.name for member in members}
+        )
+        if self._logged_state != (descriptions, candidates):
+            self._logged_state = (descriptions, candidates)
+            logs.emit(
+                events.MEMBERS_INCOMPLETE,
+                target=self._target_size,
+                members=descriptions,
+                candidates=candidates,
+            )
+
+    def _describe(self, member: pb.Replicant) -> str:
+        role = 'voter' if member.voter else 'learner'
+        state = 'silent' if self._is_unreachable(member) else 'answers'
+        return f'{member.name} {role} {state}'
+
     async def _step(self) -> None:
         """Make at most one membership change."""
         members = list(self._node.members.replicas)
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -165,6 +165,21 @@
     'info',
     'Writes to the disk of this control replica succeed again.',
 )
+MEMBERS_INCOMPLETE = define(
+    2014,
+    'members_incomplete',
+    'warning',
+    'The control group is not at its target size, or a member of it does '
+    'not answer; the line has what the leader knows of each member, and '
+    'the replicas that it could add.',
+)
+MEMBERS_COMPLETE = define(
+    2015,
+    'members_complete',
+    'info',
+    'The control group is at its target size again, and every member votes '
+    'and answers.',
+)
 BUNDLE_ACCEPTED = define(
     2101, 'bundle_accepted', 'info', 'A version of the bundle was committed.'
 )
