Count a new member as silent only from when it was added

A replacement that a leader added counted as unreachable at once, so that the unreachable voter was removed in the next step, 0.5 s later, whether or not the replacement ever answered.

Cause: a peer that has not answered in this term was silent since the start of the leadership, also one that became a member much later. The membership manager then left it out of the members that had to vote before a removal.

Change: a peer's silence counts from the start of the replication to it. The membership manager takes the attached replicas from a function, so that the simulated groups run it.

--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -12,6 +12,7 @@
 
 from features.support import power
 from honeyport.control import machine
+from honeyport.control import membership_manager
 from honeyport.control import replica
 from honeyport.control import storage
 from honeyport import errors
@@ -70,10 +71,16 @@
     :ivar digest_by_version: digests of the accepted bundle versions
 
     :param options: the replicas' options; by default with short timeouts
+    :param target_size: number of members that the leader aims at, adding and
+        removing replicas; 0 leaves the members as they are
     """
 
     def __init__(
-        self, count: int, seed: int, options: replica.Options = _OPTIONS
+        self,
+        count: int,
+        seed: int,
+        options: replica.Options = _OPTIONS,
+        target_size: int = 0,
     ) -> None:
         self.options = options
         self.random = random.Random(seed)
@@ -85,6 +92,21 @@
         self.leaders_by_term: dict[int, set[str]] = {}
         self.digest_by_version: dict[int, str] = {}
         self.initial_members = {name: name for name in self.names}
+        self._target_size = target_size
+        self._managers: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def leader(self) -> replica.Replica | None:
+        """The replica that leads, if any."""
+        return next((node for node in self.nodes.values() if node.leads), None)
+
+    def add_replica(self) -> str:
+        """Start a replica that is not a member; return its name."""
+        name = f'r{len(self.names)}'
+        self.names.append(name)
+        self.disks[name] = power.Disk(self.random)
+        self.start(name)
+        return name
 
     def start(self, name: str) -> None:
         """Start a replica with the contents of its disk."""
@@ -99,14 +121,30 @@
         )
         self.nodes[name] = node
         self.tasks[name] = asyncio.create_task(node.run())
+        if self._target_size:
+            manager = membership_manager.MembershipManager(
+                node, self._domains, self._target_size
+            )
+            self._managers[name] = asyncio.create_task(manager.run())
+
+    def _domains(self) -> dict[str, str]:
+        """Return the replicas that run, each in a domain of its own."""
+        return {name: f'domain-{name}' for name in self.nodes}
 
     async def kill(self, name: str) -> None:
         """Stop a replica without a shutdown."""
-        task = self.tasks.pop(name, None)
+        tasks = [
+            task
+            for task in (
+                self.tasks.pop(name, None),
+                self._managers.pop(name, None),
+            )
+            if task is not None
+        ]
         self.nodes.pop(name, None)
-        if task is not None:
+        for task in tasks:
             task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def lose_disk(self, name: str) -> None:
         """Kill a replica and replace its disk by an empty one."""
--- a/src/honeyport/control/group.py
+++ b/src/honeyport/control/group.py
@@ -113,7 +113,9 @@
     tree.start_task('suspects', group.routers.suspects.persist)
     target_size = max(settings.voters, len(settings.members))
     manager = membership_manager.MembershipManager(
-        group.node, group.routers, target_size
+        group.node,
+        lambda: group.routers.fleet.attached_replicas(),
+        target_size,
     )
     tree.start_task('succession', manager.run)
 
--- a/src/honeyport/control/leadership.py
+++ b/src/honeyport/control/leadership.py
@@ -67,6 +67,7 @@
     """Replication state of a peer, as known to the leader.
 
     :ivar next_index: index of the next entry to send
+    :ivar started_at: loop time at which replication to the peer started
     :ivar match_index: index up to which the peer's log equals ours
     :ivar contact_at: loop time at which the last answered message was sent
     :ivar disk: identity of the disk named in its last answer
@@ -74,6 +75,7 @@
     """
 
     next_index: int
+    started_at: float = float('-inf')
     match_index: int = 0
     contact_at: float = float('-inf')
     disk: str = ''
@@ -164,10 +166,15 @@
         return membership.quorum_value(self._log.members, contact_times)
 
     def silent_s(self, name: str) -> float:
-        """Return the seconds since a peer last answered in this term."""
+        """Return the seconds since a peer last answered in this term.
+
+        A peer that has not answered yet is silent since replication to it
+        started; 0 if there is none.
+        """
         progress = self._progress.get(name)
-        contact_at = progress.contact_at if progress else self._started_at
-        return _now() - max(contact_at, self._started_at)
+        if progress is None:
+            return 0.0
+        return _now() - max(progress.contact_at, progress.started_at)
 
     def propose(self, command: typing.Any) -> asyncio.Future[typing.Any]:
         """Append a command; return a future for its result."""
@@ -223,7 +230,7 @@
             if member.name == self._name or member.name in self._progress:
                 continue
             next_index = self._log.journal.last_index + 1
-            self._progress[member.name] = Progress(next_index)
+            self._progress[member.name] = Progress(next_index, _now())
             task = asyncio.create_task(self._replicate(member.name))
             self._tasks.append(task)
 
--- a/src/honeyport/control/membership_manager.py
+++ b/src/honeyport/control/membership_manager.py
@@ -8,9 +8,9 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from honeyport.control import replica
-from honeyport.control import sessions
 from honeyport import errors
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
@@ -21,21 +21,25 @@
 # time that platforms grant it (4 s after its start).
 _UNREACHABLE_AFTER_S = 2.5
 
+GetDomains = collections.abc.Callable[[], dict[str, str]]
+
 
 class MembershipManager:
     """Adds and replaces members while this replica leads.
 
+    :param get_domains: returns the replicas that are attached: address to
+        failure domain
     :param target_size: number of members when none is being replaced
     """
 
     def __init__(
         self,
         node: replica.Replica,
-        routers: sessions.Sessions,
+        get_domains: GetDomains,
         target_size: int,
     ) -> None:
         self._node = node
-        self._sessions = routers
+        self._get_domains = get_domains
         self._target_size = target_size
         self._logged_state: tuple[list[str], list[str]] | None = None
 
@@ -70,8 +74,7 @@
             return
         descriptions = [self._describe(member) for member in members]
         candidates = sorted(
-            set(self._sessions.fleet.attached_replicas())
-            - {member.name for member in members}
+            set(self._get_domains()) - {member.name for member in members}
         )
         if self._logged_state != (descriptions, candidates):
             self._logged_state = (descriptions, candidates)
@@ -115,7 +118,7 @@
         Prefers the failure domain with the fewest members, which minimises
         the votes lost with a domain.
         """
-        domain_by_replica = self._sessions.fleet.attached_replicas()
+        domain_by_replica = self._get_domains()
         member_names = {member.name for member in members}
         member_counts = collections.Counter(
             domain
