Replace a learner that is lost instead of waiting for it

Cause: the leader added a replica only if every member was a voter, and removed one only if there were more members than the target. With two voters and a dead learner neither ever holds again. With a dead replacement beside an unreachable voter, the voter was removed first, and the dead learner stayed.

Change: the decision is a function of the members' states without I/O, membership_plan.next_change. A replica is added while fewer members than the target vote or are expected to; a silent learner, or one that has not caught up in 10 s, is not. A voter is removed only if there are more voters than the target and it does not answer; learners are removed once enough voters answer. All changes wait for the one before.

Why it works: a scenario walks through every state of a group of three and of five, with members that vote or learn, answer, are silent or overdue, and up to three candidates of which any number is dead: each walk ends, with the target size wherever enough replicas are alive, and no step removes a voter that answers or costs the quorum.

--- a/features/control/membership.feature
+++ b/features/control/membership.feature
@@ -4,6 +4,34 @@
   Scenario: a voter is removed although its replacement does not answer
     Given a group of 3 replicas that replaces lost members
     When a follower is lost for good and its replacement does not answer
-    Then the lost follower is a member for 2 seconds
+    Then the lost follower is a member for 20 seconds
     When the links are restored
     Then 3 running replicas vote, and no other is a member, within 10 seconds
+
+  # Guards against a lost learner that blocks every further change.
+  Scenario Outline: a learner that is lost for good ends the control group
+    Given a group of <size> replicas that replaces lost members
+    When <learner> is lost for good while it is a learner
+    And a new replica starts 2 seconds later
+    Then <size> running replicas vote, and no other is a member, within 10 seconds
+    When a follower is lost for good
+    And a new replica starts 2 seconds later
+    Then a change is acknowledged
+    And <size> running replicas vote, and no other is a member, within 10 seconds
+
+    Examples:
+      | size | learner                            |
+      | 3    | a follower that lost its disk      |
+      | 5    | a follower that lost its disk      |
+      | 3    | the replacement of a lost follower |
+      | 5    | the replacement of a lost follower |
+
+  # Guards against members whose state leaves the leader no change to make.
+  Scenario Outline: a group of any state does not return to its target size
+    Then from every state of a group of <size>, planned changes lead to <size> voters
+    And no planned change removes a voter that answers
+
+    Examples:
+      | size |
+      | 3    |
+      | 5    |
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,9 +1,11 @@
 """Steps about the replacement of control replicas on a virtual clock."""
 
 import asyncio
+import itertools
 
 import behave
 
+from features.support import membership_model
 from features.support import simulation
 from honeyport.control import membership
 
@@ -114,3 +116,87 @@
 def step_complete(context, size, seconds):
     group = context.group
     _run(context, _wait(group, lambda: _is_complete(group, size), seconds))
+
+
+@behave.when(
+    'a follower that lost its disk is lost for good while it is a learner'
+)
+def step_lose_learner(context):
+    async def lose():
+        group = context.group
+        name = _follower(group)
+        await group.lose_disk(name)
+        group.start(name)
+        await _lose_as_learner(group, name)
+
+    _run(context, lose())
+
+
+@behave.when(
+    'the replacement of a lost follower is lost for good while it is a learner'
+)
+def step_lose_replacement(context):
+    async def lose():
+        group = context.group
+        await group.kill(_follower(group))
+        await _lose_as_learner(group, group.add_replica())
+
+    _run(context, lose())
+
+
+async def _lose_as_learner(group, name):
+    """Kill a replica as soon as it is a learner."""
+
+    def is_learner():
+        member = group.leader and membership.find(group.leader.members, name)
+        return member is not None and not member.voter
+
+    await _wait(group, is_learner, 5)
+    await group.kill(name)
+
+
+@behave.when('a follower is lost for good')
+def step_lose_follower(context):
+    _run(context, context.group.kill(_follower(context.group)))
+
+
+@behave.when('a new replica starts {seconds:d} seconds later')
+def step_new_replica(context, seconds):
+    async def start():
+        await context.group.run_for(seconds)
+        context.group.add_replica()
+
+    _run(context, start())
+
+
+@behave.then('a change is acknowledged')
+def step_acknowledged(context):
+    async def change():
+        assert await context.group.propose('change')
+
+    _run(context, change())
+
+
+@behave.then(
+    'from every state of a group of {size:d}, planned changes lead to '
+    '{voters:d} voters'
+)
+def step_every_state(context, size, voters):
+    context.transitions = []
+    for first in membership_model.states(size):
+        followed = list(membership_model.follow(first, size))
+        context.transitions += itertools.pairwise(followed)
+        if membership_model.can_be_complete(first, size):
+            last = followed[-1]
+            assert last.answering_voters >= voters, (first, last)
+            assert all(m.voter and m.answers for m in last.members), (
+                first,
+                last,
+            )
+
+
+@behave.then('no planned change removes a voter that answers')
+def step_no_answering_voter_removed(context):
+    for before, after in context.transitions:
+        assert after.answering_voters >= before.answering_voters
+        assert after.has_quorum, (before, after)
--- a/src/honeyport/control/membership_manager.py
+++ b/src/honeyport/control/membership_manager.py
@@ -1,15 +1,15 @@
 """Adds control replicas to the group and replaces unreachable members.
 
 A process whose replica is not a member reports it when it attaches. It is
-added as a learner while there are too few members, or while one of them is
-unreachable, and becomes a voter when it has caught up. An unreachable member
-is removed only after its replacement has become a voter.
+added as a learner while too few members vote, and becomes a voter when it has
+caught up. :mod:`honeyport.control.membership_plan` decides on each change.
 """
 
 import asyncio
 import collections
 import collections.abc
 
+from honeyport.control import membership_plan
 from honeyport.control import replica
 from honeyport import errors
 from honeyport.telemetry import events
@@ -20,6 +20,8 @@
 # Longer than a restart, and short enough that a replacement votes within the
 # time that platforms grant it (4 s after its start).
 _UNREACHABLE_AFTER_S = 2.5
+# After this time another replica is added beside a learner.
+_CATCH_UP_TIMEOUT_S = 10.0
 
 GetDomains = collections.abc.Callable[[], dict[str, str]]
 
@@ -41,6 +43,7 @@
         self._node = node
         self._get_domains = get_domains
         self._target_size = target_size
+        self._learners_since: dict[str, float] = {}
         self._logged_state: tuple[list[str], list[str]] | None = None
 
     async def run(self) -> None:
@@ -48,9 +51,9 @@
         while True:
             await asyncio.sleep(_PERIOD_S)
             if not self._node.leads:
+                self._learners_since.clear()
                 self._logged_state = None
                 continue
-            self._log_members()
             try:
                 await self._step()
             except errors.HoneyportError as error:
@@ -60,63 +63,53 @@
                     detail=error.detail,
                 )
 
-    def _log_members(self) -> None:
-        """Log the members whenever their state changes."""
-        members = list(self._node.members.replicas)
-        is_complete = len(members) == self._target_size and all(
-            member.voter and not self._is_unreachable(member)
-            for member in members
-        )
-        if is_complete:
-            if self._logged_state is not None:
-                logs.emit(events.MEMBERS_COMPLETE, target=self._target_size)
-            self._logged_state = None
-            return
-        descriptions = [self._describe(member) for member in members]
-        candidates = sorted(
-            set(self._get_domains()) - {member.name for member in members}
-        )
-        if self._logged_state != (descriptions, candidates):
-            self._logged_state = (descriptions, candidates)
-            logs.emit(
-                events.MEMBERS_INCOMPLETE,
-                target=self._target_size,
-                members=descriptions,
-                candidates=candidates,
-            )
-
-    def _describe(self, member: pb.Replicant) -> str:
-        role = 'voter' if member.voter else 'learner'
-        state = 'silent' if self._is_unreachable(member) else 'answers'
-        return f'{member.name} {role} {state}'
-
     async def _step(self) -> None:
         """Make at most one membership change."""
-        members = list(self._node.members.replicas)
-        unreachable = [
-            member for member in members if self._is_unreachable(member)
+        if not self._node.members_committed:
+            return
+        self._update_learners()
+        members = [
+            self._assess(member) for member in self._node.members.replicas
         ]
-        if len(members) > self._target_size:
-            if unreachable and all(
-                member.voter for member in members if member not in unreachable
-            ):
-                await self._remove(unreachable[0])
+        candidates = self._find_candidates(members)
+        self._log_state(members, candidates)
+        change = membership_plan.next_change(
+            members, self._target_size, candidates
+        )
+        if change is None:
             return
-        is_due = unreachable or len(members) < self._target_size
-        candidate = self._choose_candidate(members)
-        if is_due and candidate and all(member.voter for member in members):
-            await self._add(candidate, unreachable)
-
-    def _is_unreachable(self, member: pb.Replicant) -> bool:
-        if member.name == self._node.name:
-            return False
-        return self._node.silent_s(member.name) > _UNREACHABLE_AFTER_S
+        if change.added:
+            await self._add(change.added, members)
+        else:
+            await self._remove(change.removed)
+
+    def _update_learners(self) -> None:
+        """Record since when each member is a learner."""
+        now = asyncio.get_running_loop().time()
+        self._learners_since = {
+            member.name: self._learners_since.get(member.name, now)
+            for member in self._node.members.replicas
+            if not member.voter
+        }
+
+    def _assess(self, member: pb.Replicant) -> membership_plan.Member:
+        now = asyncio.get_running_loop().time()
+        learner_s = now - self._learners_since.get(member.name, now)
+        return membership_plan.Member(
+            member.name,
+            member.voter,
+            answers=member.name == self._node.name
+            or self._node.silent_s(member.name) <= _UNREACHABLE_AFTER_S,
+            overdue=learner_s > _CATCH_UP_TIMEOUT_S,
+        )
 
-    def _choose_candidate(self, members: list[pb.Replicant]) -> str:
-        """Return the name of the replica to add next, or ``''``.
+    def _find_candidates(
+        self, members: list[membership_plan.Member]
+    ) -> list[str]:
+        """Return the names of the replicas that could be added.
 
-        Prefers the failure domain with the fewest members, which minimises
-        the votes lost with a domain.
+        Prefers failure domains with few members, which minimises the votes
+        lost with a domain.
         """
         domain_by_replica = self._get_domains()
         member_names = {member.name for member in members}
@@ -125,21 +118,38 @@
             for name, domain in domain_by_replica.items()
             if name in member_names
         )
-        candidates = sorted(set(domain_by_replica) - member_names)
-        return min(
-            candidates,
-            key=lambda name: member_counts[domain_by_replica[name]],
-            default='',
+        return sorted(
+            set(domain_by_replica) - member_names,
+            key=lambda name: (member_counts[domain_by_replica[name]], name),
         )
 
-    async def _add(self, name: str, unreachable: list[pb.Replicant]) -> None:
-        names = [member.name for member in unreachable]
-        logs.emit(events.MEMBER_ADDED, replica=name, gone=names)
+    def _log_state(
+        self, members: list[membership_plan.Member], candidates: list[str]
+    ) -> None:
+        """Log the members whenever their state changes."""
+        if membership_plan.is_complete(members, self._target_size):
+            if self._logged_state is not None:
+                logs.emit(events.MEMBERS_COMPLETE, target=self._target_size)
+            self._logged_state = None
+            return
+        descriptions = [str(member) for member in members]
+        if self._logged_state != (descriptions, candidates):
+            self._logged_state = (descriptions, candidates)
+            logs.emit(
+                events.MEMBERS_INCOMPLETE,
+                target=self._target_size,
+                members=descriptions,
+                candidates=candidates,
+            )
+
+    async def _add(
+        self, name: str, members: list[membership_plan.Member]
+    ) -> None:
+        unusable = [member.name for member in members if not member.usable]
+        logs.emit(events.MEMBER_ADDED, replica=name, gone=unusable)
         await self._node.change_membership(name, name)
 
-    async def _remove(self, unreachable: pb.Replicant) -> None:
-        silent_s = round(self._node.silent_s(unreachable.name), 1)
-        logs.emit(
-            events.MEMBER_REMOVED, replica=unreachable.name, silent_s=silent_s
-        )
-        await self._node.change_membership(unreachable.name, '')
+    async def _remove(self, name: str) -> None:
+        silent_s = round(self._node.silent_s(name), 1)
+        logs.emit(events.MEMBER_REMOVED, replica=name, silent_s=silent_s)
+        await self._node.change_membership(name, '')
--- /dev/null
+++ b/src/honeyport/control/membership_plan.py
@@ -0,0 +1,90 @@
+"""Decides which membership change a leader makes next, without I/O.
+
+Learners do not count for a quorum: they may be added and removed at any time.
+A voter is removed only after its replacement has become a voter, and only if
+it does not answer.
+"""
+
+import typing
+
+import attrs
+
+
+@attrs.frozen
+class Member:
+    """What a leader knows about a member of its group.
+
+    :ivar answers: whether it answered recently; true for the leader
+    :ivar overdue: whether it is a learner that should vote by now
+    """
+
+    name: str
+    voter: bool
+    answers: bool
+    overdue: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether it votes, or is expected to."""
+        return self.answers and not self.overdue
+
+    def __str__(self) -> str:
+        words = [self.name, 'voter' if self.voter else 'learner']
+        if not self.answers:
+            words.append('silent')
+        if self.overdue:
+            words.append('overdue')
+        return ' '.join(words)
+
+
+@attrs.frozen
+class Change:
+    """A membership change: one of both names is empty.
+
+    :ivar added: name of the replica to add as a learner
+    :ivar removed: name of the member to remove
+    """
+
+    added: str = ''
+    removed: str = ''
+
+
+def is_complete(members: typing.Sequence[Member], target_size: int) -> bool:
+    """Return whether as many members as wanted vote, and all answer."""
+    return len(members) == target_size and all(
+        member.voter and member.answers for member in members
+    )
+
+
+def next_change(
+    members: typing.Sequence[Member],
+    target_size: int,
+    candidates: typing.Sequence[str],
+) -> Change | None:
+    """Return the next membership change, or ``None`` if there is none.
+
+    The changes come to an end: a candidate is added only while too few
+    members vote or are expected to, and a learner is removed only when
+    enough members vote, or to make room.
+
+    :param members: the committed members; a quorum of the voters answers
+    :param target_size: number of members when none is being replaced
+    :param candidates: replicas that could be added, the best first
+    """
+    voters = [member for member in members if member.voter]
+    learners = [member for member in members if not member.voter]
+    if len(voters) > target_size:
+        for voter in voters:
+            if not voter.answers:
+                return Change(removed=voter.name)
+    if sum(voter.answers for voter in voters) >= target_size:
+        return Change(removed=learners[0].name) if learners else None
+    usable_count = sum(member.usable for member in members)
+    if usable_count >= target_size or not candidates:
+        return None
+    if len(members) >= 2 * target_size:
+        # Each learner that is lost takes part in replication until removed.
+        for learner in learners:
+            if not learner.usable:
+                return Change(removed=learner.name)
+    return Change(added=candidates[0])
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -120,6 +120,11 @@
         """The latest members in the log, committed or not."""
         return self._log.members
 
+    @property
+    def members_committed(self) -> bool:
+        """Whether the latest membership change is committed."""
+        return self._log.members_committed
+
     @property
     def leader_address(self) -> str:
         """Listen address of the leader; ``''`` without recent contact.
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -137,15 +137,15 @@
     2009,
     'member_added',
     'warning',
-    'The leader adds a control replica as a learner: there are too few '
-    'voters, or a member is unreachable.',
+    'The leader adds a control replica as a learner: too few members vote or '
+    'are expected to.',
 )
 MEMBER_REMOVED = define(
     2010,
     'member_removed',
     'warning',
-    'The leader removes a control replica that has been unreachable; '
-    'its replacement votes.',
+    'The leader removes a control replica: a voter that is unreachable and '
+    'whose replacement votes, or a learner that is not needed.',
 )
 SUCCESSION_FAILED = define(
     2011,
