Give a replacement its vote only if the group can do without it

What callers saw: nothing so far. After a core machine was lost, the loss of its replacement at the moment in which it got its vote would have ended the control group: no change, and after the leases no request.

Cause: a learner that had caught up became a voter at once, also beside a voter that was lost. Three of four voters then had to confirm the new vote, the new voter among them. The members may be changed again only after that change, so nothing could follow.

Change: a learner becomes a voter only while fewer members vote than the target, and if the voters that answer are a quorum with the new vote as well (or all voters answer, as in a group of one). An unreachable voter is removed when a learner has caught up, so that the learner's vote comes right after.

Question of the plan: remove a lost voter before or after its replacement votes? After it has caught up, and before it votes.

--- a/features/control/membership.feature
+++ b/features/control/membership.feature
@@ -30,6 +30,20 @@
   Scenario Outline: a group of any state does not return to its target size
     Then from every state of a group of <size>, planned changes lead to <size> voters
     And no planned change removes a voter that answers
+    And no vote is added that only the new voter can confirm
+
+    Examples:
+      | size |
+      | 3    |
+      | 5    |
+
+  # Guards against a vote that only the new member itself can confirm.
+  Scenario Outline: a replacement that is lost as it gets its vote ends the control group
+    Given a group of <size> replicas that replaces lost members
+    When a follower is lost for good and its replacement as soon as it may vote
+    And a new replica starts 2 seconds later
+    Then <size> running replicas vote, and no other is a member, within 10 seconds
+    And a change is acknowledged
 
     Examples:
       | size |
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -144,6 +144,26 @@
     _run(context, lose())
 
 
+@behave.when(
+    'a follower is lost for good and its replacement as soon as it may vote'
+)
+def step_lose_as_promoted(context):
+    async def lose():
+        group = context.group
+        await group.kill(_follower(group))
+        name = group.add_replica()
+
+        def may_vote():
+            members = group.leader and group.leader.members
+            member = members and membership.find(members, name)
+            return member is not None and member.voter
+
+        await _wait(group, may_vote, 10)
+        await group.kill(name)
+
+    _run(context, lose())
+
+
 async def _lose_as_learner(group, name):
     """Kill a replica as soon as it is a learner."""
 
@@ -183,8 +203,10 @@
 )
 def step_every_state(context, size, voters):
     context.transitions = []
-    for first in membership_model.states(size):
-        followed = list(membership_model.follow(first, size))
+    for first, promotes_first in itertools.product(
+        membership_model.states(size), (False, True)
+    ):
+        followed = list(membership_model.follow(first, size, promotes_first))
         context.transitions += itertools.pairwise(followed)
         if membership_model.can_be_complete(first, size):
             last = followed[-1]
@@ -200,3 +222,14 @@
     for before, after in context.transitions:
         assert after.answering_voters >= before.answering_voters
         assert after.has_quorum, (before, after)
+
+
+@behave.then('no vote is added that only the new voter can confirm')
+def step_vote_confirmed(context):
+    for before, after in context.transitions:
+        voters_before = [m for m in before.members if m.voter]
+        voters = [m for m in after.members if m.voter]
+        if len(voters) > len(voters_before) and any(
+            not voter.answers for voter in voters
+        ):
+            assert 2 * before.answering_voters > len(voters), (before, after)
--- a/features/support/membership_model.py
+++ b/features/support/membership_model.py
@@ -1,8 +1,8 @@
 """All states of a control group, and what planned changes lead to.
 
-A state is a list of members and of candidates. While no change is planned, a
-learner that answers becomes a voter. A candidate that is added either answers
-or not; both are followed.
+A state is a list of members and of candidates. A learner that answers catches
+up, and becomes a voter as soon as the voters that answer can confirm it. A
+candidate that is added either answers or not; both are followed.
 """
 
 import itertools
@@ -17,6 +17,7 @@
     'voter': {'voter': True, 'answers': True},
     'lost voter': {'voter': True, 'answers': False},
     'learner': {'voter': False, 'answers': True},
+    'ready learner': {'voter': False, 'answers': True, 'caught_up': True},
     'lost learner': {'voter': False, 'answers': False},
     'overdue learner': {'voter': False, 'answers': True, 'overdue': True},
 }
@@ -64,14 +65,16 @@
                         yield state
 
 
-def follow(state, target_size):
+def follow(state, target_size, promotes_first):
     """Yield the state and those that follow, until nothing changes.
 
+    :param promotes_first: whether learners become voters before planned
+        changes, where both are possible
     :raises AssertionError: if the changes do not come to an end
     """
     for _ in range(_MAX_CHANGES):
         yield state
-        following = _next_state(state, target_size)
+        following = _next_state(state, target_size, promotes_first)
         if following is None:
             return
         state = following
@@ -85,12 +88,15 @@
     return usable + sound >= target_size
 
 
-def _next_state(state, target_size):
+def _next_state(state, target_size, promotes_first):
+    promoted = _promote(state, target_size)
+    if promoted is not None and promotes_first:
+        return promoted
     change = membership_plan.next_change(
         state.members, target_size, state.candidates
     )
     if change is None:
-        return _promote(state)
+        return promoted or _catch_up(state)
     if change.added:
         return _add(state, change.added)
     return _remove(state, change.removed)
@@ -117,12 +123,33 @@
     return State(members, (*state.candidates, name), doomed)
 
 
-def _promote(state):
+def _promote(state, target_size):
+    """Return the state after a ready learner became a voter, if it may."""
+    voter_count = sum(m.voter for m in state.members)
+    is_confirmed = (
+        state.answering_voters == voter_count
+        or 2 * state.answering_voters > voter_count + 1
+    )
+    if voter_count >= target_size or not is_confirmed:
+        return None
+    return _change_first(state, lambda m: m.ready, voter=True, caught_up=False)
+
+
+def _catch_up(state):
+    """Return the state after a learner caught up, if one answers."""
+    return _change_first(
+        state,
+        lambda m: not m.voter and m.usable and not m.caught_up,
+        caught_up=True,
+    )
+
+
+def _change_first(state, condition, **fields):
     for member in state.members:
-        if not member.voter and member.usable:
-            promoted = attrs.evolve(member, voter=True)
+        if condition(member):
+            changed = attrs.evolve(member, **fields)
             members = tuple(
-                promoted if other is member else other
+                changed if other is member else other
                 for other in state.members
             )
             return attrs.evolve(state, members=members)
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -10,6 +10,8 @@
 import selectors
 import typing
 
+import attrs
+
 from features.support import power
 from honeyport.control import machine
 from honeyport.control import membership_manager
@@ -82,7 +84,7 @@
         options: replica.Options = _OPTIONS,
         target_size: int = 0,
     ) -> None:
-        self.options = options
+        self.options = attrs.evolve(options, target_size=target_size)
         self.random = random.Random(seed)
         self.names = [f'r{number}' for number in range(count)]
         self.disks = {name: power.Disk(self.random) for name in self.names}
--- a/src/honeyport/control/group.py
+++ b/src/honeyport/control/group.py
@@ -73,6 +73,7 @@
             settings.heartbeat_ms / 1000,
             settings.snapshot_entries,
             settings.may_found,
+            _target_size(settings),
         ),
         seed=zlib.crc32(settings.name.encode()),
     )
@@ -111,15 +112,18 @@
     tree.start_task('claims', group.routers.run_claims)
     tree.start_task('introductions', group.introductions.run)
     tree.start_task('suspects', group.routers.suspects.persist)
-    target_size = max(settings.voters, len(settings.members))
     manager = membership_manager.MembershipManager(
         group.node,
         lambda: group.routers.fleet.attached_replicas(),
-        target_size,
+        _target_size(settings),
     )
     tree.start_task('succession', manager.run)
 
 
+def _target_size(settings: roles.Control) -> int:
+    return max(settings.voters, len(settings.members))
+
+
 def _connect(
     settings: roles.Control, name: str, address: str
 ) -> links.GrpcLink:
--- a/src/honeyport/control/leadership.py
+++ b/src/honeyport/control/leadership.py
@@ -18,6 +18,8 @@
 from honeyport.wire import honeyport_pb2 as pb
 
 _MAX_ENTRIES_PER_MESSAGE = 500
+# A voter counts on for a new quorum if it answered within as many heartbeats.
+_ANSWERING_HEARTBEATS = 5
 
 
 class Link(typing.Protocol):
@@ -71,6 +73,8 @@
     :ivar match_index: index up to which the peer's log equals ours
     :ivar contact_at: loop time at which the last answered message was sent
     :ivar disk: identity of the disk named in its last answer
+    :ivar caught_up: whether its log had all committed entries at its last
+        answer
     :ivar wakeup: set when there is something to send
     """
 
@@ -79,6 +83,7 @@
     match_index: int = 0
     contact_at: float = float('-inf')
     disk: str = ''
+    caught_up: bool = False
     wakeup: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
@@ -90,6 +95,8 @@
     :param on_higher_term: called with a higher term that a peer has seen
     :param on_storage_failed: called when our disk fails to write our entries
     :param heartbeat_s: interval of messages when there are no new entries
+    :param target_size: number of voters up to which learners become voters;
+        0 for no limit
     """
 
     def __init__(
@@ -100,6 +107,7 @@
         on_higher_term: OnHigherTerm,
         on_storage_failed: OnStorageFailed,
         heartbeat_s: float,
+        target_size: int = 0,
     ) -> None:
         self._name = name
         self._log = log
@@ -107,6 +115,7 @@
         self._on_higher_term = on_higher_term
         self._on_storage_failed = on_storage_failed
         self._heartbeat_s = heartbeat_s
+        self._target_size = target_size
         self._term = log.vote.term
         self._started_at = _now()
         self._progress: dict[str, Progress] = {}
@@ -158,12 +167,9 @@
 
         A quorum has answered messages sent at or after this loop time.
         """
-        contact_times = {
-            name: progress.contact_at
-            for name, progress in self._progress.items()
-        }
-        contact_times[self._name] = _now()
-        return membership.quorum_value(self._log.members, contact_times)
+        return membership.quorum_value(
+            self._log.members, self._contact_times()
+        )
 
     def silent_s(self, name: str) -> float:
         """Return the seconds since a peer last answered in this term.
@@ -176,6 +182,11 @@
             return 0.0
         return _now() - max(progress.contact_at, progress.started_at)
 
+    def has_caught_up(self, name: str) -> bool:
+        """Return whether a peer had all committed entries at its answer."""
+        progress = self._progress.get(name)
+        return progress is not None and progress.caught_up
+
     def propose(self, command: typing.Any) -> asyncio.Future[typing.Any]:
         """Append a command; return a future for its result."""
         future = asyncio.get_running_loop().create_future()
@@ -215,6 +226,15 @@
         self._start_peers()
         return future
 
+    def _contact_times(self) -> dict[str, float]:
+        """Return each member's ``contact_at``; ours is the current time."""
+        contact_times = {
+            name: progress.contact_at
+            for name, progress in self._progress.items()
+        }
+        contact_times[self._name] = _now()
+        return contact_times
+
     def _append(self, command: typing.Any) -> pb.Entry:
         entry = self._log.append(command)
         self._unsynced.set()
@@ -321,16 +341,45 @@
         progress.next_index = answer.last_index + 1
         if answer.matched:
             progress.match_index = answer.last_index
+        progress.caught_up = (
+            answer.matched and progress.match_index >= self._log.commit
+        )
         is_known_disk = answer.disk == member.disk
         if is_known_disk or (not member.disk and answer.admitted):
             progress.contact_at = max(progress.contact_at, sent_at)
-        self._propose_member_update(member, progress, answer)
+        self._propose_member_update(
+            member, answer, may_vote=progress.caught_up and self._may_add_vote
+        )
+
+    @property
+    def _may_add_vote(self) -> bool:
+        """Whether a learner may become a voter now.
+
+        The voters that answer must be a quorum with the new vote as well, or
+        the loss of the new voter could leave its vote uncommitted for good.
+        """
+        voters = [
+            member for member in self._log.members.replicas if member.voter
+        ]
+        if self._target_size and len(voters) >= self._target_size:
+            return False
+        answering_since = _now() - _ANSWERING_HEARTBEATS * self._heartbeat_s
+        answering_count = sum(
+            contact_at >= answering_since
+            for name, contact_at in self._contact_times().items()
+            if any(voter.name == name for voter in voters)
+        )
+        return (
+            answering_count == len(voters)
+            or 2 * answering_count > len(voters) + 1
+        )
 
     def _propose_member_update(
         self,
         member: pb.Replicant,
-        progress: Progress,
         answer: pb.AppendAnswer,
+        *,
+        may_vote: bool,
     ) -> None:
         """Propose the membership change that a peer's answer requires.
 
@@ -339,13 +388,12 @@
         """
         if not self._log.members_committed or not self.has_committed:
             return
-        caught_up = answer.matched and progress.match_index >= self._log.commit
         change = membership.change_after_answer(
             self._log.members,
             member.name,
             answer.disk,
             answer.admitted,
-            caught_up=caught_up,
+            may_vote=may_vote,
         )
         if change is not None:
             self._append(change)
--- a/src/honeyport/control/membership.py
+++ b/src/honeyport/control/membership.py
@@ -92,17 +92,17 @@
     disk: str,
     admitted: bool,
     *,
-    caught_up: bool,
+    may_vote: bool,
 ) -> pb.Members | None:
     """Return the members after a member's answer, or ``None`` if unchanged.
 
     A disk that is named for the first time is recorded. A voter with
-    another disk has lost its own and becomes a learner. A learner that has
-    caught up becomes a voter.
+    another disk has lost its own and becomes a learner. A learner that may
+    vote becomes a voter.
 
     :param disk: identity of the disk in the answer
     :param admitted: whether the member considers itself admitted
-    :param caught_up: whether its log has all committed entries
+    :param may_vote: whether a learner with a recorded disk is to vote
     """
     member = find(members, name)
     if member is None or not disk:
@@ -113,8 +113,8 @@
     if member.voter and member.disk != disk:
         changed_member.voter = not member.disk and admitted
         return changed
-    if not member.voter and (member.disk != disk or caught_up):
-        changed_member.voter = member.disk == disk and caught_up
+    if not member.voter and (member.disk != disk or may_vote):
+        changed_member.voter = member.disk == disk and may_vote
         return changed
     return None
 
--- a/src/honeyport/control/membership_manager.py
+++ b/src/honeyport/control/membership_manager.py
@@ -2,7 +2,8 @@
 
 A process whose replica is not a member reports it when it attaches. It is
 added as a learner while too few members vote, and becomes a voter when it has
-caught up. :mod:`honeyport.control.membership_plan` decides on each change.
+caught up (:mod:`honeyport.control.leadership`).
+:mod:`honeyport.control.membership_plan` decides on each change.
 """
 
 import asyncio
@@ -95,11 +96,13 @@
     def _assess(self, member: pb.Replicant) -> membership_plan.Member:
         now = asyncio.get_running_loop().time()
         learner_s = now - self._learners_since.get(member.name, now)
+        is_leader = member.name == self._node.name
         return membership_plan.Member(
             member.name,
             member.voter,
-            answers=member.name == self._node.name
+            answers=is_leader
             or self._node.silent_s(member.name) <= _UNREACHABLE_AFTER_S,
+            caught_up=is_leader or self._node.has_caught_up(member.name),
             overdue=learner_s > _CATCH_UP_TIMEOUT_S,
         )
 
--- a/src/honeyport/control/membership_plan.py
+++ b/src/honeyport/control/membership_plan.py
@@ -1,8 +1,10 @@
 """Decides which membership change a leader makes next, without I/O.
 
 Learners do not count for a quorum: they may be added and removed at any time.
-A voter is removed only after its replacement has become a voter, and only if
-it does not answer.
+A voter is removed only if it does not answer, once its replacement has caught
+up and right before that becomes a voter. In the other order the replacement's
+vote would need the replacement itself for a quorum; if it were lost at that
+moment, no change could be committed any more.
 """
 
 import typing
@@ -15,24 +17,33 @@
     """What a leader knows about a member of its group.
 
     :ivar answers: whether it answered recently; true for the leader
+    :ivar caught_up: whether its log had all committed entries
     :ivar overdue: whether it is a learner that should vote by now
     """
 
     name: str
     voter: bool
     answers: bool
+    caught_up: bool = False
     overdue: bool = False
 
     @property
     def usable(self) -> bool:
         """Whether it votes, or is expected to."""
-        return self.answers and not self.overdue
+        return self.answers and (self.caught_up or not self.overdue)
+
+    @property
+    def ready(self) -> bool:
+        """Whether it is a learner that may become a voter."""
+        return not self.voter and self.answers and self.caught_up
 
     def __str__(self) -> str:
         words = [self.name, 'voter' if self.voter else 'learner']
         if not self.answers:
             words.append('silent')
-        if self.overdue:
+        if self.ready:
+            words.append('caught_up')
+        elif self.overdue:
             words.append('overdue')
         return ' '.join(words)
 
@@ -73,7 +84,8 @@
     """
     voters = [member for member in members if member.voter]
     learners = [member for member in members if not member.voter]
-    if len(voters) > target_size:
+    has_replacement = any(learner.ready for learner in learners)
+    if has_replacement or len(voters) > target_size:
         for voter in voters:
             if not voter.answers:
                 return Change(removed=voter.name)
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -39,12 +39,15 @@
     :ivar heartbeat_s: heartbeat interval in seconds
     :ivar snapshot_entries: applied entries between two snapshots
     :ivar may_bootstrap: whether it may bootstrap the group with an empty disk
+    :ivar target_size: number of voters up to which learners become voters; 0
+        for no limit
     """
 
     election_s: float = 0.6
     heartbeat_s: float = 0.12
     snapshot_entries: int = 2000
     may_bootstrap: bool = True
+    target_size: int = 0
 
 
 class Replica:
@@ -169,6 +172,13 @@
         """Return the seconds since a peer last answered; 0 if not leader."""
         return self._leadership.silent_s(name) if self._leadership else 0.0
 
+    def has_caught_up(self, name: str) -> bool:
+        """Return whether a peer's log had all committed entries.
+
+        It is so as of the peer's last answer; false if not leader.
+        """
+        return bool(self._leadership and self._leadership.has_caught_up(name))
+
     def match_indexes(self) -> dict[str, int]:
         """Return the match index of each peer; empty if not leader."""
         return self._leadership.match_indexes() if self._leadership else {}
@@ -399,6 +409,7 @@
             self._on_higher_term,
             self._step_down,
             self._options.heartbeat_s,
+            self._options.target_size,
         )
         self._leadership.start()
 
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -145,7 +145,7 @@
     'member_removed',
     'warning',
     'The leader removes a control replica: a voter that is unreachable and '
-    'whose replacement votes, or a learner that is not needed.',
+    'whose replacement has caught up, or a learner that is not needed.',
 )
 SUCCESSION_FAILED = define(
     2011,
