Test that a replacement is not doubled before it could answer

Left out on a copy, the rule that a new member is silent only from when it was added turned no scenario red any more since the lost learner is replaced: a learner that counts as silent does not lead to the removal of the voter now, but to a second replacement beside it. The new scenario fails with that rule left out, and passes.

--- a/features/control/membership.feature
+++ b/features/control/membership.feature
@@ -8,6 +8,13 @@
     When the links are restored
     Then 3 running replicas vote, and no other is a member, within 10 seconds
 
+  # Guards against a replica that is added beside one that could not answer yet.
+  Scenario: a second replacement is added before the first one could answer
+    Given a group of 3 replicas that replaces lost members
+    When a follower is lost for good, and the first of two replacements answers 2 seconds late
+    Then 3 running replicas vote, and no other is a member, within 10 seconds
+    And the second replacement was never a member
+
   # Guards against a lost learner that blocks every further change.
   Scenario Outline: a learner that is lost for good ends the control group
     Given a group of <size> replicas that replaces lost members
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -91,6 +91,51 @@
     _run(context, replace())
 
 
+@behave.when(
+    'a follower is lost for good, and the first of two replacements answers '
+    '{seconds:d} seconds late'
+)
+def step_late_replacement(context, seconds):
+    async def replace():
+        group = context.group
+        await group.kill(_follower(group))
+        replacements = [group.add_replica(), group.add_replica()]
+
+        def added():
+            return [
+                name
+                for name in replacements
+                if membership.find(group.leader.members, name)
+            ]
+
+        await _wait(group, added, 5)
+        (first,) = added()
+        (context.second,) = set(replacements) - {first}
+        group.isolate(first)
+        await _wait_without(context, seconds)
+        group.heal()
+
+    _run(context, replace())
+
+
+async def _wait_without(context, seconds):
+    """Check that the second replacement is not a member for a time."""
+    ends_at = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < ends_at:
+        await context.group.run_for(0.1)
+        await _check_not_member(context)
+
+
+async def _check_not_member(context):
+    members = context.group.leader.members
+    assert not membership.find(members, context.second), members
+
+
+@behave.then('the second replacement was never a member')
+def step_never_member(context):
+    _run(context, _check_not_member(context))
+
+
 @behave.then('the lost follower is a member for {seconds:d} seconds')
 def step_stays_member(context, seconds):
     async def watch():
