Let a learner vote that is behind only by messages on their way

A learner that answers may never get a vote, so that the group stays one loss from its end while there are changes.

Cause: a learner had caught up if it had all entries that were committed when its answer arrived. Where its round trip is longer than that of the quorum, something is committed in between for as long as changes come without pause.

Change: the commit index at the time the message was sent counts. That is the condition of the dissertation's section 4.2.1 with one message as the round: its length is bound by the time-out of a call.

The scenario fails on the code before.

--- a/features/control/membership.feature
+++ b/features/control/membership.feature
@@ -56,3 +56,10 @@
       | size |
       | 3    |
       | 5    |
+
+  # Guards against a learner that is behind by what is committed meanwhile.
+  Scenario: a distant learner does not vote while changes come without pause
+    Given a group of 3 replicas that replaces lost members
+    When 20 clients change the log without pause
+    And a follower restarts with an empty disk, 50 ms farther away
+    Then 3 running replicas vote, and no other is a member, within 5 seconds
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -225,6 +225,44 @@
     _run(context, context.group.kill(_follower(context.group)))
 
 
+@behave.when('a follower restarts with an empty disk, {ms:d} ms farther away')
+def step_restart_distant(context, ms):
+    async def restart():
+        group = context.group
+        name = _follower(group)
+        await group.lose_disk(name)
+        group.delays_s[name] = ms / 1000
+        group.start(name)
+        await _wait(group, lambda: not _is_complete(group, 3), 5)
+
+    _run(context, restart())
+
+
+@behave.when('{count:d} clients change the log without pause')
+def step_steady_changes(context, count):
+    async def change(name):
+        while True:
+            await context.group.propose_router(name)
+
+    async def start():
+        context.clients = [
+            asyncio.create_task(change(f'client-{number}'))
+            for number in range(count)
+        ]
+
+    _run(context, start())
+    context.add_cleanup(_stop_clients, context)
+
+
+def _stop_clients(context):
+    async def stop():
+        for task in context.clients:
+            task.cancel()
+        await asyncio.gather(*context.clients, return_exceptions=True)
+
+    _run(context, stop())
+
+
 @behave.when('a new replica starts {seconds:d} seconds later')
 def step_new_replica(context, seconds):
     async def start():
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -69,6 +69,7 @@
     """Replicas, their disks and links, and the invariants checked on them.
 
     :ivar cut_links: pairs of source and target that cannot communicate
+    :ivar delays_s: added to each message from or to a replica, by name
     :ivar leaders_by_term: names of the replicas that were leader
     :ivar digest_by_version: digests of the accepted bundle versions
 
@@ -91,6 +92,7 @@
         self.nodes: dict[str, replica.Replica] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.cut_links: set[tuple[str, str]] = set()
+        self.delays_s: dict[str, float] = {}
         self.leaders_by_term: dict[int, set[str]] = {}
         self.digest_by_version: dict[int, str] = {}
         self.initial_members = {name: name for name in self.names}
@@ -323,7 +325,11 @@
         return answer
 
     async def _transmit(self, source: str, target: str) -> None:
-        await asyncio.sleep(self._group.random.uniform(0, _MAX_DELAY_S))
+        delays_s = self._group.delays_s
+        await asyncio.sleep(
+            self._group.random.uniform(0, _MAX_DELAY_S)
+            + max(delays_s.get(source, 0.0), delays_s.get(target, 0.0))
+        )
         if (source, target) in self._group.cut_links:
             await asyncio.sleep(_CALL_TIMEOUT_S)
             raise ConnectionError(target)
--- a/src/honeyport/control/leadership.py
+++ b/src/honeyport/control/leadership.py
@@ -73,8 +73,8 @@
     :ivar match_index: index up to which the peer's log equals ours
     :ivar contact_at: loop time at which the last answered message was sent
     :ivar disk: identity of the disk named in its last answer
-    :ivar caught_up: whether its log had all committed entries at its last
-        answer
+    :ivar caught_up: whether its log has all entries that were committed when
+        the last answered message was sent
     :ivar wakeup: set when there is something to send
     """
 
@@ -183,7 +183,7 @@
         return _now() - max(progress.contact_at, progress.started_at)
 
     def has_caught_up(self, name: str) -> bool:
-        """Return whether a peer had all committed entries at its answer."""
+        """Return whether a peer has all entries up to a recent commit."""
         progress = self._progress.get(name)
         return progress is not None and progress.caught_up
 
@@ -273,6 +273,7 @@
         while (member := membership.find(self._log.members, name)) is not None:
             progress.wakeup.clear()
             sent_at = _now()
+            commit = self._log.commit
             try:
                 answer = await self._send(member, progress)
             except OSError:
@@ -281,7 +282,7 @@
             if answer.term > self._term:
                 self._on_higher_term(answer.term)
                 return
-            self._record_answer(member, progress, answer, sent_at)
+            self._record_answer(member, progress, answer, sent_at, commit)
             await self._advance_commit()
             if progress.next_index > self._log.journal.last_index:
                 await self._wait_for_entries(progress)
@@ -334,16 +335,22 @@
         progress: Progress,
         answer: pb.AppendAnswer,
         sent_at: float,
+        commit: int,
     ) -> None:
+        """Update a peer's progress by its answer to a message.
+
+        :param sent_at: loop time at which the message was sent
+        :param commit: our commit index at that time
+        """
         if answer.disk != progress.disk:
             progress.disk = answer.disk
             progress.match_index = 0
         progress.next_index = answer.last_index + 1
         if answer.matched:
             progress.match_index = answer.last_index
-        progress.caught_up = (
-            answer.matched and progress.match_index >= self._log.commit
-        )
+        # What is committed while a message is on its way does not count: a
+        # peer would be behind for as long as there are changes (4.2.1).
+        progress.caught_up = answer.matched and progress.match_index >= commit
         is_known_disk = answer.disk == member.disk
         if is_known_disk or (not member.disk and answer.admitted):
             progress.contact_at = max(progress.contact_at, sent_at)
--- a/src/honeyport/control/membership_plan.py
+++ b/src/honeyport/control/membership_plan.py
@@ -17,7 +17,7 @@
     """What a leader knows about a member of its group.
 
     :ivar answers: whether it answered recently; true for the leader
-    :ivar caught_up: whether its log had all committed entries
+    :ivar caught_up: whether its log has all entries up to a recent commit
     :ivar overdue: whether it is a learner that should vote by now
     """
 
--- a/src/honeyport/control/replica.py
+++ b/src/honeyport/control/replica.py
@@ -173,9 +173,9 @@
         return self._leadership.silent_s(name) if self._leadership else 0.0
 
     def has_caught_up(self, name: str) -> bool:
-        """Return whether a peer's log had all committed entries.
+        """Return whether a peer has all entries up to a recent commit.
 
-        It is so as of the peer's last answer; false if not leader.
+        False if not leader.
         """
         return bool(self._leadership and self._leadership.has_caught_up(name))
 
