Start the replication state of a member anew when it is added again

It counted as silent for as long as its predecessor at that address, so that a second replica could be added beside it.

Cause: the task that replicates to a member ended when it found that the member was gone. If the member was added again before that, the task and its state went on: time of the last answer, disk, match index.

Change: the state is dropped with the removal, and a task ends when its state is no longer the current one.

--- a/features/control/membership.feature
+++ b/features/control/membership.feature
@@ -63,3 +63,9 @@
     When 20 clients change the log without pause
     And a follower restarts with an empty disk, 50 ms farther away
     Then 3 running replicas vote, and no other is a member, within 5 seconds
+
+  # Guards against the state of a removed member that its successor inherits.
+  Scenario: a replica that is added again is as silent as it was before
+    Given a group of 3 replicas whose members stay as they are
+    When a follower is lost for 10 seconds, removed, and added with an empty disk
+    Then it counts as silent only since it was added
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -55,8 +55,17 @@
 
 @behave.given('a group of {size:d} replicas that replaces lost members')
 def step_replacing_group(context, size):
+    _start_group(context, size, target_size=size)
+
+
+@behave.given('a group of {size:d} replicas whose members stay as they are')
+def step_fixed_group(context, size):
+    _start_group(context, size, target_size=0)
+
+
+def _start_group(context, size, target_size):
     context.virtual_loop = simulation.VirtualLoop()
-    context.group = simulation.Group(size, _SEED, target_size=size)
+    context.group = simulation.Group(size, _SEED, target_size=target_size)
 
     async def start():
         await context.group.bootstrap()
@@ -220,6 +229,37 @@
     await group.kill(name)
 
 
+@behave.when(
+    'a follower is lost for {seconds:d} seconds, removed, and added with an '
+    'empty disk'
+)
+def step_add_again(context, seconds):
+    async def add_again():
+        group = context.group
+        context.lost = _follower(group)
+        await group.kill(context.lost)
+        group.isolate(context.lost)
+        await group.run_for(seconds)
+        await group.leader.change_membership(context.lost, '')
+        group.heal()
+        await group.lose_disk(context.lost)
+        group.start(context.lost)
+        context.added_at = asyncio.get_running_loop().time()
+        await group.leader.change_membership(context.lost, context.lost)
+
+    _run(context, add_again())
+
+
+@behave.then('it counts as silent only since it was added')
+def step_silent_since_added(context):
+    async def check():
+        age_s = asyncio.get_running_loop().time() - context.added_at
+        silent_s = context.group.leader.silent_s(context.lost)
+        assert silent_s <= age_s, (silent_s, age_s)
+
+    _run(context, check())
+
+
 @behave.when('a follower is lost for good')
 def step_lose_follower(context):
     _run(context, context.group.kill(_follower(context.group)))
--- a/src/honeyport/control/leadership.py
+++ b/src/honeyport/control/leadership.py
@@ -222,6 +222,8 @@
                 'stop it and ask the next leader'
             )
         members = membership.add_or_remove(self._log.members, name, address)
+        # A replica that is added again may have another disk.
+        self._progress.pop(name, None)
         future = self.propose(members)
         self._start_peers()
         return future
@@ -270,7 +272,11 @@
     async def _replicate(self, name: str) -> None:
         """Replicate our log to one peer until it is no longer a member."""
         progress = self._progress[name]
-        while (member := membership.find(self._log.members, name)) is not None:
+        while self._progress.get(name) is progress:
+            member = membership.find(self._log.members, name)
+            if member is None:
+                del self._progress[name]
+                return
             progress.wakeup.clear()
             sent_at = _now()
             commit = self._log.commit
@@ -282,11 +288,12 @@
             if answer.term > self._term:
                 self._on_higher_term(answer.term)
                 return
+            if self._progress.get(name) is not progress:
+                return
             self._record_answer(member, progress, answer, sent_at, commit)
             await self._advance_commit()
             if progress.next_index > self._log.journal.last_index:
                 await self._wait_for_entries(progress)
-        self._progress.pop(name, None)
 
     async def _wait_for_entries(self, progress: Progress) -> None:
         """Wait for a wakeup, or until a heartbeat is due."""
