Bound the memory of responses that come without end

What callers saw (trial on the source before, 40 requests at once, one of three instances never stops sending): the memory of the process grew by 304 to 368 MB for a body with or without chunks, a failure or a success without its digest, 70 MB for an event; the 13 requests that met that instance got no whole answer, most a 504 at their deadline. Machines have 120 to 300 MB.

Cause: each response could have 64 MB, also an event and one that is thrown away in the end, and nothing bounded all of them together. An event without end was copied anew with each 16 KB.

Change: 8 MB for a body, 1 MB for an event, and one bound for all responses in progress (responses_max_mb, on the platform an eighth of the machine's memory): above it the largest is cut off. A response that nobody gets is not kept. The largest answers of the users' site files are 4,800 bytes and their pieces 510; our own scenarios use answers of 4 MB, which pass.

Heads without end were bounded before; the log names them now.

--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -31,6 +31,7 @@
     :ivar disconnected: set when the gateway closed the connection
     :ivar arrived_at: time of arrival on the monotonic clock, in seconds
     :ivar answered_at: time of the answer on the same clock; 0 until then
+    :ivar endless_bytes: written of an endless response
     :ivar step: script step that the instance runs for it
     :ivar version: software version of the instance
     """
@@ -43,6 +44,7 @@
     disconnected: asyncio.Event = attrs.field(factory=asyncio.Event)
     arrived_at: float = attrs.field(factory=time.monotonic)
     answered_at: float = 0.0
+    endless_bytes: int = 0
     step: str = ''
     version: str = ''
 
@@ -171,6 +173,9 @@
         writer.write(_stream_head(arrival) + _chunk(events))
         await asyncio.sleep(_CUT_AFTER_S)
         return False
+    if step.startswith('endless '):
+        await _write_endless(step.removeprefix('endless '), arrival, writer)
+        return False
     if step == 'answer late':
         await asyncio.sleep(LATE_S)
         step = 'answer'
@@ -180,6 +185,22 @@
     return step not in _CLOSING_STEPS and not step.startswith('unframed ')
 
 
+async def _write_endless(
+    kind: str, arrival: Arrival, writer: asyncio.StreamWriter
+) -> None:
+    """Write a response without end until the connection is closed."""
+    head, block = _ENDLESS[kind](arrival)
+    writer.write(head)
+    try:
+        while True:
+            writer.write(block)
+            await writer.drain()
+            arrival.endless_bytes += len(block)
+            await asyncio.sleep(0)
+    except OSError:
+        arrival.disconnected.set()
+
+
 def _answer_bytes(step: str, arrival: Arrival) -> bytes:
     """Return the bytes that an instance writes for a step.
 
@@ -343,3 +364,42 @@
     'large answer cut': lambda arrival: _answer(arrival, body=LARGE_BODY)[:-9],
     'stream cut': _truncated_stream,
 }
+
+
+def _endless_body(
+    arrival: Arrival, status: str = '200 OK', **headers: str
+) -> tuple[bytes, bytes]:
+    answer = _answer(arrival, status, b'', Content_Length='', **headers)
+    return answer, b'x' * _BLOCK_BYTES
+
+
+def _endless_chunks(arrival: Arrival) -> tuple[bytes, bytes]:
+    answer = _answer(
+        arrival, body=b'', Content_Length='', Transfer_Encoding='chunked'
+    )
+    return answer, _chunk(b'x' * _BLOCK_BYTES)
+
+
+# Start and repeated block of a response without end, by its name in a step.
+_BLOCK_BYTES = 64 * 1024
+_ENDLESS: dict[
+    str, collections.abc.Callable[[Arrival], tuple[bytes, bytes]]
+] = {
+    'head': lambda arrival: (b'HTTP/1.1 200 OK\r\n', b'x: y\r\n' * 8192),
+    'interim heads': lambda arrival: (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'body': _endless_body,
+    'chunks': _endless_chunks,
+    'unsigned body': lambda arrival: _endless_body(
+        arrival, **{NAMES.digest: ''}
+    ),
+    'failure': lambda arrival: _endless_body(
+        arrival, '500 Internal Server Error'
+    ),
+    'foreign body': lambda arrival: _endless_body(
+        arrival, **{NAMES.request_id: 'of-another'}
+    ),
+    'event': lambda arrival: (
+        _stream_head(arrival) + _chunk(b'data: '),
+        _chunk(b'x' * _BLOCK_BYTES),
+    ),
+}
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -415,6 +415,14 @@
     hint = 'The instance sent an answer that does not belong to this request.'
 
 
+@register('HP-3219')
+class ResponseTooLarge(BackendLost):
+    hint = (
+        'The instance sent more than a response may have, perhaps without '
+        'end; the request may have run. Look at that instance.'
+    )
+
+
 @register('HP-3205')
 class NotExecuted(HoneyportError):
     status = 503
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -12,10 +12,13 @@
 from honeyport.backend import connection_errors
 from honeyport import errors
 from honeyport.gateway import headers as gateway_headers
+from honeyport.gateway import held_bytes
 from honeyport.gateway import pool
 
 _MAX_HEADER_BYTES = 64 * 1024
-_MAX_BODY_BYTES = 64 * 1024 * 1024
+_MAX_STREAM_BYTES = 64 * 1024 * 1024
+# Of a response that is not an event stream.
+_MAX_BODY_BYTES = 8 * 1024 * 1024
 # A stream whose caller does not read holds some copies of a chunk.
 _CHUNK_BYTES = pool.CHUNK_BYTES
 # Larger bodies are written apart from the head; together, they are copied.
@@ -27,6 +30,7 @@
 _CAUSE_TEXTS: dict[type[BaseException], str] = {
     ConnectionResetError: 'reset by the instance',
     TimeoutError: 'not acknowledged by the instance',
+    iostream.UnsatisfiableReadError: 'a head without end',
     iostream.StreamClosedError: 'closed by the instance',
     httputil.HTTPInputError: 'not HTTP',
 }
@@ -111,6 +115,12 @@
     async def write_body(self, chunk: bytes) -> None:
         """Pass on further bytes of it."""
 
+    def on_reading(self, cut_off: held_bytes.CutOff | None) -> None:
+        """Handle that the reading of a response begins or ends.
+
+        :param cut_off: closes its connection for a reason; ``None`` at its end
+        """
+
 
 # Called with the head of each response on a connection, including responses to
 # other requests.
@@ -136,7 +146,9 @@
         self.is_relayed = False
         self.is_complete = False
         self.relay_error: BaseException | None = None
+        self.excess: errors.ResponseTooLarge | None = None
         self.body = bytearray()
+        self._received_bytes = 0
         self._is_unfinished = False
         self._may_pass_on = False
 
@@ -170,14 +182,21 @@
         self, chunk: bytes
     ) -> collections.abc.Awaitable[None] | None:
         self._relay.on_activity()
-        if self.is_for_other_request:
-            return None
+        self._received_bytes += len(chunk)
+        if self._received_bytes > self._max_bytes:
+            self.cut_off(f'over {self._max_bytes} bytes in a body')
+        if self.excess is not None:
+            raise httputil.HTTPInputError(self.excess.detail)
+        if self.is_for_other_request or self._is_unsigned:
+            return None  # discarded
+        if self.is_event_stream:
+            return self._record_error(self._relay.write_events(chunk))
         if self._is_unfinished:
             return self._record_error(self._relay.write_body(chunk))
-        if self.is_relayed:
-            return self._record_error(self._relay.write_events(chunk))
         self.body += chunk
         passes_on = self._relay.on_collected(len(self.body))
+        if self.excess is not None:
+            raise httputil.HTTPInputError(self.excess.detail)
         if passes_on and self._may_pass_on and self.head is not None:
             self.is_relayed = self._is_unfinished = True
             body, self.body = bytes(self.body), bytearray()
@@ -189,11 +208,29 @@
     def finish(self) -> None:
         self.is_complete = True
 
+    def cut_off(self, reason: str) -> None:
+        """Take no more bytes of the response."""
+        self.excess = errors.ResponseTooLarge(reason)
+        self.body.clear()
+
     @property
     def is_event_stream(self) -> bool:
         """Whether it was relayed as an event stream."""
         return self.is_relayed and not self._is_unfinished
 
+    @property
+    def _is_unsigned(self) -> bool:
+        """Whether it is a success without a digest, which is not passed on."""
+        return (
+            self.head is not None
+            and self.head.is_success
+            and self._header_names.digest not in self.head.headers
+        )
+
+    @property
+    def _max_bytes(self) -> int:
+        return _MAX_STREAM_BYTES if self.is_event_stream else _MAX_BODY_BYTES
+
     async def _record_error(
         self, relayed: collections.abc.Awaitable[None]
     ) -> None:
@@ -219,6 +256,7 @@
         self._header_names = header_names
         self._relay = relay
         self._on_head = on_head
+        self._reader: _Reader | None = None
 
     async def run(
         self,
@@ -228,12 +266,14 @@
         """Return the complete response; the connection is reusable afterwards.
 
         :raises errors.BackendLost: if the connection broke
+        :raises errors.ResponseTooLarge: if it was closed for its size
         :raises errors.ForeignAnswer: if no response to this request came, or
             a success without a digest
         """
+        self._relay.on_reading(self._cut_off)
         try:
             for number in range(_MAX_FOREIGN_RESPONSES + 1):
-                reader = _Reader(
+                self._reader = reader = _Reader(
                     request.request_id,
                     self._header_names,
                     self._relay,
@@ -244,16 +284,28 @@
                     _write_request(http, request, headers)
                 http.finish()
                 await http.read_response(reader)
+                if reader.excess is not None:
+                    raise reader.excess
                 if reader.relay_error is not None:
                     break
                 if not reader.is_for_other_request:
                     return self._complete_response(reader)
         except _CONNECTION_ERRORS as error:
+            if self._reader is not None and self._reader.excess is not None:
+                raise self._reader.excess from None
             raise errors.BackendLost(_describe_cause(error)) from None
+        finally:
+            self._relay.on_reading(None)
         if reader.relay_error is not None:  # not the instance's fault
             raise reader.relay_error
         raise errors.ForeignAnswer('received only responses to other requests')
 
+    def _cut_off(self, reason: str) -> None:
+        """Close the connection, as the response takes too much memory."""
+        if self._reader is not None:
+            self._reader.cut_off(reason)
+        self._connection.close()
+
     def _new_http(self) -> http1connection.HTTP1Connection:
         """Return an HTTP connection for one message on the stream."""
         return http1connection.HTTP1Connection(
@@ -261,7 +313,7 @@
             True,
             http1connection.HTTP1ConnectionParameters(
                 max_header_size=_MAX_HEADER_BYTES,
-                max_body_size=_MAX_BODY_BYTES,
+                max_body_size=_MAX_STREAM_BYTES + _CHUNK_BYTES,
                 chunk_size=_CHUNK_BYTES,
             ),
         )
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -127,7 +127,9 @@
         )
         self._forwarder = self._create_forwarder(names, allowance)
         self._held_bytes = held_bytes.HeldBytes(
-            settings.held_max_mb * _BYTES_PER_MB or math.inf, counters
+            settings.held_max_mb * _BYTES_PER_MB or math.inf,
+            counters,
+            settings.responses_max_mb * _BYTES_PER_MB,
         )
         self._caller_server = server.CallerServer(
             self._forwarder, names, self._held_bytes
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -21,6 +21,8 @@
 from honeyport import sse
 
 _LOWEST_PRIORITY = 9
+# Callers get complete events only.
+_MAX_EVENT_BYTES = 1024 * 1024
 _WITH_BODY = ('POST', 'PUT', 'PATCH')
 
 
@@ -232,9 +234,12 @@
     async def write_events(self, chunk: bytes) -> None:
         """Pass on complete events."""
         complete = self.splitter.feed(chunk)
-        self.reply.holding.update(
-            held_bytes.EVENT, len(self.splitter.partial())
-        )
+        partial_bytes = len(self.splitter.partial())
+        if partial_bytes > _MAX_EVENT_BYTES:
+            raise errors.ResponseTooLarge(
+                f'over {_MAX_EVENT_BYTES} bytes in an event'
+            )
+        self.reply.holding.update(held_bytes.EVENT, partial_bytes)
         if self.splitter.has_events and self.stream_version is None:
             self.stream_version = self.attempt_version
             self.on_begun(self)
@@ -265,6 +270,10 @@
         self.reply.holding.update(held_bytes.ANSWER, size)
         return self.reply.holding.passes_on_unfinished(size)
 
+    def on_reading(self, cut_off: held_bytes.CutOff | None) -> None:
+        """Have the response cut off if it takes too much memory."""
+        self.reply.holding.set_cut_off(cut_off)
+
     async def write_unfinished(self, head: attempt.Head, body: bytes) -> None:
         """Pass on the start of a response that is not collected further."""
         self.is_passed_on = True
--- a/src/honeyport/gateway/held_bytes.py
+++ b/src/honeyport/gateway/held_bytes.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import contextlib
+import math
 import typing
 
 from honeyport import errors
@@ -17,10 +18,15 @@
 ANSWER = 'answer'  # what was collected of a whole answer
 EVENT = 'event'  # the start of an incomplete event
 UNSENT = 'unsent'  # what was written, but not taken by the caller
+_RESPONSE_PARTS = (ANSWER, EVENT)
 # Interval at which callers are checked for progress.
 _CHECK_INTERVAL_S = 0.5
 
 
+# Closes the connection from which a response is read, for a reason.
+CutOff = collections.abc.Callable[[str], None]
+
+
 class Reader(typing.Protocol):
     """A caller that is sent bytes."""
 
@@ -42,17 +48,47 @@
     def __init__(self, account: 'HeldBytes') -> None:
         self._account = account
         self._parts: collections.Counter[str] = collections.Counter()
+        self._cut_off: CutOff | None = None
+
+    @property
+    def response_bytes(self) -> int:
+        """Bytes of the response that is read; 0 if none is."""
+        if self._cut_off is None:
+            return 0
+        return sum(self._parts[part] for part in _RESPONSE_PARTS)
 
     @property
     def total(self) -> int:
         """All bytes of the request."""
         return self._parts.total()
 
+    def set_cut_off(self, cut_off: CutOff | None) -> None:
+        """Set how to cut off the response that is read; ``None`` if none is.
+
+        Parts of an earlier response are discarded.
+        """
+        counted = self.response_bytes
+        self._cut_off = None
+        self._account.change_response(self, -counted)
+        if cut_off is not None:
+            self._release(_RESPONSE_PARTS)
+        self._cut_off = cut_off
+
+    def cut_off(self, reason: str) -> None:
+        """Cut off the response that is read."""
+        cut_off = self._cut_off
+        if cut_off is not None:
+            cut_off(reason)
+            self.set_cut_off(None)
+            self._release(_RESPONSE_PARTS)
+
     def update(self, part: str, held: int) -> None:
         """Set the number of bytes of one part."""
         change = held - self._parts[part]
         self._parts[part] = held
         self._account.change(change)
+        if part in _RESPONSE_PARTS and self._cut_off is not None:
+            self._account.change_response(self, change)
 
     def passes_on_unfinished(self, answer_bytes: int) -> bool:
         """Whether an answer is passed on before it is complete."""
@@ -60,7 +96,11 @@
 
     def release(self) -> None:
         """Release all bytes."""
-        for part in self._parts:
+        self.set_cut_off(None)
+        self._release(self._parts)
+
+    def _release(self, parts: collections.abc.Iterable[str]) -> None:
+        for part in parts:
             self.update(part, 0)
 
 
@@ -68,9 +108,19 @@
     """Counts what is held, and cuts off callers that read nothing.
 
     :param max_bytes: that should be held at most; ``inf`` for no limit
+    :param responses_max_bytes: that responses may take while they are read,
+        all together; ``inf`` for no limit
     """
 
-    def __init__(self, max_bytes: float, counters: metrics.Metrics) -> None:
+    def __init__(
+        self,
+        max_bytes: float,
+        counters: metrics.Metrics,
+        responses_max_bytes: float = math.inf,
+    ) -> None:
+        self._responses_max_bytes = responses_max_bytes
+        self._responses_total = 0
+        self._responses: set[Holding] = set()
         self._limits = held_bytes.Limits(max_bytes)
         self._rate = held_bytes.create_release_rate()
         self._metrics = counters
@@ -93,6 +143,26 @@
             now = asyncio.get_running_loop().time()
             self._rate.record(now, -change)
 
+    def change_response(self, holding: Holding, change: int) -> None:
+        """Count bytes of a response that is read.
+
+        The largest response is cut off if all together take too much.
+        """
+        self._responses_total += change
+        if holding.response_bytes:
+            self._responses.add(holding)
+        else:
+            self._responses.discard(holding)
+        if self._responses_total > self._responses_max_bytes:
+            largest = max(
+                self._responses, key=lambda response: response.response_bytes
+            )
+            self._metrics.count('responses_cut_off')
+            largest.cut_off(
+                f'{largest.response_bytes} bytes of this response are held, '
+                f'and {self._responses_total} of all'
+            )
+
     def check_body(
         self, request_id: str, body_bytes: int, holding: Holding
     ) -> None:
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -83,9 +83,12 @@
     def _memory_settings(self) -> dict[str, float]:
         """Return the settings that the machine's memory calls for."""
         memory_mb = self._boot_settings.memory_mb
-        if not self._boot_settings.uneven_load or not memory_mb:
+        if not memory_mb:
             return {}
-        return {'held_max_mb': max(_MIN_HELD_MB, memory_mb * _HELD_SHARE)}
+        held_mb = max(_MIN_HELD_MB, memory_mb * _HELD_SHARE)
+        if not self._boot_settings.uneven_load:
+            return {'responses_max_mb': held_mb}
+        return {'responses_max_mb': held_mb, 'held_max_mb': held_mb}
 
     async def start(
         self, settings: roles.Router, tree: supervisor.Supervisor
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -74,6 +74,12 @@
         0.0,
         check=fields.at_least(0),
     )
+    responses_max_mb: float = fields.field(
+        'memory for responses that are read but not complete, all together, '
+        'in megabytes; above it the largest is cut off',
+        64.0,
+        check=fields.at_least(1),
+    )
     drain_s: float = fields.field(
         'maximum wait for running requests at shutdown, in seconds',
         600.0,
