--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -149,6 +149,7 @@
         self.excess: errors.ResponseTooLarge | None = None
         self.body = bytearray()
         self._received_bytes = 0
+        self._is_discarded = False
         self._is_unfinished = False
         self._may_pass_on = False
 
@@ -167,10 +168,13 @@
         )
         self.is_for_other_request = response_request_id != self._request_id
         if self.is_for_other_request:
+            self._is_discarded = True
             return None
         self.head = head
         has_digest = self._header_names.digest in headers
         if not (self.head.is_success and has_digest):
+            # A success without a digest is not passed on.
+            self._is_discarded = self.head.is_success
             return None
         if self.head.is_stream:
             self.is_relayed = True
@@ -187,8 +191,8 @@
             self.cut_off(f'over {self._max_bytes} bytes in a body')
         if self.excess is not None:
             raise httputil.HTTPInputError(self.excess.detail)
-        if self.is_for_other_request or self._is_unsigned:
-            return None  # discarded
+        if self._is_discarded:
+            return None
         if self.is_event_stream:
             return self._record_error(self._relay.write_events(chunk))
         if self._is_unfinished:
@@ -218,15 +222,6 @@
         """Whether it was relayed as an event stream."""
         return self.is_relayed and not self._is_unfinished
 
-    @property
-    def _is_unsigned(self) -> bool:
-        """Whether it is a success without a digest, which is not passed on."""
-        return (
-            self.head is not None
-            and self.head.is_success
-            and self._header_names.digest not in self.head.headers
-        )
-
     @property
     def _max_bytes(self) -> int:
         return _MAX_STREAM_BYTES if self.is_event_stream else _MAX_BODY_BYTES
--- a/src/honeyport/gateway/held_bytes.py
+++ b/src/honeyport/gateway/held_bytes.py
@@ -85,6 +85,8 @@
     def update(self, part: str, held: int) -> None:
         """Set the number of bytes of one part."""
         change = held - self._parts[part]
+        if not change:
+            return
         self._parts[part] = held
         self._account.change(change)
         if part in _RESPONSE_PARTS and self._cut_off is not None:
