Log why no attempt followed a failed one

Change: no_retry and silent_ms in the line of the request, silent_ms and available in that of the attempt. No decision changes: _may_retry returns the same for each error and state, and the budget allows the same retries.

--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -21,6 +21,9 @@
 _CUT_AFTER_S = 0.02
 # Time until a late answer.
 LATE_S = 0.1
+# Silence of an instance that goes on; longer than the idle timeouts of a
+# gateway in tests.
+PAUSE_S = 0.7
 
 
 @attrs.define
@@ -173,6 +176,16 @@
         writer.write(_stream_head(arrival) + _chunk(events))
         await asyncio.sleep(_CUT_AFTER_S)
         return False
+    if step in _PAUSING_STEPS:
+        first, rest = _PAUSING_STEPS[step](arrival)
+        writer.write(first)
+        if await _is_closed_within(reader, PAUSE_S):
+            arrival.disconnected.set()
+            return False
+        writer.write(rest)
+        await writer.drain()
+        arrival.answered_at = time.monotonic()
+        return True
     if step.startswith('endless '):
         await _write_endless(step.removeprefix('endless '), arrival, writer)
         return False
@@ -185,6 +198,17 @@
     return step not in _CLOSING_STEPS and not step.startswith('unframed ')
 
 
+async def _is_closed_within(
+    reader: asyncio.StreamReader, limit_s: float
+) -> bool:
+    """Whether the gateway closes the connection within a time."""
+    try:
+        async with asyncio.timeout(limit_s):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+
+
 async def _write_endless(
     kind: str, arrival: Arrival, writer: asyncio.StreamWriter
 ) -> None:
@@ -313,6 +337,19 @@
     return '\r\n'.join(headers).encode() + b'\r\n\r\n' + body
 
 
+def _paused_stream(arrival: Arrival) -> tuple[bytes, bytes]:
+    """Return the start of a stream, and what follows the pause."""
+    first, *later = [_chunk(event) for event in _events(arrival)]
+    return _stream_head(arrival) + first, b''.join(later) + b'0\r\n\r\n'
+
+
+# Bytes before and after a pause, by the name of the step.
+_PAUSING_STEPS: dict[
+    str, collections.abc.Callable[[Arrival], tuple[bytes, bytes]]
+] = {
+    'stream with a pause': _paused_stream,
+    'answer after a pause': lambda arrival: (b'', _answer(arrival)),
+}
 _CLOSING_STEPS = (
     'cut',
     'large answer cut',
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -97,6 +97,8 @@
     :ivar connect_s: total time spent on connecting, in seconds
     :ivar first_byte_s: time from its arrival to the first byte of a response,
         in seconds
+    :ivar last_byte_at: loop time at which the last bytes of a response arrived
+    :ivar no_retry: why no attempt followed the last one, or ``''``
     """
 
     request: gateway_headers.Request
@@ -138,6 +140,8 @@
     queue_reason: str = ''
     connect_s: float = 0.0
     first_byte_s: float | None = None
+    last_byte_at: float = 0.0
+    no_retry: str = ''
 
     @property
     def may_have_run(self) -> bool:
@@ -201,19 +205,30 @@
             headers['Content-Length'] = str(len(request.body))
         return headers
 
+    @property
+    def silent_s(self) -> float | None:
+        """Time since the last attempt was sent, or since its last byte.
+
+        :returns: seconds, or ``None`` if no attempt was sent
+        """
+        if not self.sent_at:
+            return None
+        now = asyncio.get_running_loop().time()
+        return now - max(self.sent_at, self.last_byte_at)
+
     def timing_fields(self) -> dict[str, typing.Any]:
         """Return the log fields with the timings of the request."""
         fields: dict[str, typing.Any] = {
             'waited_ms': round(self.waited_s * 1000, 1),
             'connect_ms': round(self.connect_s * 1000, 1),
-            'first_ms': _to_ms(self.first_byte_s),
+            'first_ms': to_ms(self.first_byte_s),
         } | self.timing.log_fields(self.request.received)
         if self.queued_s:
             fields['queued_ms'] = round(self.queued_s * 1000, 1)
         if self.queue_place:
             fields['place'] = self.queue_place
         if self.queue_forecast_s is not None:
-            fields['forecast_ms'] = _to_ms(self.queue_forecast_s)
+            fields['forecast_ms'] = to_ms(self.queue_forecast_s)
         if self.queue_reason:
             fields['queue_reason'] = self.queue_reason
         return fields
@@ -301,9 +316,9 @@
     def on_activity(self) -> None:
         """Record that bytes arrived, and restart the silence timeout."""
         self.is_response_begun = True
+        self.last_byte_at = asyncio.get_running_loop().time()
         if self.first_byte_s is None:
-            now = asyncio.get_running_loop().time()
-            self.first_byte_s = now - self.request.received
+            self.first_byte_s = self.last_byte_at - self.request.received
         if self.idle_timer is not None:
             self.idle_timer.reset()
 
@@ -312,5 +327,6 @@
 StreamCallback = collections.abc.Callable[[Exchange], None]
 
 
-def _to_ms(seconds: float | None) -> float | None:
+def to_ms(seconds: float | None) -> float | None:
+    """Return a time in milliseconds, as log lines have it."""
     return None if seconds is None else round(seconds * 1000, 1)
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -34,6 +34,21 @@
 _MAX_OFFERS = 3
 # Retry-After for refusals without a specific time, in seconds.
 _RETRY_AFTER_S = 0.3
+# Errors after which a request may be repeated if its route allows that.
+_RETRYABLE = (
+    errors.AnswerCut,
+    errors.AttemptFailed,
+    errors.BackendLost,
+    errors.ForeignAnswer,
+    errors.PeerLost,
+)
+# Why no attempt follows another one, as it is logged.
+_NO_OFFERS_LEFT = 'no_offers_left'
+_NO_GATEWAYS_LEFT = 'no_gateways_left'
+_NO_BUDGET_LEFT = 'no_budget_left'
+_NOT_RETRYABLE = 'not_retryable'
+_NOT_REPEATABLE = 'not_repeatable'
+_CALLERS_GATEWAY_DECIDES = 'callers_gateway_decides'
 
 # Returns the exchange of a request, or raises the reason to refuse it.
 Admit = collections.abc.Callable[
@@ -258,42 +273,54 @@
     def _may_retry(
         self, exchange: exchanges.Exchange, error: errors.HoneyportError
     ) -> bool:
-        """Whether another instance may be tried after an error."""
+        """Whether another instance may be tried after an error.
+
+        If not, the reason is kept for the log line of the request.
+        """
+        exchange.no_retry = self._find_retry_obstacle(exchange, error)
+        return not exchange.no_retry
+
+    def _find_retry_obstacle(
+        self, exchange: exchanges.Exchange, error: errors.HoneyportError
+    ) -> str:
+        """Return why no attempt may follow an error, or ``''``.
+
+        A retry is taken from the budget if one may follow.
+        """
         if isinstance(error, errors.InstanceRests):
-            return True
+            return ''
         if exchange.offers >= _MAX_OFFERS:
-            return False
+            return _NO_OFFERS_LEFT
         if exchange.via and isinstance(error, detours.REFUSALS):
-            return len(exchange.failed_gateways) < detours.MAX_GATEWAYS
+            if len(exchange.failed_gateways) < detours.MAX_GATEWAYS:
+                return ''
+            return _NO_GATEWAYS_LEFT
         if isinstance(error, errors.NotSent):
-            return True
+            return ''
         if isinstance(error, errors.NotExecuted):
-            # The other gateway has made the offers that are allowed.
-            return not exchange.via and self._try_spend(exchange)
-        retryable = (
-            errors.AnswerCut,
-            errors.AttemptFailed,
-            errors.BackendLost,
-            errors.ForeignAnswer,
-            errors.PeerLost,
-        )
-        if not isinstance(error, retryable) or not exchange.may_repeat:
-            return False
+            if exchange.via:
+                # The other gateway has made the offers that are allowed.
+                return _NO_OFFERS_LEFT
+            return self._spend_retry(exchange)
+        if not isinstance(error, _RETRYABLE):
+            return _NOT_RETRYABLE
+        if not exchange.may_repeat:
+            return _NOT_REPEATABLE
         if exchange.origin:
-            return False  # the caller's gateway decides
-        return self._try_spend(exchange)
+            return _CALLERS_GATEWAY_DECIDES
+        return self._spend_retry(exchange)
 
-    def _try_spend(self, exchange: exchanges.Exchange) -> bool:
-        """Take one retry from the budget; return whether there was one."""
+    def _spend_retry(self, exchange: exchanges.Exchange) -> str:
+        """Take one retry from the budget; return why there was none."""
         now = asyncio.get_running_loop().time()
-        is_allowed = self._budgets.try_spend(exchange.service, now)
-        if not is_allowed:
-            logs.emit(
-                events.ALLOWANCE_SPENT,
-                request=exchange.request.request_id,
-                service=exchange.service,
-                offers=exchange.offers,
-                gateways=len(self._state.serving_routers),
-            )
-            self._metrics.count('allowance_spent', service=exchange.service)
-        return is_allowed
+        if self._budgets.try_spend(exchange.service, now):
+            return ''
+        logs.emit(
+            events.ALLOWANCE_SPENT,
+            request=exchange.request.request_id,
+            service=exchange.service,
+            offers=exchange.offers,
+            gateways=len(self._state.serving_routers),
+        )
+        self._metrics.count('allowance_spent', service=exchange.service)
+        return _NO_BUDGET_LEFT
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -89,6 +89,13 @@
         )
         return available & {choice.instance.id} if choice else available
 
+    def _count_available(self, exchange: exchanges.Exchange) -> int:
+        """Return the number of instances that it may be sent to now."""
+        try:
+            return len(self._find_allowed(exchange, None))
+        except errors.NoInstance:
+            return 0
+
     async def run(
         self, exchange: exchanges.Exchange, choice: placement.Choice | None
     ) -> None:
@@ -211,6 +218,7 @@
             error,
             backend=instance.id,
             address=instance.address,
+            available=self._count_available(exchange),
             left_out=self._balancer.count_excluded(
                 exchange.service,
                 exchange.tried,
--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -73,6 +73,10 @@
                 'offers': exchange.offers,
                 'fingerprint': exchange.fingerprint,
             } | exchange.timing_fields()
+            if error is not None:
+                fields['silent_ms'] = exchanges.to_ms(exchange.silent_s)
+            if exchange.no_retry:
+                fields['no_retry'] = exchange.no_retry
             if error is not None and exchange.traits.parts:
                 fields['parts'] = exchange.traits.parts[:_MAX_LOGGED_PARTS]
             if exchange.stream_version is not None:
@@ -117,6 +121,7 @@
             detail=error.detail,
             offers=exchange.offers,
             fingerprint=exchange.fingerprint,
+            silent_ms=exchanges.to_ms(exchange.silent_s),
             **fields,
         )
         self._metrics.count('attempts_failed', code=error.code)
--- a/src/honeyport/policy/repeats.py
+++ b/src/honeyport/policy/repeats.py
@@ -105,6 +105,16 @@
     def try_spend(self, service: str, now: float) -> bool:
         """Count a retry if it is within the budget; return whether it is.
 
+        :param now: as loop time, in seconds
+        """
+        if not self.remaining(service, now):
+            return False
+        self._counts(service).retries.add(now)
+        return True
+
+    def remaining(self, service: str, now: float) -> int:
+        """Return how many retries the budget allows now.
+
         :param now: as loop time, in seconds
         """
         counts = self._counts(service)
@@ -112,10 +122,7 @@
         ratio = self._allowance.ratio * _RATIO_SHARE
         max_retries = ratio * counts.requests.total(now)
         max_retries += self._allowance.extra * _EXTRA_SHARE / gateways
-        if counts.retries.total(now) + 1 > max_retries:
-            return False
-        counts.retries.add(now)
-        return True
+        return max(0, int(max_retries - counts.retries.total(now)))
 
     def _counts(self, service: str) -> _ServiceCounts:
         counts = self._by_service.get(service)
