Give a silent answer up only for an attempt that can follow

Cause: the idle timeout cancelled the attempt, which closed its connection. Only then were the budget, the offers, the route, the lease, an instance of the same version, a slot and a permit asked for. If one of them was missing, the caller's stream was cut although its instance went on. While all instances were silent, the first 54 streams took the budget for instances that were just as silent. Class: something is given up before its replacement is held.

Change: a watch looks for the next attempt while the silent one goes on. It holds a permit, a slot, a place in the load counts and a connection before it takes the retry from the budget, in one step of the event loop with giving the silent one up. If bytes arrive before, all is released. Instances that are silent themselves are not chosen. While most instances are silent and none is sending, nothing is given up and no instance is avoided. An instance that alone is silent is avoided from then on, also if its answers cannot go elsewhere. A gateway that forwards a request for another one leaves the decision to it, as for other errors.

Ways weighed. Asking twice at once and using what comes first runs the request at two instances for as long as the second one takes to its first byte, which the platform counts as double work after 0.4 s. Waiting without an end leaves callers with an instance that is silent for good.

--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -5,3 +5,76 @@
     When a caller sends a request
     Then it gets 200, and 1 requests arrived
     And the caller has every event once, in order
+
+  Scenario: an answer is not given up before its first byte if no retry is left
+    Given a gateway without a retry budget for idempotent requests whose instances answer after a pause
+    When a caller sends a request
+    Then it gets 200, and 1 requests arrived
+    And the answer is the complete answer of an instance
+
+  Scenario: a stream is not given up if no other instance has its version
+    Given a gateway for streaming resumable requests whose instances stream with a pause
+    And its instances have the versions v1, v1.1, v1.2
+    When a caller sends a request
+    Then it gets 200, and 1 requests arrived
+    And the caller has every event once, in order
+
+  Scenario Outline: a stream is not given up if no other instance can take it
+    Given a gateway for streaming resumable requests whose instances stream with a pause
+    When a caller sends a request, and meanwhile <event>
+    Then it gets 200, and 1 requests arrived
+    And the caller has every event once, in order
+    And the lines tell that the answer was awaited, as <reason>
+
+    Examples:
+      | event                              | reason             |
+      | the other instances refuse connections | cannot_be_prepared |
+      | the other instances are leaving    | cannot_be_prepared |
+      | its route is removed               | cannot_be_prepared |
+      | its key is revoked                 | cannot_be_prepared |
+      | the lease ends                     | cannot_be_prepared |
+
+  # Guards against streams that move between instances of which none is at fault.
+  Scenario Outline: answers go on where they are while all instances are silent
+    Given a gateway for <kind> requests whose instances <step>
+    When 12 callers send a request at the same time
+    Then 12 requests arrived, and all are answered completely
+    And no instance was avoided
+
+    Examples:
+      | kind                | step                 |
+      | streaming resumable | stream with a pause  |
+      | idempotent          | answer after a pause |
+
+  Scenario: an instance that alone is silent is left and avoided
+    Given a gateway for streaming resumable requests whose instances stream slowly
+    And one of its instances is silent after its first event
+    When 12 callers send a request at the same time
+    Then all are answered completely
+    And only the silent instance was avoided
+
+  Scenario: an instance that alone is silent is avoided also if its answers go on
+    Given a gateway without a retry budget for streaming resumable requests whose instances stream slowly
+    And one of its instances pauses after its first event
+    When 5 callers send a request at the same time
+    Then 5 requests arrived, and all are answered completely
+    And only the silent instance was avoided
+
+  Scenario: an instance goes on while the next attempt is prepared
+    Given a gateway for streaming resumable requests whose instances stream with a pause
+    When a caller sends a request, and meanwhile connections take 400 ms
+    Then it gets 200, and 1 requests arrived
+    And the caller has every event once, in order
+    And the budget has 0 retries less
+
+  Scenario: a retry is spent only once for an attempt that was reserved
+    Given a gateway for streaming resumable requests whose instances stream and wait; stream
+    When a caller sends a request
+    Then it gets 200, and 2 requests arrived
+    And the budget has 1 retries less
+
+  Scenario: an instance that is silent for good keeps its answer until the deadline
+    Given a gateway without a retry budget for streaming resumable requests whose instances stream and wait
+    When a caller sends a request, and its lines are kept
+    Then the caller sees that the answer is incomplete
+    And its last line tells that no attempt followed, as no_budget_left
--- /dev/null
+++ b/features/policy/silence.feature
@@ -0,0 +1,63 @@
+Feature: A silent instance is left only for an attempt that can follow
+
+  Scenario Outline: an obstacle keeps a silent attempt
+    Given a silent instance among others that are sending
+    When it turns out that <change>
+    Then the attempt goes on, as <obstacle>
+
+    Examples:
+      | change                                           | obstacle                |
+      | its route allows no other run                    | not_repeatable          |
+      | another gateway got the request                  | callers_gateway_decides |
+      | it may be offered to no other instance           | no_offers_left          |
+      | the budget allows no retry                       | no_budget_left          |
+      | less time is left than the route aims at         | no_time_left            |
+      | no other instance is sending, and most are mute  | all_silent              |
+      | all were silent before                           | just_resumed            |
+
+  Scenario Outline: who is silent together
+    Given a silent instance among <others> others
+    When <mute> of them are mute, and <heard> are sending
+    Then the attempt <decision>
+
+    Examples:
+      | others | mute | heard | decision               |
+      | 7      | 0    | 0     | may be left            |
+      | 7      | 3    | 0     | may be left            |
+      | 7      | 4    | 0     | goes on, as all_silent |
+      | 7      | 7    | 0     | goes on, as all_silent |
+      | 7      | 6    | 1     | may be left            |
+      | 0      | 0    | 0     | may be left            |
+
+  Scenario: an attempt is left only in a situation without obstacles
+    Then in every situation an attempt is left only if the next one can follow
+
+  Scenario: an instance is at fault only while others are sending
+    Then in every situation an instance is at fault only while others are sending
+
+  Scenario Outline: which instances are mute or heard
+    Given requests at i-1 and i-2 since 0.0 s
+    When i-1 sends at <times> s
+    Then at 1.0 s, with a limit of 0.5 s, <mute> are mute and <heard> are heard
+
+    Examples:
+      | times     | mute     | heard |
+      | 0.1       | i-1, i-2 | none  |
+      | 0.1, 0.6  | i-2      | i-1   |
+
+  Scenario: an instance without requests is neither mute nor heard
+    Given requests at i-1 and i-2 since 0.0 s
+    When they end
+    Then at 1.0 s, with a limit of 0.5 s, none are mute and none are heard
+
+  Scenario: an instance that got its first request lately is not mute
+    Given requests at i-1 and i-2 since 0.8 s
+    Then at 1.0 s, with a limit of 0.5 s, none are mute and none are heard
+
+  Scenario: instances that are gone are forgotten once their requests have ended
+    Given requests at i-1 and i-2 since 0.0 s
+    When none of them is listed
+    Then at 1.0 s, with a limit of 0.5 s, i-1, i-2 are mute and none are heard
+    When they end
+    And none of them is listed
+    Then no instance is remembered
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -107,13 +107,14 @@
         keys: tuple[str, ...] = (caller.KEY,),
         account: str = 'district',
         regions: tuple[str, ...] = (),
+        prefix: str = '/r/',
     ) -> None:
         """Apply a configuration with one route."""
         self.version += 1
         semantics, _, resumable = kind.partition(' ')
         route = model.Route(
             host=caller.HOST,
-            prefix='/r/',
+            prefix=prefix,
             semantics=semantics,
             weights={'app': 1},
             timeout_ms=self.timeout_ms,
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -1,11 +1,30 @@
 """Steps about instances that send nothing for a while, and their log lines."""
 
+import asyncio
+from unittest import mock
+
 import behave
 
 from features.steps import gateway_steps
+from features.support import instances
 from features.support import log_capture
 
+_KIND = 'streaming resumable'
 _LAST_LINES = ('request_broken', 'request_refused', 'request_served')
+_SILENT_INSTANCE = 'i-1'
+_EVENT_TIMEOUT_S = 0.3
+
+
+@behave.given('one of its instances is silent after its first event')
+def step_silent_instance(context):
+    script = context.fixture.script
+    script.step_by_instance[_SILENT_INSTANCE] = 'stream and wait'
+
+
+@behave.given('one of its instances pauses after its first event')
+def step_pausing_instance(context):
+    script = context.fixture.script
+    script.step_by_instance[_SILENT_INSTANCE] = 'stream with a pause'
 
 
 @behave.when('a caller sends a request, and its lines are kept')
@@ -16,6 +35,152 @@
         )
 
 
+@behave.when('a caller sends a request, and meanwhile the {group} {event}')
+def step_others_event(context, group, event):
+    _send_during(context, _OTHERS_EVENTS[f'{group} {event}'])
+
+
+@behave.when('a caller sends a request, and meanwhile its {thing} is {event}')
+def step_configured(context, thing, event):
+    _send_during(context, _CONFIGURATIONS[thing])
+
+
+@behave.when(
+    'a caller sends a request, and meanwhile connections take {delay:d} ms'
+)
+def step_slow_connections(context, delay):
+    fixture = context.fixture
+    pool = fixture.gateway._pool
+    acquire = pool.acquire
+
+    async def acquire_slowly(instance):
+        await asyncio.sleep(delay / 1000)
+        return await acquire(instance)
+
+    def slow_down(fixture):
+        patch = mock.patch.object(pool, 'acquire', acquire_slowly)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+    _send_during(context, slow_down)
+
+
+def _send_during(context, change):
+    """Send a request; change something once an instance has it."""
+    fixture = context.fixture
+
+    async def send():
+        request = asyncio.create_task(gateway_steps.send_request(fixture))
+        async with asyncio.timeout(_EVENT_TIMEOUT_S):
+            while not fixture.script.arrivals:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.02)  # for the first event
+        change(fixture)
+        return await request
+
+    with log_capture.captured_events() as context.lines:
+        context.response = context.run(send())
+
+
+def _other_names(fixture):
+    busy = fixture.script.arrivals[0].instance
+    return tuple(
+        instance.name
+        for instance in fixture.instances
+        if instance.name != busy
+    )
+
+
+def _refuse_connections(fixture):
+    for instance in fixture.instances:
+        if instance.name in _other_names(fixture):
+            instance.refuse_connections()
+
+
+def _end_lease(fixture):
+    fixture.gateway.state._lease_until = float('-inf')
+
+
+_OTHERS_EVENTS = {
+    'other instances refuse connections': _refuse_connections,
+    'other instances are leaving': lambda fixture: fixture.apply_instances(
+        leaving=_other_names(fixture)
+    ),
+    'lease ends': _end_lease,
+}
+_CONFIGURATIONS = {
+    'route': lambda fixture: fixture.configure(_KIND, prefix='/other/'),
+    'key': lambda fixture: fixture.configure(_KIND, keys=('another',)),
+}
+
+
+@behave.when('{count:d} callers send a request at the same time')
+def step_send_together(context, count):
+    async def send():
+        return await asyncio.gather(
+            *(
+                gateway_steps.send_request(
+                    context.fixture, request_id=f'q-{number}'
+                )
+                for number in range(count)
+            )
+        )
+
+    with log_capture.captured_events() as context.lines:
+        context.responses = context.run(send())
+
+
+@behave.then('{count:d} requests arrived, and all are answered completely')
+def step_all_arrived_once(context, count):
+    step_all_complete(context)
+    arrivals = context.fixture.script.arrivals
+    assert len(arrivals) == count, [arrival.instance for arrival in arrivals]
+
+
+@behave.then('all are answered completely')
+def step_all_complete(context):
+    for response in context.responses:
+        body = response.body
+        assert response.is_complete and response.status == 200, response
+        assert body == instances.BODY or (
+            body.count(b'id: ') == instances.EVENTS
+        ), response
+
+
+@behave.then('no instance was avoided')
+def step_none_avoided(context):
+    assert not _lines(context, 'instance_avoided'), context.lines
+
+
+@behave.then('only the silent instance was avoided')
+def step_one_avoided(context):
+    avoided = {
+        fields['backend'] for fields in _lines(context, 'instance_avoided')
+    }
+    assert avoided == {_SILENT_INSTANCE}, context.lines
+
+
+@behave.then('the lines tell that the answer was awaited, as {reason}')
+def step_awaited(context, reason):
+    reasons = [
+        fields['no_retry']
+        for fields in _lines(context, 'silent_answer_awaited')
+    ]
+    assert reason in reasons, context.lines
+
+
+@behave.then('the budget has {count:d} retries less')
+def step_budget(context, count):
+    budgets = context.fixture.gateway._forwarder._budgets
+    counts = budgets._counts('app').retries
+    now = context.run(_loop_time())
+    assert counts.total(now) == count, counts.total(now)
+
+
+async def _loop_time():
+    return asyncio.get_running_loop().time()
+
+
 @behave.then('its last line tells that no attempt followed, as {reason}')
 def step_reason(context, reason):
     (fields,) = _lines(context, *_LAST_LINES)
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -24,6 +24,8 @@
 # Silence of an instance that goes on; longer than the idle timeouts of a
 # gateway in tests.
 PAUSE_S = 0.7
+# Time between the events of a slow stream; shorter than these timeouts.
+_SLOW_EVENT_S = 0.15
 
 
 @attrs.define
@@ -105,6 +107,11 @@
         for writer in self._writers:
             writer.close()
 
+    def refuse_connections(self) -> None:
+        """Accept no new connections."""
+        assert self._server is not None
+        self._server.close()
+
     def crash(self) -> None:
         """Crash: stop listening and reset all connections."""
         assert self._server is not None
@@ -186,6 +193,13 @@
         await writer.drain()
         arrival.answered_at = time.monotonic()
         return True
+    if step == 'stream slowly':
+        writer.write(_stream_head(arrival))
+        for event in _events(arrival):
+            writer.write(_chunk(event))
+            await asyncio.sleep(_SLOW_EVENT_S)
+        writer.write(b'0\r\n\r\n')
+        return True
     if step.startswith('endless '):
         await _write_endless(step.removeprefix('endless '), arrival, writer)
         return False
--- a/src/honeyport/gateway/crash_guard.py
+++ b/src/honeyport/gateway/crash_guard.py
@@ -5,6 +5,7 @@
 
 from honeyport import errors
 from honeyport.gateway import exchanges
+from honeyport.policy import placement
 from honeyport.policy import suspicion
 from honeyport.router import suspects
 from honeyport.router import witness
@@ -35,9 +36,11 @@
     @contextlib.asynccontextmanager
     async def hold_permit(
         self, exchange: exchanges.Exchange
-    ) -> collections.abc.AsyncIterator[None]:
+    ) -> collections.abc.AsyncIterator[bool]:
         """Hold a permit for a request that may crash its instance.
 
+        The value of the context is whether the request has one.
+
         :raises errors.HoneyportError: if it may not be sent now
         """
         # If each possible run crashed its instance, the request needs a permit
@@ -59,20 +62,20 @@
             lambda call: self._end_detector.call_when_probed(
                 exchange.instance_id, call
             ),
-        ) as exchange.has_permit:
-            yield
+        ) as has_permit:
+            yield has_permit
 
     def record_success(self, exchange: exchanges.Exchange) -> None:
         """Record a complete answer to a request."""
         self._suspects.record_success(exchange.traits, exchange.sent_at)
 
     def record_failure(
-        self, exchange: exchanges.Exchange, error: errors.HoneyportError
+        self,
+        exchange: exchanges.Exchange,
+        instance: placement.Instance,
+        error: errors.HoneyportError,
     ) -> None:
-        """Report a failed attempt to the end detector."""
-        if exchange.choice is None:
-            return
-        instance = exchange.choice.instance
+        """Report a failed attempt on an instance to the end detector."""
         if isinstance(error, (errors.BackendSilent, errors.DeadlinePassed)):
             self._end_detector.record_timeout(instance, exchange.traits)
         elif isinstance(error, (errors.BackendLost, errors.RequestWithdrawn)):
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -21,6 +21,7 @@
 from honeyport.gateway import instance_attempts
 from honeyport.gateway import instance_signals
 from honeyport.gateway import lease_gate
+from honeyport.gateway import next_attempts
 from honeyport.gateway import pool
 from honeyport.gateway import queue_keeper
 from honeyport.gateway import request_log
@@ -29,6 +30,7 @@
 from honeyport.gateway import slot_session
 from honeyport.gateway import stream_directory
 from honeyport.gateway import withdrawals
+from honeyport.policy import activity
 from honeyport.policy import addresses
 from honeyport.policy import cold
 from honeyport.policy import draining
@@ -125,6 +127,7 @@
             self._balancer.running,
             counters,
         )
+        self._activity = activity.ActivityTracker()
         self._forwarder = self._create_forwarder(names, allowance)
         self._held_bytes = held_bytes.HeldBytes(
             settings.held_max_mb * _BYTES_PER_MB or math.inf,
@@ -176,6 +179,16 @@
             withdrawals.Withdrawals(self._suspects),
             log,
             self._slot_queues,
+            self._activity,
+        )
+        preparation = next_attempts.NextAttempts(
+            attempts,
+            budgets,
+            self._connectivity,
+            self._detours,
+            self._balancer,
+            self._activity,
+            log,
         )
         return forward.Forwarder(
             self._state,
@@ -185,7 +198,7 @@
             attempts,
             budgets,
             guard,
-            self._connectivity,
+            preparation,
             self._detours,
             log,
             self._metrics,
@@ -361,6 +374,7 @@
         )
         if not_leaving_ids is not None:
             self._pool.retain(not_leaving_ids)
+            self._activity.retain(not_leaving_ids)
             self._connectivity.on_list_changed()
             self._update_end_detector()
         self._slot_queues.apply_state()
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -13,8 +13,10 @@
 from honeyport.gateway import event_timing
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import held_bytes
+from honeyport.gateway import prepared
 from honeyport.gateway import routes
-from honeyport.gateway import silence_timeout
+from honeyport.gateway import silence_watch
+from honeyport.policy import obstacles
 from honeyport.policy import placement
 from honeyport.policy import prefixes
 from honeyport.policy import traits
@@ -53,12 +55,25 @@
         """Write an error, or close the connection if a response has begun."""
 
 
+async def _seek_nothing(
+    state: silence_watch.Silence,
+) -> obstacles.Obstacle | None:
+    return obstacles.Obstacle.NOT_REPEATABLE
+
+
 @attrs.define
 class Exchange:
     """A request, its attempts and its timings.
 
     :ivar deadline: loop time by which it needs its final response
     :ivar version: version of the configuration that admitted it
+    :ivar watch: watches the attempt that is under way, if any
+    :ivar seek: reserves the next attempt while that one is silent
+    :ivar next_attempt: the attempt that was reserved, if it is made here
+    :ivar is_retry_spent: whether the next attempt was taken from the budget
+    :ivar is_silence_recorded: whether the instance of the last attempt is
+        avoided for its silence
+    :ivar on_bytes: called with the loop time at which bytes arrived
     :ivar fingerprint: identifies the request also if the caller sends it again
         under a new id (:mod:`honeyport.policy.fingerprints`)
     :ivar origin: name of the gateway that the caller sent it to, if this
@@ -116,12 +131,17 @@
     possible_runs: int = 0
     failed_response: attempt.Response | None = None
     choice: placement.Choice | None = None
-    idle_timer: silence_timeout.SilenceTimeout | None = None
+    watch: silence_watch.SilenceWatch | None = None
     via: str = ''
     failed_gateways: set[str] = attrs.field(factory=set)
     refusal: errors.HoneyportError | None = None
     attempt_version: str = ''
     stream_version: str | None = None
+    seek: silence_watch.Seek = _seek_nothing
+    next_attempt: prepared.PreparedAttempt | None = None
+    is_retry_spent: bool = False
+    is_silence_recorded: bool = False
+    on_bytes: 'BytesCallback' = attrs.field(default=lambda at: None)
     on_begun: 'StreamCallback' = attrs.field(default=lambda exchange: None)
     framing: str = ''
     is_passed_on: bool = False
@@ -161,6 +181,11 @@
         """Id of the last instance tried, or ``''``."""
         return self.choice.instance.id if self.choice else ''
 
+    @property
+    def current_instance_id(self) -> str:
+        """Id of the last instance tried, also through another gateway."""
+        return self.remote_instance_id if self.via else self.instance_id
+
     @property
     def parts(self) -> tuple[prefixes.Part, ...]:
         """Prompt parts, if the instances cache prefixes."""
@@ -205,6 +230,11 @@
             headers['Content-Length'] = str(len(request.body))
         return headers
 
+    @property
+    def is_under_way(self) -> bool:
+        """Whether an attempt is being made."""
+        return self.watch is not None
+
     @property
     def silent_s(self) -> float | None:
         """Time since the last attempt was sent, or since its last byte.
@@ -293,9 +323,8 @@
         """Pass on the start of a response that is not collected further."""
         self.is_passed_on = True
         # No other attempt may follow, so that a pause does not end this one.
-        if self.idle_timer is not None:
-            self.idle_timer.pause()
-            self.idle_timer = None
+        if self.watch is not None:
+            self.watch.stop()
         self.framing = head.framing
         self.reply.holding.update(held_bytes.ANSWER, 0)
         await self.reply.begin(head)
@@ -307,22 +336,24 @@
 
     async def _write(self, chunk: bytes) -> None:
         """Write to the caller; the instance is not silent meanwhile."""
-        if self.idle_timer is not None:
-            self.idle_timer.pause()
+        if self.watch is not None:
+            self.watch.pause()
         await self.reply.write(chunk)
-        if self.idle_timer is not None:
-            self.idle_timer.reset()
+        if self.watch is not None:
+            self.watch.reset()
 
     def on_activity(self) -> None:
         """Record that bytes arrived, and restart the silence timeout."""
         self.is_response_begun = True
         self.last_byte_at = asyncio.get_running_loop().time()
+        self.on_bytes(self.last_byte_at)
         if self.first_byte_s is None:
             self.first_byte_s = self.last_byte_at - self.request.received
-        if self.idle_timer is not None:
-            self.idle_timer.reset()
+        if self.watch is not None:
+            self.watch.reset()
 
 
+BytesCallback = collections.abc.Callable[[float], None]
 # Called with the exchange of a stream.
 StreamCallback = collections.abc.Callable[[Exchange], None]
 
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -12,7 +12,6 @@
 from tornado import iostream
 
 from honeyport import errors
-from honeyport.gateway import connectivity
 from honeyport.gateway import crash_guard
 from honeyport.gateway import detours
 from honeyport.gateway import exchange_factory
@@ -21,17 +20,16 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.gateway import instance_attempts
 from honeyport.gateway import lease_gate
+from honeyport.gateway import next_attempts
 from honeyport.gateway import request_log
 from honeyport.gateway import responses
-from honeyport.policy import placement
+from honeyport.policy import obstacles
 from honeyport.policy import repeats
 from honeyport.router import fleetstate
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
 
-# Attempts for one request, refusals included.
-_MAX_OFFERS = 3
 # Retry-After for refusals without a specific time, in seconds.
 _RETRY_AFTER_S = 0.3
 # Errors after which a request may be repeated if its route allows that.
@@ -42,13 +40,6 @@
     errors.ForeignAnswer,
     errors.PeerLost,
 )
-# Why no attempt follows another one, as it is logged.
-_NO_OFFERS_LEFT = 'no_offers_left'
-_NO_GATEWAYS_LEFT = 'no_gateways_left'
-_NO_BUDGET_LEFT = 'no_budget_left'
-_NOT_RETRYABLE = 'not_retryable'
-_NOT_REPEATABLE = 'not_repeatable'
-_CALLERS_GATEWAY_DECIDES = 'callers_gateway_decides'
 
 # Returns the exchange of a request, or raises the reason to refuse it.
 Admit = collections.abc.Callable[
@@ -65,7 +56,7 @@
     :param attempts: sends requests to instances
     :param budgets: retry budgets by service
     :param guard: holds back requests that may crash their instance
-    :param monitor: the services that this gateway is cut off from
+    :param preparation: prepares the attempts
     :param peer_detours: sends requests through other gateways
     """
 
@@ -78,7 +69,7 @@
         attempts: instance_attempts.InstanceAttempts,
         budgets: repeats.RetryBudgets,
         guard: crash_guard.CrashGuard,
-        monitor: connectivity.ConnectivityMonitor,
+        preparation: next_attempts.NextAttempts,
         peer_detours: detours.Detours,
         log: request_log.RequestLog,
         counters: metrics.Metrics,
@@ -90,7 +81,7 @@
         self._attempts = attempts
         self._budgets = budgets
         self._crash_guard = guard
-        self._connectivity = monitor
+        self._next_attempts = preparation
         self._detours = peer_detours
         self._request_log = log
         self._metrics = counters
@@ -138,6 +129,9 @@
         log = functools.partial(self._request_log.record, origin=origin)
         try:
             exchange = await admit()
+            exchange.seek = functools.partial(
+                self._next_attempts.seek, exchange
+            )
             await self._run(exchange)
             log(events.REQUEST_SERVED, request, exchange)
         except errors.HoneyportError as error:
@@ -152,6 +146,8 @@
             raise
         finally:
             self._running -= 1
+            if exchange is not None:
+                await self._next_attempts.release(exchange)
 
     async def _run(self, exchange: exchanges.Exchange) -> None:
         """Try instances until there is a final response.
@@ -165,7 +161,10 @@
         except TimeoutError:
             if exchange.may_have_run:
                 error = errors.DeadlinePassed()
-                self._crash_guard.record_failure(exchange, error)
+                if exchange.choice is not None:
+                    self._crash_guard.record_failure(
+                        exchange, exchange.choice.instance, error
+                    )
                 raise error from None
             raise errors.Overloaded(retry_after=_RETRY_AFTER_S) from None
 
@@ -191,37 +190,11 @@
         :raises errors.HoneyportError: if it was not answered
         """
         exchange.via = ''
-        choice = None
-        if not self._connectivity.is_direct(exchange.service):
-            choice = self._choose_connected(exchange)
-            if choice is None and self._needs_detour(exchange):
-                await self._try_other_gateway(exchange)
-                return
-        async with self._crash_guard.hold_permit(exchange):
-            await self._attempts.run(exchange, choice)
-
-    def _needs_detour(self, exchange: exchanges.Exchange) -> bool:
-        """Whether a request must not open a connection to an instance.
-
-        Right after this gateway was cut off, some requests take the detour so
-        that not all open connections at once, if there is a detour.
-        """
-        if self._connectivity.is_cut_off(exchange.service):
-            return True
-        return not exchange.origin and bool(
-            self._detours.reached_by(exchange.service)
-        )
-
-    def _choose_connected(
-        self, exchange: exchanges.Exchange
-    ) -> placement.Choice | None:
-        """Choose an instance; ``None`` without a connection to it."""
-        try:
-            choice = self._attempts.choose(exchange)
-        except errors.NoInstance:
-            return None
-        has_connection = self._connectivity.has_connection(choice.instance)
-        return choice if has_connection else None
+        attempt = await self._next_attempts.take(exchange)
+        if attempt is None:
+            await self._try_other_gateway(exchange)
+        else:
+            await self._attempts.run(exchange, attempt)
 
     async def _try_other_gateway(self, exchange: exchanges.Exchange) -> None:
         """Send the request through another gateway; pass on its response.
@@ -248,10 +221,11 @@
                 retry_after=refusal.retry_after or error.retry_after,
             ) from None
         exchange.via = member.router
+        exchange.on_bytes = lambda at: None  # not from an instance
         exchange.failed_response = None
         exchange.possible_runs += 1
         try:
-            response = await responses.within_silence_timeouts(
+            response = await responses.watch_silence(
                 exchange, lambda: self._detours.send(exchange, member)
             )
             response = responses.check(exchange, response, self._names)
@@ -277,44 +251,49 @@
 
         If not, the reason is kept for the log line of the request.
         """
-        exchange.no_retry = self._find_retry_obstacle(exchange, error)
-        return not exchange.no_retry
+        obstacle = self._find_retry_obstacle(exchange, error)
+        exchange.no_retry = obstacle or ''
+        return obstacle is None
 
     def _find_retry_obstacle(
         self, exchange: exchanges.Exchange, error: errors.HoneyportError
-    ) -> str:
-        """Return why no attempt may follow an error, or ``''``.
+    ) -> obstacles.Obstacle | None:
+        """Return why no attempt may follow an error, if any.
 
         A retry is taken from the budget if one may follow.
         """
         if isinstance(error, errors.InstanceRests):
-            return ''
-        if exchange.offers >= _MAX_OFFERS:
-            return _NO_OFFERS_LEFT
+            return None
+        if exchange.is_retry_spent and isinstance(error, _RETRYABLE):
+            return None  # it was reserved while the attempt was silent
+        if exchange.offers >= next_attempts.MAX_OFFERS:
+            return obstacles.Obstacle.NO_OFFERS_LEFT
         if exchange.via and isinstance(error, detours.REFUSALS):
             if len(exchange.failed_gateways) < detours.MAX_GATEWAYS:
-                return ''
-            return _NO_GATEWAYS_LEFT
+                return None
+            return obstacles.Obstacle.NO_GATEWAYS_LEFT
         if isinstance(error, errors.NotSent):
-            return ''
+            return None
         if isinstance(error, errors.NotExecuted):
             if exchange.via:
                 # The other gateway has made the offers that are allowed.
-                return _NO_OFFERS_LEFT
+                return obstacles.Obstacle.NO_OFFERS_LEFT
             return self._spend_retry(exchange)
         if not isinstance(error, _RETRYABLE):
-            return _NOT_RETRYABLE
+            return obstacles.Obstacle.NOT_RETRYABLE
         if not exchange.may_repeat:
-            return _NOT_REPEATABLE
+            return obstacles.Obstacle.NOT_REPEATABLE
         if exchange.origin:
-            return _CALLERS_GATEWAY_DECIDES
+            return obstacles.Obstacle.CALLERS_GATEWAY_DECIDES
         return self._spend_retry(exchange)
 
-    def _spend_retry(self, exchange: exchanges.Exchange) -> str:
+    def _spend_retry(
+        self, exchange: exchanges.Exchange
+    ) -> obstacles.Obstacle | None:
         """Take one retry from the budget; return why there was none."""
         now = asyncio.get_running_loop().time()
         if self._budgets.try_spend(exchange.service, now):
-            return ''
+            return None
         logs.emit(
             events.ALLOWANCE_SPENT,
             request=exchange.request.request_id,
@@ -323,4 +302,4 @@
             gateways=len(self._state.serving_routers),
         )
         self._metrics.count('allowance_spent', service=exchange.service)
-        return _NO_BUDGET_LEFT
+        return obstacles.Obstacle.NO_BUDGET_LEFT
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -1,6 +1,9 @@
 """Attempts of a request on instances: choice, connection, outcome."""
 
 import asyncio
+import collections.abc
+import contextlib
+import functools
 
 from honeyport import errors
 from honeyport.gateway import attempt
@@ -12,10 +15,12 @@
 from honeyport.gateway import instance_signals
 from honeyport.gateway import lease_gate
 from honeyport.gateway import pool
+from honeyport.gateway import prepared
 from honeyport.gateway import request_log
 from honeyport.gateway import responses
 from honeyport.gateway import slot_queues
 from honeyport.gateway import withdrawals
+from honeyport.policy import activity
 from honeyport.policy import placement
 
 _UNAVAILABLE_STATUS = 503
@@ -31,6 +36,7 @@
     :param guard: holds back requests that may crash their instance
     :param withdrawn: withdraws requests that are barred meanwhile
     :param queues: gets slots of services that have a shared queue
+    :param tracker: records when instances send
     """
 
     def __init__(
@@ -45,6 +51,7 @@
         withdrawn: withdrawals.Withdrawals,
         log: request_log.RequestLog,
         queues: slot_queues.SlotQueues,
+        tracker: activity.ActivityTracker,
     ) -> None:
         self._gate = gate
         self._names = names
@@ -56,26 +63,34 @@
         self._withdrawals = withdrawn
         self._request_log = log
         self._queues = queues
+        self._activity = tracker
 
     def choose(
-        self, exchange: exchanges.Exchange, only: str | None = None
+        self,
+        exchange: exchanges.Exchange,
+        only: str | None = None,
+        excluded: frozenset[str] = frozenset(),
     ) -> placement.Choice:
         """Choose an instance.
 
         :param only: id of the only instance to choose; ``None`` for any
+        :param excluded: ids of instances that are not chosen
         :raises errors.NoInstance: if no instance can take it now
         """
         return self._balancer.choose(
             exchange.service,
             exchange.parts,
-            exchange.tried,
+            exchange.tried | excluded,
             exchange.match.regions,
             exchange.stream_version,
             only,
         )
 
     def _find_allowed(
-        self, exchange: exchanges.Exchange, choice: placement.Choice | None
+        self,
+        exchange: exchanges.Exchange,
+        choice: placement.Choice | None = None,
+        excluded: frozenset[str] = frozenset(),
     ) -> frozenset[str]:
         """Return the ids of the instances that it may be sent to now.
 
@@ -83,80 +98,147 @@
         """
         available = self._balancer.available_ids(
             exchange.service,
-            exchange.tried,
+            exchange.tried | excluded,
             exchange.match.regions,
             exchange.stream_version,
         )
         return available & {choice.instance.id} if choice else available
 
-    def _count_available(self, exchange: exchanges.Exchange) -> int:
+    def count_available(self, exchange: exchanges.Exchange) -> int:
         """Return the number of instances that it may be sent to now."""
         try:
-            return len(self._find_allowed(exchange, None))
+            return len(self._find_allowed(exchange))
         except errors.NoInstance:
             return 0
 
-    async def run(
-        self, exchange: exchanges.Exchange, choice: placement.Choice | None
-    ) -> None:
-        """Send the request to one instance and pass on its response.
+    async def prepare(
+        self,
+        exchange: exchanges.Exchange,
+        choice: placement.Choice | None = None,
+        excluded: frozenset[str] = frozenset(),
+    ) -> prepared.PreparedAttempt:
+        """Get all that an attempt needs: permit, slot, connection.
+
+        An earlier attempt may still be under way.
 
         :param choice: ``None`` to choose an instance
-        :raises errors.HoneyportError: if that instance did not answer it
+        :param excluded: ids of instances that are not chosen
+        :raises errors.HoneyportError: if it cannot be sent
         """
-        self._exchanges.check_admitted(exchange)
-        queued_s = exchange.queued_s
-        async with self._queues.hold(
-            exchange, lambda: self._find_allowed(exchange, choice)
-        ) as granted:
+        async with contextlib.AsyncExitStack() as stack:
+            has_permit = await stack.enter_async_context(
+                self._crash_guard.hold_permit(exchange)
+            )
+            self._exchanges.check_admitted(exchange)
+            queued_s = exchange.queued_s
+            granted = await stack.enter_async_context(
+                self._queues.hold(
+                    exchange,
+                    lambda: self._find_allowed(exchange, choice, excluded),
+                )
+            )
             if granted is not None or exchange.queued_s > queued_s:
                 # Routes and keys may have been removed while it waited.
                 self._exchanges.check_admitted(exchange)
                 only = granted or (choice.instance.id if choice else None)
-                choice = self.choose(exchange, only)
-            response = await self._run_once(exchange, choice)
+                choice = self.choose(exchange, only, excluded)
+            choice = choice or self.choose(exchange, excluded=excluded)
+            stack.enter_context(
+                self._balancer.count_in_flight(choice.instance)
+            )
+            connection = await self._connect(exchange, choice, has_permit)
+            return prepared.PreparedAttempt(
+                choice, connection, has_permit, stack.pop_all()
+            )
+
+    async def _connect(
+        self,
+        exchange: exchanges.Exchange,
+        choice: placement.Choice,
+        has_permit: bool,
+    ) -> pool.Connection:
+        """Connect to an instance that may get the request.
+
+        :raises errors.HoneyportError: if it may not, or if connecting fails
+        """
+        instance = choice.instance
+        if not exchange.is_under_way:
+            exchange.choice = choice
+            exchange.offers += 1
+        exchange.tried.add(instance.id)
+        started_at = asyncio.get_running_loop().time()
+        connection: pool.Connection | None = None
+        try:
+            connection = await self._pool.acquire(instance)
+            exchange.connect_s += (
+                asyncio.get_running_loop().time() - started_at
+            )
+            # Checked again after connecting: the lease may have expired, the
+            # instance may have requested a backoff, or the request may have
+            # been barred meanwhile.
+            self._gate.check_lease()
+            self._signals.check_not_in_backoff(instance)
+            if not has_permit:
+                self._crash_guard.check_not_barred(exchange)
+        except errors.HoneyportError as error:
+            if connection is not None:
+                connection.close()
+            self._handle_failure(exchange, instance, error)
+            raise
+        except asyncio.CancelledError:
+            exchange.tried.discard(instance.id)
+            raise
+        return connection
+
+    async def drop(
+        self, exchange: exchanges.Exchange, unsent: prepared.PreparedAttempt
+    ) -> None:
+        """Release an attempt that was prepared and is not made."""
+        exchange.tried.discard(unsent.choice.instance.id)
+        self._pool.release(unsent.connection, None)
+        await unsent.release()
+
+    async def run(
+        self, exchange: exchanges.Exchange, ready: prepared.PreparedAttempt
+    ) -> None:
+        """Send the request to one instance and pass on its response.
+
+        :raises errors.HoneyportError: if that instance did not answer it
+        """
+        async with ready.resources:
+            response = await self._run_once(exchange, ready)
         await responses.write(exchange, response)
 
     async def _run_once(
-        self, exchange: exchanges.Exchange, choice: placement.Choice | None
+        self, exchange: exchanges.Exchange, ready: prepared.PreparedAttempt
     ) -> attempt.Response:
         """Send the request to one instance and return its response."""
-        exchange.choice = choice or self.choose(exchange)
-        instance = exchange.choice.instance
+        exchange.choice = ready.choice
+        exchange.is_silence_recorded = False
+        exchange.has_permit = ready.has_permit
+        instance = ready.choice.instance
         exchange.attempt_version = instance.version
-        with self._balancer.count_in_flight(instance):
-            try:
-                response = await self._send(exchange, instance)
-            except errors.HoneyportError as error:
-                self._handle_failure(exchange, instance, error)
-                raise
+        try:
+            response = await self._send(exchange, ready.connection)
+        except errors.HoneyportError as error:
+            self._handle_failure(exchange, instance, error)
+            raise
         self._balancer.record_success(instance, exchange.parts)
         if response.head.is_success:
             self._crash_guard.record_success(exchange)
         return response
 
     async def _send(
-        self, exchange: exchanges.Exchange, instance: placement.Instance
+        self, exchange: exchanges.Exchange, connection: pool.Connection
     ) -> attempt.Response:
-        """Connect to an instance, send the request and check its response."""
-        exchange.tried.add(instance.id)
-        exchange.offers += 1
-        started_at = asyncio.get_running_loop().time()
-        connection = await self._pool.acquire(instance)
-        exchange.connect_s += asyncio.get_running_loop().time() - started_at
+        """Send the request and check its response."""
+        exchange.failed_response = None
+        exchange.possible_runs += 1
+        exchange.arrived.append(connection.instance.id)
         is_released = False
         try:
-            # Checked again after connecting: the lease may have expired, the
-            # instance may have requested a backoff, or the request may have
-            # been barred meanwhile.
-            self._gate.check_lease()
-            self._signals.check_not_in_backoff(instance)
-            if not exchange.has_permit:
-                self._crash_guard.check_not_barred(exchange)
-            exchange.failed_response = None
-            exchange.possible_runs += 1
-            exchange.arrived.append(instance.id)
-            response = await self._attempt(exchange, connection)
+            with self._record_activity(exchange, connection.instance):
+                response = await self._attempt(exchange, connection)
             keep_alive_s = attempt.keep_alive_s(response.head)
             if keep_alive_s != 0:
                 self._pool.release(connection, keep_alive_s)
@@ -166,6 +248,21 @@
                 connection.close()
         return responses.check(exchange, response, self._names)
 
+    @contextlib.contextmanager
+    def _record_activity(
+        self, exchange: exchanges.Exchange, instance: placement.Instance
+    ) -> collections.abc.Iterator[None]:
+        """Record when bytes of an attempt arrive."""
+        loop = asyncio.get_running_loop()
+        self._activity.record_sent(instance.id, loop.time())
+        exchange.on_bytes = functools.partial(
+            self._activity.record_bytes, instance.id
+        )
+        try:
+            yield
+        finally:
+            self._activity.record_ended(instance.id)
+
     async def _attempt(
         self, exchange: exchanges.Exchange, connection: pool.Connection
     ) -> attempt.Response:
@@ -180,13 +277,26 @@
                 exchange, connection.instance, head, sent_at
             ),
         )
-        return await responses.within_silence_timeouts(
+        return await responses.watch_silence(
             exchange,
             lambda: self._withdrawals.run(
                 exchange, lambda: single_attempt.run(exchange.request, headers)
             ),
         )
 
+    def record_silence(self, exchange: exchanges.Exchange) -> None:
+        """Avoid the instance of an attempt that is silent, though it goes on.
+
+        Nothing is known about an instance that another gateway chose.
+        """
+        if exchange.via or exchange.is_silence_recorded:
+            return
+        assert exchange.choice is not None
+        exchange.is_silence_recorded = True
+        self._balancer.record_failure(
+            exchange.choice.instance, errors.BackendSilent.code
+        )
+
     def _observe(
         self,
         exchange: exchanges.Exchange,
@@ -218,7 +328,7 @@
             error,
             backend=instance.id,
             address=instance.address,
-            available=self._count_available(exchange),
+            available=self.count_available(exchange),
             left_out=self._balancer.count_excluded(
                 exchange.service,
                 exchange.tried,
@@ -226,7 +336,11 @@
                 exchange.stream_version,
             ),
         )
-        self._crash_guard.record_failure(exchange, error)
+        self._crash_guard.record_failure(exchange, instance, error)
+        if exchange.is_silence_recorded and isinstance(
+            error, errors.BackendSilent
+        ):
+            return
         # Misdirected: another instance has this address and the list is
         # outdated. Offered again and again, requests would use up the budget.
         not_connected = isinstance(error, (errors.NotSent, errors.Misdirected))
--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -104,6 +104,24 @@
             fields |= {'code': error.code, 'detail': error.detail}
         logs.emit(event, **fields)
 
+    def record_awaited(
+        self, exchange: exchanges.Exchange, **fields: typing.Any
+    ) -> None:
+        """Log and count a silent attempt that goes on.
+
+        :param fields: further fields of the line
+        """
+        logs.emit(
+            events.SILENT_ANSWER_AWAITED,
+            request=exchange.request.request_id,
+            no_retry=exchange.no_retry,
+            backend=exchange.current_instance_id,
+            offers=exchange.offers,
+            silent_ms=exchanges.to_ms(exchange.silent_s),
+            **fields,
+        )
+        self._metrics.count('silent_awaited', reason=exchange.no_retry)
+
     def record_failed_attempt(
         self,
         exchange: exchanges.Exchange,
--- a/src/honeyport/gateway/responses.py
+++ b/src/honeyport/gateway/responses.py
@@ -6,7 +6,7 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import exchanges
 from honeyport.gateway import headers as gateway_headers
-from honeyport.gateway import silence_timeout
+from honeyport.gateway import silence_watch
 from honeyport.policy import silence
 
 # Retry-After for refusals without a specific time, in seconds.
@@ -22,26 +22,28 @@
 ]
 
 
-async def within_silence_timeouts(
+async def watch_silence(
     exchange: exchanges.Exchange, send: Send
 ) -> attempt.Response:
     """Send a request and return the response.
 
-    :raises errors.BackendSilent: if nothing arrives in time and the
-        request may be sent to another instance
+    :raises errors.BackendSilent: if nothing arrives in time and the next
+        attempt is reserved
     """
     timeouts = None
     if exchange.may_repeat:
         timeouts = silence.timeouts(exchange.match.route)
     try:
-        async with silence_timeout.SilenceTimeout(
-            timeouts
-        ) as exchange.idle_timer:
+        async with silence_watch.SilenceWatch(
+            timeouts, exchange.seek
+        ) as exchange.watch:
             return await send()
     except TimeoutError:
         raise errors.BackendSilent(
             f'no bytes received in time: {timeouts}'
         ) from None
+    finally:
+        exchange.watch = None
 
 
 def check(
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -649,6 +649,13 @@
     'Another gateway could not be told which software versions began streams; '
     'the next ones are.',
 )
+SILENT_ANSWER_AWAITED = define(
+    3225,
+    'silent_answer_awaited',
+    'warning',
+    'The instance of a request sends nothing, and no other attempt is better; '
+    'its answer is waited for. The line has the reason.',
+)
 QUEUE_KEPT = define(
     3230,
     'queue_kept',
