Check the version of a reserved attempt again before it is made

What callers could get: a stream of two software versions, if its first event arrived between the reservation of the next attempt and the end of the silent one.

Change: a reserved attempt at another version than the stream's is released, and another one is prepared. Two more scenarios check that nothing is held once a request has ended.

--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -66,12 +66,22 @@
     Then it gets 200, and 1 requests arrived
     And the caller has every event once, in order
     And the budget has 0 retries less
+    And nothing is held for another attempt
 
   Scenario: a retry is spent only once for an attempt that was reserved
     Given a gateway for streaming resumable requests whose instances stream and wait; stream
     When a caller sends a request
     Then it gets 200, and 2 requests arrived
     And the budget has 1 retries less
+    And nothing is held for another attempt
+
+  # Guards against a stream of two versions.
+  Scenario: an event arrives after an attempt at another version was reserved
+    Given a gateway for streaming resumable requests whose instances silent; stream
+    And its instances have the versions v1, v1, v1.1
+    When a caller sends a request whose first event comes late, from v1.1
+    Then the second attempt is made at v1.1, or none is
+    And nothing is held for another attempt
 
   Scenario: an instance that is silent for good keeps its answer until the deadline
     Given a gateway without a retry budget for streaming resumable requests whose instances stream and wait
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -65,6 +65,37 @@
     _send_during(context, slow_down)
 
 
+@behave.when(
+    'a caller sends a request whose first event comes late, from {version}'
+)
+def step_late_event(context, version):
+    attempts = context.fixture.gateway._forwarder._next_attempts
+    seek = attempts.seek
+
+    async def seek_before_event(exchange, state):
+        obstacle = await seek(exchange, state)
+        if obstacle is None:
+            exchange.stream_version = version
+        return obstacle
+
+    with mock.patch.object(attempts, 'seek', seek_before_event):
+        step_send_logged(context)
+
+
+@behave.then('the second attempt is made at {version}, or none is')
+def step_second_attempt(context, version):
+    arrivals = context.fixture.script.arrivals
+    assert {arrival.version for arrival in arrivals[1:]} <= {version}
+
+
+@behave.then('nothing is held for another attempt')
+def step_nothing_held(context):
+    gateway = context.fixture.gateway
+    assert not gateway._balancer.running, gateway._balancer.running
+    records = gateway._activity._records.values()
+    assert not any(record.running for record in records), records
+
+
 def _send_during(context, change):
     """Send a request; change something once an instance has it."""
     fixture = context.fixture
--- a/src/honeyport/gateway/next_attempts.py
+++ b/src/honeyport/gateway/next_attempts.py
@@ -81,12 +81,22 @@
         :raises errors.HoneyportError: if it cannot be made
         """
         exchange.is_retry_spent = False
+        # An event may have arrived since the attempt was reserved.
+        if not self._is_of_version(exchange):
+            await self.release(exchange)
         reserved, exchange.next_attempt = exchange.next_attempt, None
         if reserved is None:
             return await self.prepare(exchange)
         exchange.offers += 1
         return reserved
 
+    def _is_of_version(self, exchange: exchanges.Exchange) -> bool:
+        """Whether the reserved attempt, if any, may go on with the stream."""
+        if exchange.next_attempt is None or exchange.stream_version is None:
+            return True
+        instance = exchange.next_attempt.choice.instance
+        return instance.version == exchange.stream_version
+
     async def release(self, exchange: exchanges.Exchange) -> None:
         """Release an attempt that was reserved and is not made."""
         reserved, exchange.next_attempt = exchange.next_attempt, None
