Exit the timeout of a silence watch before waiting for its search

What could happen: a caller that left while the watch waited for its search to end would have kept the timeout of the attempt open. The timeout is left first, then the search is awaited, also on errors. gateway/silence 16 of 16.

--- a/src/honeyport/gateway/silence_watch.py
+++ b/src/honeyport/gateway/silence_watch.py
@@ -59,12 +59,13 @@
         return self
 
     async def __aexit__(self, *exc_info: typing.Any) -> bool | None:
-        self._timeouts = None
         search = self._search
-        self.pause()
-        if search is not None:
-            await asyncio.wait([search])
-        return await self._timeout.__aexit__(*exc_info)
+        self.stop()
+        try:
+            return await self._timeout.__aexit__(*exc_info)
+        finally:
+            if search is not None and not search.done():
+                await asyncio.wait([search])
 
     def pause(self) -> None:
         """Wait without a limit until the next reset."""
