Choose no full instance for the next attempt of a silent one

What callers could see: an answer given up for an attempt that its instance rejects at once, as all its slots are taken; without a retry left the caller's stream is cut. Instances whose slots are likely taken, by this gateway's and the other gateways' counts, are left out now, like silent ones. An instance can still reject the request: counts of other gateways are late.

--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -29,6 +29,7 @@
     Examples:
       | event                              | reason             |
       | the other instances refuse connections | cannot_be_prepared |
+      | the other instances are full | cannot_be_prepared |
       | the other instances are leaving    | cannot_be_prepared |
       | its route is removed               | cannot_be_prepared |
       | its key is revoked                 | cannot_be_prepared |
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -128,6 +128,15 @@
             instance.refuse_connections()
 
 
+def _fill(fixture):
+    """Let other gateways have taken all slots."""
+    balancer = fixture.gateway._balancer
+    balancer._remote_running = dict.fromkeys(
+        _other_names(fixture), fixture.slots
+    )
+    balancer._remote_counted_at = asyncio.get_running_loop().time()
+
+
 def _end_lease(fixture):
     fixture.gateway.state._lease_until = float('-inf')
 
@@ -137,6 +146,7 @@
     'other instances are leaving': lambda fixture: fixture.apply_instances(
         leaving=_other_names(fixture)
     ),
+    'other instances are full': _fill,
     'lease ends': _end_lease,
 }
 _CONFIGURATIONS = {
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -312,6 +312,11 @@
             )
         return candidates, counts
 
+    def is_full(self, instance: placement.Instance) -> bool:
+        """Whether all slots of an instance are likely taken."""
+        counts = self._load_counts(instance.service)
+        return 0 < instance.slots <= counts.total(instance.id)
+
     def _load_counts(self, service: str) -> stale.LoadCounts:
         return stale.LoadCounts(
             own=lambda name: self._running[name],
--- a/src/honeyport/gateway/next_attempts.py
+++ b/src/honeyport/gateway/next_attempts.py
@@ -110,13 +110,13 @@
 
         :returns: why there is none yet; ``None`` if it is reserved
         """
-        situation, mute = self._observe(exchange, state)
+        situation, excluded = self._observe(exchange, state)
         if situation.is_instance_at_fault:
             self._attempts.record_silence(exchange)
         obstacle, detail = silence.find_obstacle(situation), ''
         if obstacle is None:
             try:
-                obstacle = await self._reserve(exchange, mute)
+                obstacle = await self._reserve(exchange, excluded)
             except errors.HoneyportError as error:
                 obstacle = obstacles.Obstacle.CANNOT_BE_PREPARED
                 detail = f'{error.code}: {error.detail}'
@@ -135,12 +135,16 @@
     def _observe(
         self, exchange: exchanges.Exchange, state: silence_watch.Silence
     ) -> tuple[silence.Situation, frozenset[str]]:
-        """Return what is known, and the other instances that are silent."""
+        """Return what is known, and the instances not to choose.
+
+        These are silent, too, or full, so that they would reject the request.
+        """
         now = asyncio.get_running_loop().time()
         route = exchange.match.route
+        instances = self._balancer.expected_reachable(exchange.service)
         others = [
             instance.id
-            for instance in self._balancer.expected_reachable(exchange.service)
+            for instance in instances
             if instance.id != exchange.current_instance_id
         ]
         limit_s = silence.recent_s(state.limit_s)
@@ -158,16 +162,21 @@
             heard=len(heard),
             was_shared=state.obstacle is obstacles.Obstacle.ALL_SILENT,
         )
-        return situation, mute
+        full = {
+            instance.id
+            for instance in instances
+            if self._balancer.is_full(instance)
+        }
+        return situation, mute | full
 
     async def _reserve(
-        self, exchange: exchanges.Exchange, mute: frozenset[str]
+        self, exchange: exchanges.Exchange, excluded: frozenset[str]
     ) -> obstacles.Obstacle | None:
         """Get all that the next attempt needs; the retry is spent last.
 
         :raises errors.HoneyportError: if it cannot be made
         """
-        attempt = await self.prepare(exchange, mute)
+        attempt = await self.prepare(exchange, excluded)
         if attempt is None:
             self._detours.choose(exchange)  # raises if there is none
         now = asyncio.get_running_loop().time()
