Give a slow stream in tests more time before its deadline

Its streams are moved after 0.4 s and then take 0.75 s of a limit of 1.5 s. Events come each 0.1 s now, as the scenario is not about the limit.

--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -25,7 +25,7 @@
 # gateway in tests.
 PAUSE_S = 0.7
 # Time between the events of a slow stream; shorter than these timeouts.
-_SLOW_EVENT_S = 0.15
+_SLOW_EVENT_S = 0.1
 
 
 @attrs.define
