Cancel a silent attempt in the step in which it is given up

What callers could get: neither an answer nor the end of their connection, if the answer or the break of the instance's connection arrived in the very iteration of the event loop in which the next attempt was found. The expired timeout cancelled the attempt one iteration later, when it had ended; the cancellation then hit the watch while it waited for its search, and the request's task ended as cancelled.

Change: the watch cancels the attempt itself, in the step in which the next one is reserved, so that nothing that has arrived is taken any more, and waits only for a search that is running. A cancellation by the caller or the deadline is kept apart. An answer that is passed on before it is whole is never followed by another one, also if a retry was reserved.

Test: gateway/silence_races, 3 of 6 red before, 6 of 6 green.

--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -264,7 +264,11 @@
         """
         if isinstance(error, errors.InstanceRests):
             return None
-        if exchange.is_retry_spent and isinstance(error, _RETRYABLE):
+        if (
+            exchange.is_retry_spent
+            and isinstance(error, _RETRYABLE)
+            and not exchange.is_passed_on
+        ):
             return None  # it was reserved while the attempt was silent
         if exchange.offers >= next_attempts.MAX_OFFERS:
             return obstacles.Obstacle.NO_OFFERS_LEFT
--- a/src/honeyport/gateway/silence_watch.py
+++ b/src/honeyport/gateway/silence_watch.py
@@ -49,23 +49,34 @@
         self._quiet_since = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._search: asyncio.Task[None] | None = None
-        # Expires when the attempt is given up.
-        self._timeout = asyncio.timeout(None)
+        self._task: asyncio.Task[typing.Any] | None = None
+        self._cancellations = 0
 
     async def __aenter__(self) -> 'SilenceWatch':
-        await self._timeout.__aenter__()
+        self._task = asyncio.current_task()
+        assert self._task is not None
+        self._cancellations = self._task.cancelling()
         if self._timeouts is not None:
             self._restart(self._timeouts.first_byte_s)
         return self
 
-    async def __aexit__(self, *exc_info: typing.Any) -> bool | None:
+    async def __aexit__(
+        self, exc_type: type[BaseException] | None, *exc_info: typing.Any
+    ) -> None:
+        """Leave the attempt.
+
+        :raises TimeoutError: if it was given up
+        """
         search = self._search
         self.stop()
-        try:
-            return await self._timeout.__aexit__(*exc_info)
-        finally:
-            if search is not None and not search.done():
-                await asyncio.wait([search])
+        if search is not None and not search.done():
+            await asyncio.wait([search])
+        if not self._is_given_up:
+            return
+        assert self._task is not None
+        is_cancelled_by_others = self._task.uncancel() > self._cancellations
+        if exc_type is asyncio.CancelledError and not is_cancelled_by_others:
+            raise TimeoutError
 
     def pause(self) -> None:
         """Wait without a limit until the next reset."""
@@ -118,12 +129,20 @@
         while True:
             obstacle = await self._try_seek(Silence(self._limit_s, obstacle))
             if obstacle is None:
-                self._is_given_up = True
-                now = asyncio.get_running_loop().time()
-                self._timeout.reschedule(now)
+                self._give_up()
                 return
             await asyncio.sleep(silence.recheck_s(self._limit_s))
 
+    def _give_up(self) -> None:
+        """Cancel the attempt.
+
+        This takes effect at once: bytes that have arrived and that the attempt
+        has not taken yet are not passed on any more.
+        """
+        assert self._task is not None
+        self._is_given_up = True
+        self._task.cancel()
+
     async def _try_seek(self, state: Silence) -> obstacles.Obstacle | None:
         try:
             return await self._seek(state)
