Ask for no second permit while an attempt with one is silent

What callers could meet: several requests that may crash their instances running at once. The search for the next attempt of a silent one asked for a permit of the same suspect; the leader refused it, as one is held, and the release that follows a refusal gave the first attempt's permit back.

--- a/features/steps/silence_policy_steps.py
+++ b/features/steps/silence_policy_steps.py
@@ -11,6 +11,7 @@
 
 _SITUATION = silence.Situation(
     may_repeat=True,
+    is_suspect=False,
     is_forwarded=False,
     offers_left=1,
     retries_left=1,
@@ -23,6 +24,7 @@
 )
 _CHANGES = {
     'its route allows no other run': {'may_repeat': False},
+    'it may crash its instance': {'is_suspect': True},
     'another gateway got the request': {'is_forwarded': True},
     'it may be offered to no other instance': {'offers_left': 0},
     'the budget allows no retry': {'retries_left': 0},
@@ -76,6 +78,7 @@
             continue
         left += 1
         assert situation.may_repeat and not situation.is_forwarded
+        assert not situation.is_suspect
         assert situation.offers_left and situation.retries_left
         assert situation.remaining_s >= situation.objective_s
         assert not situation.is_shared
@@ -95,6 +98,7 @@
     """Yield all situations with two other instances."""
     values = {
         'may_repeat': (False, True),
+        'is_suspect': (False, True),
         'is_forwarded': (False, True),
         'offers_left': (0, 1),
         'retries_left': (0, 1),
--- a/src/honeyport/gateway/crash_guard.py
+++ b/src/honeyport/gateway/crash_guard.py
@@ -33,6 +33,10 @@
         """
         self._suspects.check_not_barred(exchange.traits)
 
+    def needs_permit(self, exchange: exchanges.Exchange) -> bool:
+        """Whether a request may be sent only with a permit."""
+        return self._suspects.needs_permit(exchange.traits)
+
     @contextlib.asynccontextmanager
     async def hold_permit(
         self, exchange: exchanges.Exchange
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -188,6 +188,7 @@
             self._detours,
             self._balancer,
             self._activity,
+            guard,
             log,
         )
         return forward.Forwarder(
--- a/src/honeyport/gateway/next_attempts.py
+++ b/src/honeyport/gateway/next_attempts.py
@@ -10,6 +10,7 @@
 from honeyport import errors
 from honeyport.gateway import balancer
 from honeyport.gateway import connectivity
+from honeyport.gateway import crash_guard
 from honeyport.gateway import detours
 from honeyport.gateway import exchanges
 from honeyport.gateway import instance_attempts
@@ -34,6 +35,7 @@
     :param monitor: the services that this gateway is cut off from
     :param peer_detours: sends requests through other gateways
     :param tracker: when instances sent something
+    :param guard: holds back requests that may crash their instance
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         peer_detours: detours.Detours,
         load_balancer: balancer.Balancer,
         tracker: activity.ActivityTracker,
+        guard: crash_guard.CrashGuard,
         log: request_log.RequestLog,
     ) -> None:
         self._attempts = attempts
@@ -52,6 +55,7 @@
         self._detours = peer_detours
         self._balancer = load_balancer
         self._activity = tracker
+        self._crash_guard = guard
         self._request_log = log
 
     async def prepare(
@@ -152,6 +156,8 @@
         heard = self._activity.heard(others, now, limit_s)
         situation = silence.Situation(
             may_repeat=exchange.may_repeat,
+            is_suspect=exchange.has_permit
+            or self._crash_guard.needs_permit(exchange),
             is_forwarded=bool(exchange.origin),
             offers_left=MAX_OFFERS - exchange.offers,
             retries_left=self._budgets.remaining(exchange.service, now),
--- a/src/honeyport/policy/obstacles.py
+++ b/src/honeyport/policy/obstacles.py
@@ -12,6 +12,7 @@
     NO_GATEWAYS_LEFT = 'no_gateways_left'
     NO_BUDGET_LEFT = 'no_budget_left'
     NO_TIME_LEFT = 'no_time_left'
+    MAY_CRASH_INSTANCES = 'may_crash_instances'
     CALLERS_GATEWAY_DECIDES = 'callers_gateway_decides'
     ALL_SILENT = 'all_silent'
     JUST_RESUMED = 'just_resumed'
--- a/src/honeyport/policy/silence.py
+++ b/src/honeyport/policy/silence.py
@@ -41,6 +41,8 @@
     """What a gateway knows about a silent attempt and the next one.
 
     :ivar may_repeat: whether the route allows another run
+    :ivar is_suspect: whether the request needs a permit, as it may crash its
+        instance
     :ivar is_forwarded: whether another gateway got the request, which decides
     :ivar offers_left: number of instances that it may still be offered to
     :ivar retries_left: number of retries that the budget allows now
@@ -55,6 +57,7 @@
     """
 
     may_repeat: bool
+    is_suspect: bool
     is_forwarded: bool
     offers_left: int
     retries_left: int
@@ -107,6 +110,11 @@
             situation.was_shared and bool(situation.heard),
             obstacles.Obstacle.JUST_RESUMED,
         ),
+        (
+            # One attempt at a time may have the permit.
+            situation.is_suspect,
+            obstacles.Obstacle.MAY_CRASH_INSTANCES,
+        ),
         (situation.is_forwarded, obstacles.Obstacle.CALLERS_GATEWAY_DECIDES),
         (situation.offers_left < 1, obstacles.Obstacle.NO_OFFERS_LEFT),
         (situation.retries_left < 1, obstacles.Obstacle.NO_BUDGET_LEFT),
--- a/src/honeyport/router/suspects.py
+++ b/src/honeyport/router/suspects.py
@@ -158,6 +158,10 @@
                     suspect.barred_until - now, suspect.part_set
                 )
 
+    def needs_permit(self, request: traits.Traits) -> bool:
+        """Whether a request may be sent only with a permit."""
+        return bool(self._find_permits(request))
+
     def is_withdrawn(self, request: traits.Traits) -> bool:
         """Whether a request is withdrawn if an instance has it."""
         now = _now()
@@ -194,6 +198,17 @@
                 ]
         return found
 
+    def _find_permits(self, request: traits.Traits) -> list[str]:
+        """Return the suspects for which a request needs a permit."""
+        suspects = [suspect.request for suspect in self._suspects_of(request)]
+        local_ends = self._local_end_counts.get(request.fingerprint, 0)
+        if (
+            local_ends >= suspicion.PERMIT_MIN_ENDS
+            and request.fingerprint not in suspects
+        ):
+            suspects.append(request.fingerprint)
+        return suspects
+
     async def _acquire_permits(
         self, request: traits.Traits, permits: list[str]
     ) -> None:
@@ -202,14 +217,7 @@
         :param permits: those that were given are added to it
         """
         self.check_not_barred(request)
-        suspects = [suspect.request for suspect in self._suspects_of(request)]
-        local_ends = self._local_end_counts.get(request.fingerprint, 0)
-        if (
-            local_ends >= suspicion.PERMIT_MIN_ENDS
-            and request.fingerprint not in suspects
-        ):
-            suspects.append(request.fingerprint)
-        for suspect in suspects:
+        for suspect in self._find_permits(request):
             try:
                 await self._request_permit(suspect)
             except errors.HoneyportError as error:
