Let the gateway that has the connection decide about a silent instance

What callers saw: while their gateway reached no instance, streams that went through another gateway were cut although their instance went on, if the other gateway took no second call: it refused as it shut down, its lease had ended, its instances were leaving. While all instances were silent, each answer was moved.

Change: the gateway that forwards seeks as for its own requests, with its own part of the retry budget, and makes the next attempt within the same answer. The version that was told to the caller's gateway with the head stays fixed. The caller's gateway waits as long as the other one answers a question (the look-up of streams, which gateways answer by themselves); if it does not, it is left for another one, as before.

--- a/features/policy/silence.feature
+++ b/features/policy/silence.feature
@@ -9,7 +9,7 @@
       | change                                           | obstacle                |
       | its route allows no other run                    | not_repeatable          |
       | it may crash its instance | may_crash_instances |
-      | another gateway got the request                  | callers_gateway_decides |
+      | another gateway makes the attempt                 | other_gateway_decides |
       | it may be offered to no other instance           | no_offers_left          |
       | the budget allows no retry                       | no_budget_left          |
       | less time is left than the route aims at         | no_time_left            |
--- a/features/steps/silence_policy_steps.py
+++ b/features/steps/silence_policy_steps.py
@@ -12,7 +12,7 @@
 _SITUATION = silence.Situation(
     may_repeat=True,
     is_suspect=False,
-    is_forwarded=False,
+    is_elsewhere=False,
     offers_left=1,
     retries_left=1,
     remaining_s=5.0,
@@ -25,7 +25,7 @@
 _CHANGES = {
     'its route allows no other run': {'may_repeat': False},
     'it may crash its instance': {'is_suspect': True},
-    'another gateway got the request': {'is_forwarded': True},
+    'another gateway makes the attempt': {'is_elsewhere': True},
     'it may be offered to no other instance': {'offers_left': 0},
     'the budget allows no retry': {'retries_left': 0},
     'less time is left than the route aims at': {'remaining_s': 0.4},
@@ -77,7 +77,7 @@
         if silence.find_obstacle(situation) is not None:
             continue
         left += 1
-        assert situation.may_repeat and not situation.is_forwarded
+        assert situation.may_repeat and not situation.is_elsewhere
         assert not situation.is_suspect
         assert situation.offers_left and situation.retries_left
         assert situation.remaining_s >= situation.objective_s
@@ -99,7 +99,7 @@
     values = {
         'may_repeat': (False, True),
         'is_suspect': (False, True),
-        'is_forwarded': (False, True),
+        'is_elsewhere': (False, True),
         'offers_left': (0, 1),
         'retries_left': (0, 1),
         'remaining_s': (0.4, 0.5),
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -8,11 +8,13 @@
 from features.steps import gateway_steps
 from features.support import instances
 from features.support import log_capture
+from honeyport.wire import honeyport_pb2 as pb
 
 _KIND = 'streaming resumable'
 _LAST_LINES = ('request_broken', 'request_refused', 'request_served')
 _SILENT_INSTANCE = 'i-1'
 _EVENT_TIMEOUT_S = 0.3
+_NEVER_S = 60.0
 
 
 @behave.given('one of its instances is silent after its first event')
@@ -141,7 +143,42 @@
     fixture.gateway.state._lease_until = float('-inf')
 
 
+def _end_other_lease(fixture):
+    fixture.other.gateway.state._lease_until = float('-inf')
+
+
+def _leave(fixture):
+    names = tuple(instance.name for instance in fixture.instances)
+    fixture.other.apply_instances(leaving=names)
+
+
+def _refuse_requests(fixture):
+    fixture.other.gateway._caller_server.start_refusing()
+
+
+def _unlist(fixture):
+    fixture.gateway.state.apply_presence(pb.Presence())
+
+
+def _stop_other(fixture):
+    fixture.stopping = asyncio.create_task(fixture.other.tree.stop())
+
+
+def _answer_nothing(fixture):
+    async def look_up(lookup):
+        await asyncio.sleep(_NEVER_S)
+
+    links = fixture.gateway._links
+    links.get(fixture.other.peer_address).look_up = look_up
+
+
 _OTHERS_EVENTS = {
+    'instances are leaving': _leave,
+    'other gateway refuses requests': _refuse_requests,
+    'other gateway is not listed': _unlist,
+    'other gateway answers no questions': _answer_nothing,
+    'other gateway gets SIGTERM': _stop_other,
+    'lease of the other gateway ends': _end_other_lease,
     'other instances refuse connections': _refuse_connections,
     'other instances are leaving': lambda fixture: fixture.apply_instances(
         leaving=_other_names(fixture)
@@ -188,6 +225,15 @@
         ), response
 
 
+@behave.then('at most {count:d} attempts ran, and the caller sees a failure')
+def step_failure(context, count):
+    arrivals = context.fixture.script.arrivals
+    ran = [arrival.step for arrival in arrivals if arrival.step != 'not run']
+    assert len(ran) <= count, ran
+    response = context.response
+    assert not response.is_complete or response.status in (500, 502), response
+
+
 @behave.then('no instance was avoided')
 def step_none_avoided(context):
     assert not _lines(context, 'instance_avoided'), context.lines
--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -244,6 +244,15 @@
     )
 
 
+@register('HP-3020')
+class AttemptsSpent(HoneyportError):
+    status = 502
+    hint = (
+        'Several backend servers got the request, and none answered it '
+        'completely; it may have run.'
+    )
+
+
 @register('HP-3009')
 class AnswerCut(HoneyportError):
     status = 502
--- a/src/honeyport/gateway/detours.py
+++ b/src/honeyport/gateway/detours.py
@@ -21,6 +21,8 @@
 from honeyport.gateway import headers as gateway_headers
 from honeyport.router import fleetstate
 from honeyport.router import relay
+from honeyport.telemetry import events
+from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
@@ -50,6 +52,9 @@
 _GATEWAY_PAUSE_S = 0.5
 # A load that a gateway reported counts for this time.
 _LOAD_MAX_AGE_S = 1.0
+# Timeout of a question to a gateway whose instance is silent. It covers a
+# round trip between regions.
+_PROBE_TIMEOUT_S = 0.3
 # Retry-After if no gateway forwards the request.
 _RETRY_AFTER_S = 0.5
 
@@ -111,6 +116,35 @@
             if is_other and service not in member.cut_off:
                 yield member
 
+    def check_available(self, exchange: exchanges.Exchange) -> None:
+        """Check that a request may be sent through another gateway.
+
+        :raises errors.ServiceUnreachable: if there is none, or if it came from
+            another gateway
+        """
+        if exchange.origin:
+            raise errors.ServiceUnreachable(
+                f'{exchange.service} cannot be reached from here',
+                retry_after=_RETRY_AFTER_S,
+            )
+        self.choose(exchange)
+
+    async def is_answering(self, exchange: exchanges.Exchange) -> bool:
+        """Whether the gateway that makes an attempt answers a question."""
+        link = self._links.get(exchange.via_address)
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                await link.look_up(pb.StreamLookup())
+        except (TimeoutError, errors.NotSent, errors.PeerLost) as error:
+            logs.emit(
+                events.GATEWAY_SILENT,
+                request=exchange.request.request_id,
+                peer=exchange.via,
+                error=repr(error),
+            )
+            return False
+        return True
+
     def choose(self, exchange: exchanges.Exchange) -> pb.Member:
         """Return the gateway that is to forward a request.
 
--- a/src/honeyport/gateway/exchange_factory.py
+++ b/src/honeyport/gateway/exchange_factory.py
@@ -111,6 +111,7 @@
             stream_version=call.version,
             # The caller's gateway has counted the attempt that follows.
             possible_runs=call.attempt - 1,
+            runs_before=call.attempt - 1,
         )
 
     def check_admitted(self, exchange: exchanges.Exchange) -> None:
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -78,6 +78,7 @@
         under a new id (:mod:`honeyport.policy.fingerprints`)
     :ivar origin: name of the gateway that the caller sent it to, if this
         gateway forwards it for that one, or ``''``
+    :ivar runs_before: number of attempts before, if that gateway made some
     :ivar tried: ids of the instances that were tried
     :ivar arrived: ids of those that the request was sent to
     :ivar offers: number of attempts, including refused ones
@@ -86,6 +87,7 @@
         other attempt follows
     :ivar via: name of the gateway that made the last attempt for this one, or
         ``''``
+    :ivar via_address: address of that gateway for others
     :ivar failed_gateways: names of the gateways that did not forward it
     :ivar refusal: the error of the last of them
     :ivar attempt_version: software version of the instance of the last attempt
@@ -125,6 +127,7 @@
     fingerprint: str
     splitter: sse.EventSplitter = attrs.field(factory=sse.EventSplitter)
     origin: str = ''
+    runs_before: int = 0
     tried: set[str] = attrs.field(factory=set)
     arrived: list[str] = attrs.field(factory=list)
     offers: int = 0
@@ -133,6 +136,7 @@
     choice: placement.Choice | None = None
     watch: silence_watch.SilenceWatch | None = None
     via: str = ''
+    via_address: str = ''
     failed_gateways: set[str] = attrs.field(factory=set)
     refusal: errors.HoneyportError | None = None
     attempt_version: str = ''
@@ -168,6 +172,11 @@
         """Whether an instance may have run the request."""
         return self.possible_runs > 0
 
+    @property
+    def own_runs(self) -> int:
+        """Number of attempts of this gateway that may have run."""
+        return self.possible_runs - self.runs_before
+
     @property
     def may_repeat(self) -> bool:
         """Whether the route allows another run."""
@@ -273,8 +282,12 @@
     async def begin(self, head: attempt.Head) -> None:
         """Pass on the head of a stream, unless the stream is resumed."""
         self.framing = head.framing
-        if not self.reply.is_started:
-            await self.reply.begin(head)
+        if self.reply.is_started:
+            return
+        if self.origin:
+            # The other gateway has been told the version.
+            self.stream_version = self.attempt_version
+        await self.reply.begin(head)
 
     async def write_events(self, chunk: bytes) -> None:
         """Pass on complete events."""
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -177,7 +177,7 @@
                 if self._may_retry(exchange, error):
                     exchange.splitter.discard_partial()
                     continue
-                if exchange.failed_response is None:
+                if not responses.may_pass_on_failure(exchange):
                     raise responses.error_for_all_attempts(
                         exchange, error
                     ) from None
@@ -204,12 +204,8 @@
         self._exchanges.check_admitted(exchange)
         self._crash_guard.check_not_barred(exchange)
         exchange.choice = None
-        if exchange.origin:
-            raise errors.ServiceUnreachable(
-                f'{exchange.service} cannot be reached from here',
-                retry_after=_RETRY_AFTER_S,
-            )
         try:
+            self._detours.check_available(exchange)
             member = self._detours.choose(exchange)
         except errors.ServiceUnreachable as error:
             # Not the refusal itself, after which another gateway is tried.
@@ -221,6 +217,7 @@
                 retry_after=refusal.retry_after or error.retry_after,
             ) from None
         exchange.via = member.router
+        exchange.via_address = member.peer_address
         exchange.on_bytes = lambda at: None  # not from an instance
         exchange.failed_response = None
         exchange.possible_runs += 1
@@ -232,7 +229,7 @@
         except errors.HoneyportError as error:
             if error.ran is False:
                 exchange.possible_runs -= 1
-            if isinstance(error, detours.FAILURES):
+            if isinstance(error, (*detours.FAILURES, errors.BackendSilent)):
                 exchange.failed_gateways.add(member.router)
                 exchange.refusal = error
             else:
--- a/src/honeyport/gateway/next_attempts.py
+++ b/src/honeyport/gateway/next_attempts.py
@@ -114,7 +114,8 @@
 
         :returns: why there is none yet; ``None`` if it is reserved
         """
-        situation, excluded = self._observe(exchange, state)
+        is_elsewhere = await self._is_elsewhere(exchange)
+        situation, excluded = self._observe(exchange, state, is_elsewhere)
         if situation.is_instance_at_fault:
             self._attempts.record_silence(exchange)
         obstacle, detail = silence.find_obstacle(situation), ''
@@ -136,8 +137,20 @@
             )
         return obstacle
 
+    async def _is_elsewhere(self, exchange: exchanges.Exchange) -> bool:
+        """Whether a gateway that is known to run makes the attempt."""
+        if not exchange.via:
+            return False
+        is_answering = await self._detours.is_answering(exchange)
+        if not is_answering:
+            exchange.failed_gateways.add(exchange.via)
+        return is_answering
+
     def _observe(
-        self, exchange: exchanges.Exchange, state: silence_watch.Silence
+        self,
+        exchange: exchanges.Exchange,
+        state: silence_watch.Silence,
+        is_elsewhere: bool,
     ) -> tuple[silence.Situation, frozenset[str]]:
         """Return what is known, and the instances not to choose.
 
@@ -158,7 +171,7 @@
             may_repeat=exchange.may_repeat,
             is_suspect=exchange.has_permit
             or self._crash_guard.needs_permit(exchange),
-            is_forwarded=bool(exchange.origin),
+            is_elsewhere=is_elsewhere,
             offers_left=MAX_OFFERS - exchange.offers,
             retries_left=self._budgets.remaining(exchange.service, now),
             remaining_s=exchange.deadline - now,
@@ -184,7 +197,7 @@
         """
         attempt = await self.prepare(exchange, excluded)
         if attempt is None:
-            self._detours.choose(exchange)  # raises if there is none
+            self._detours.check_available(exchange)
         now = asyncio.get_running_loop().time()
         if not self._budgets.try_spend(exchange.service, now):
             if attempt is not None:
--- a/src/honeyport/gateway/responses.py
+++ b/src/honeyport/gateway/responses.py
@@ -73,7 +73,7 @@
     is_started = exchange.reply.is_started
     if not has_not_run_status and not is_started:
         exchange.failed_response = response
-        if not exchange.may_repeat:
+        if not exchange.may_repeat and may_pass_on_failure(exchange):
             return response
     raise errors.AttemptFailed(f'status {head.status}')
 
@@ -91,6 +91,16 @@
     await exchange.reply.end()
 
 
+def may_pass_on_failure(exchange: exchanges.Exchange) -> bool:
+    """Whether the last attempt left an error response to pass on.
+
+    Another gateway would count it as one attempt.
+    """
+    if exchange.origin and exchange.own_runs > 1:
+        return False
+    return exchange.failed_response is not None
+
+
 def error_for_all_attempts(
     exchange: exchanges.Exchange, error: errors.HoneyportError
 ) -> errors.HoneyportError:
@@ -98,9 +108,14 @@
 
     Without it, a refusal of the last attempt would say "not run" though an
     earlier attempt may have run. A gateway that forwards the request for
-    another one reports its own attempt.
+    another one reports its own attempts; if there were several, the other one
+    makes none.
     """
-    if exchange.origin:
+    if exchange.origin and exchange.own_runs > 1:
+        return errors.AttemptsSpent(
+            f'{exchange.own_runs} attempts; the last one: {error.detail}'
+        )
+    if exchange.origin and not exchange.own_runs:
         return error
     if error.ran is False and exchange.may_have_run:
         return errors.BackendLost(
--- a/src/honeyport/policy/obstacles.py
+++ b/src/honeyport/policy/obstacles.py
@@ -14,6 +14,7 @@
     NO_TIME_LEFT = 'no_time_left'
     MAY_CRASH_INSTANCES = 'may_crash_instances'
     CALLERS_GATEWAY_DECIDES = 'callers_gateway_decides'
+    OTHER_GATEWAY_DECIDES = 'other_gateway_decides'
     ALL_SILENT = 'all_silent'
     JUST_RESUMED = 'just_resumed'
     CANNOT_BE_PREPARED = 'cannot_be_prepared'
--- a/src/honeyport/policy/silence.py
+++ b/src/honeyport/policy/silence.py
@@ -43,7 +43,8 @@
     :ivar may_repeat: whether the route allows another run
     :ivar is_suspect: whether the request needs a permit, as it may crash its
         instance
-    :ivar is_forwarded: whether another gateway got the request, which decides
+    :ivar is_elsewhere: whether another gateway makes the attempt, and is known
+        to run; it has the connection to the instance, and decides
     :ivar offers_left: number of instances that it may still be offered to
     :ivar retries_left: number of retries that the budget allows now
     :ivar remaining_s: seconds until its deadline
@@ -58,7 +59,7 @@
 
     may_repeat: bool
     is_suspect: bool
-    is_forwarded: bool
+    is_elsewhere: bool
     offers_left: int
     retries_left: int
     remaining_s: float
@@ -115,7 +116,7 @@
             situation.is_suspect,
             obstacles.Obstacle.MAY_CRASH_INSTANCES,
         ),
-        (situation.is_forwarded, obstacles.Obstacle.CALLERS_GATEWAY_DECIDES),
+        (situation.is_elsewhere, obstacles.Obstacle.OTHER_GATEWAY_DECIDES),
         (situation.offers_left < 1, obstacles.Obstacle.NO_OFFERS_LEFT),
         (situation.retries_left < 1, obstacles.Obstacle.NO_BUDGET_LEFT),
         (
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -649,6 +649,13 @@
     'Another gateway could not be told which software versions began streams; '
     'the next ones are.',
 )
+GATEWAY_SILENT = define(
+    3226,
+    'gateway_silent',
+    'warning',
+    'Another gateway that forwards a request sends nothing, and does not '
+    'answer a question either.',
+)
 SILENT_ANSWER_AWAITED = define(
     3225,
     'silent_answer_awaited',
