Close a connection that nobody waits for any more

What callers could meet: instances that accept no more connections, as a gateway keeps some that nothing uses. A request or a search that was cancelled just as its connection had been made left the stream open until the garbage collector found it. The connection is closed now. An unused connection that goes back to the pool also keeps the time at which its peer closes it: with a new one a later request could be sent on a connection that the peer is closing.

--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -119,6 +119,16 @@
         connection.expires_at = connection.released_at + idle_timeout_s
         idle.append(connection)
 
+    def put_back(self, connection: Connection) -> None:
+        """Return a connection that was not used since it was acquired."""
+        if not connection.reused or connection.stream.closed():
+            self.release(connection, None)
+            return
+        idle = self._idle.setdefault(
+            connection.instance.id, collections.deque()
+        )
+        idle.append(connection)
+
     def retain(self, usable: collections.abc.Container[str]) -> None:
         """Close the idle connections to all other instances."""
         for instance_id in [
@@ -155,13 +165,20 @@
 
     async def _open(self, address: str) -> iostream.IOStream:
         host, _, port = address.rpartition(':')
-        stream = await self._client.connect(
-            host,
-            int(port),
-            af=socket.AF_INET,
-            max_buffer_size=_MAX_BUFFER_BYTES,
-            timeout=_CONNECT_TIMEOUT_S,
+        connecting = asyncio.ensure_future(
+            self._client.connect(
+                host,
+                int(port),
+                af=socket.AF_INET,
+                max_buffer_size=_MAX_BUFFER_BYTES,
+                timeout=_CONNECT_TIMEOUT_S,
+            )
         )
+        try:
+            stream = await asyncio.shield(connecting)
+        except asyncio.CancelledError:
+            connecting.add_done_callback(_close_stream)
+            raise
         if stream.closed():  # its socket is gone
             raise ConnectionResetError('closed as soon as it was established')
         stream.set_nodelay(True)
@@ -170,6 +187,12 @@
         return stream
 
 
+def _close_stream(connecting: 'asyncio.Future[iostream.IOStream]') -> None:
+    """Close a connection that nobody waits for any more."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
 def _enable_keep_alive(sock: socket.socket) -> None:
     """Make the kernel detect a peer that is gone without closing."""
     options = (
