Name no reason for a missing retry in the line of a served request

The line of a request that was waited for and then served had the reason why no other attempt had followed, as if it had failed.

--- a/src/honeyport/gateway/request_log.py
+++ b/src/honeyport/gateway/request_log.py
@@ -75,8 +75,8 @@
             } | exchange.timing_fields()
             if error is not None:
                 fields['silent_ms'] = exchanges.to_ms(exchange.silent_s)
-            if exchange.no_retry:
-                fields['no_retry'] = exchange.no_retry
+                if exchange.no_retry:
+                    fields['no_retry'] = exchange.no_retry
             if error is not None and exchange.traits.parts:
                 fields['parts'] = exchange.traits.parts[:_MAX_LOGGED_PARTS]
             if exchange.stream_version is not None:
