Judge the silence of each request by its own timeout

- A dead instance was never left while the others ran long requests of another route: they had sent nothing for a while, either, and counted as silent.
A request is overdue by the timeout of its own route now, and an instance is mute only if all its requests are.
- A dead instance was not avoided if it alone had requests of the gateway and no retry was left: new requests went there.
It is avoided unless the silence is shared, as it was before.
- Streams moved while instances went on one after the other: those that were still silent were at fault 0.25 of a timeout after the first one went on.
They have a whole timeout now.
- Streams moved to an instance of their version that was leaving and silent, as only instances that get new requests were looked at.
- A broken stream found no instance, as a search had counted those that it did not reach meanwhile as tried.
- A dead instance was not left while the others had no free slot, since full instances were left out altogether.
An instance with a free slot is preferred now; if there is none, a full one may queue the request.

--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -29,12 +29,17 @@
     Examples:
       | event                              | reason             |
       | the other instances refuse connections | cannot_be_prepared |
-      | the other instances are full | cannot_be_prepared |
       | the other instances are leaving    | cannot_be_prepared |
       | its route is removed               | cannot_be_prepared |
       | its key is revoked                 | cannot_be_prepared |
       | the lease ends                     | cannot_be_prepared |
 
+  Scenario: an instance with a free slot is preferred for the next attempt
+    Given a gateway for streaming resumable requests whose instances stream and wait; stream
+    When a caller sends a request, and meanwhile one of the other instances is full
+    Then the caller has every event once, in order
+    And the second attempt was not made at the full instance
+
   # Guards against streams that move between instances of which none is at fault.
   Scenario Outline: answers go on where they are while all instances are silent
     Given a gateway for <kind> requests whose instances <step>
--- a/features/policy/silence.feature
+++ b/features/policy/silence.feature
@@ -30,35 +30,51 @@
       | 7      | 6    | 1     | may be left            |
       | 0      | 0    | 0     | may be left            |
 
+  Scenario Outline: which instances are not chosen
+    Given the other instances i-2, i-3, i-4
+    When <mute> are silent and <full> are full
+    Then <excluded> are not chosen
+
+    Examples:
+      | mute          | full          | excluded      |
+      | none          | none          | none          |
+      | i-2           | none          | i-2           |
+      | i-2           | i-3           | i-2, i-3      |
+      | i-2           | i-3, i-4      | i-2           |
+      | none          | i-2, i-3, i-4 | none          |
+      | i-2, i-3, i-4 | none          | i-2, i-3, i-4 |
+
   Scenario: an attempt is left only in a situation without obstacles
     Then in every situation an attempt is left only if the next one can follow
 
-  Scenario: an instance is at fault only while others are sending
-    Then in every situation an instance is at fault only while others are sending
+  Scenario: an instance is at fault only if its silence is its own
+    Then in every situation an instance is at fault only if its silence is its own
 
   Scenario Outline: which instances are mute or heard
-    Given requests at i-1 and i-2 since 0.0 s
-    When i-1 sends at <times> s
-    Then at 1.0 s, with a limit of 0.5 s, <mute> are mute and <heard> are heard
+    Given requests at i-1 and i-2 since 0.0 s that may be quiet for 0.5 s
+    When the one at i-1 brings bytes at <times> s
+    Then at 1.0 s <mute> are mute and <heard> are heard
 
     Examples:
       | times     | mute     | heard |
       | 0.1       | i-1, i-2 | none  |
       | 0.1, 0.6  | i-2      | i-1   |
 
+  # Guards against instances that seem to be silent, as they run long requests.
+  Scenario: an instance is not mute while one of its requests may be quiet
+    Given requests at i-1 and i-2 since 0.0 s that may be quiet for 0.5 s
+    And another request at i-1 since 0.0 s that may be quiet for 2.0 s
+    Then at 1.0 s i-2 are mute and none are heard
+
   Scenario: an instance without requests is neither mute nor heard
-    Given requests at i-1 and i-2 since 0.0 s
+    Given requests at i-1 and i-2 since 0.0 s that may be quiet for 0.5 s
     When they end
-    Then at 1.0 s, with a limit of 0.5 s, none are mute and none are heard
-
-  Scenario: an instance that got its first request lately is not mute
-    Given requests at i-1 and i-2 since 0.8 s
-    Then at 1.0 s, with a limit of 0.5 s, none are mute and none are heard
+    Then at 1.0 s none are mute and none are heard
 
   Scenario: instances that are gone are forgotten once their requests have ended
-    Given requests at i-1 and i-2 since 0.0 s
+    Given requests at i-1 and i-2 since 0.0 s that may be quiet for 0.5 s
     When none of them is listed
-    Then at 1.0 s, with a limit of 0.5 s, i-1, i-2 are mute and none are heard
+    Then at 1.0 s i-1, i-2 are mute and none are heard
     When they end
     And none of them is listed
     Then no instance is remembered
--- a/features/steps/silence_policy_steps.py
+++ b/features/steps/silence_policy_steps.py
@@ -9,6 +9,7 @@
 from honeyport.policy import obstacles
 from honeyport.policy import silence
 
+_LIMIT_S = 0.5
 _SITUATION = silence.Situation(
     may_repeat=True,
     is_suspect=False,
@@ -86,12 +87,12 @@
 
 
 @behave.then(
-    'in every situation an instance is at fault only while others are sending'
+    'in every situation an instance is at fault only if its silence is its own'
 )
 def step_walk_fault(context):
     for situation in _situations():
         if situation.is_instance_at_fault:
-            assert situation.heard and not situation.is_shared
+            assert not situation.is_shared and not situation.was_shared
 
 
 def _situations():
@@ -113,23 +114,57 @@
         )
 
 
-@behave.given('requests at i-1 and i-2 since {since:f} s')
-def step_requests(context, since):
+@behave.given('the other instances {names}')
+def step_other_instances(context, names):
+    context.others = names.split(', ')
+
+
+@behave.when('{mute} are silent and {full} are full')
+def step_excluded(context, mute, full):
+    context.excluded = silence.find_excluded(
+        context.others, _names(mute), _names(full)
+    )
+
+
+@behave.then('{names} are not chosen')
+def step_not_chosen(context, names):
+    assert context.excluded == _names(names), context.excluded
+
+
+def _names(text):
+    return set() if text == 'none' else set(text.split(', '))
+
+
+@behave.given(
+    'requests at i-1 and i-2 since {since:f} s that may be quiet for '
+    '{limit:f} s'
+)
+def step_requests(context, since, limit):
     context.tracker = activity.ActivityTracker()
-    for instance in ('i-1', 'i-2'):
-        context.tracker.record_sent(instance, since)
+    context.attempts = [
+        context.tracker.record_sent(instance, since, limit)
+        for instance in ('i-1', 'i-2')
+    ]
 
 
-@behave.when('i-1 sends at {times} s')
+@behave.given(
+    'another request at i-1 since {since:f} s that may be quiet for {limit:f} '
+    's'
+)
+def step_other_request(context, since, limit):
+    context.tracker.record_sent('i-1', since, limit)
+
+
+@behave.when('the one at i-1 brings bytes at {times} s')
 def step_bytes(context, times):
     for at in times.split(', '):
-        context.tracker.record_bytes('i-1', float(at))
+        context.tracker.record_bytes(context.attempts[0], _LIMIT_S, float(at))
 
 
 @behave.when('they end')
 def step_end(context):
-    for instance in ('i-1', 'i-2'):
-        context.tracker.record_ended(instance)
+    for attempt in context.attempts:
+        context.tracker.record_ended(attempt)
 
 
 @behave.when('none of them is listed')
@@ -137,16 +172,14 @@
     context.tracker.retain(())
 
 
-@behave.then(
-    'at {now:f} s, with a limit of {limit:f} s, {mute} are mute and {heard} '
-    'are heard'
-)
-def step_states(context, now, limit, mute, heard):
+@behave.then('at {now:f} s {mute} are mute and {heard} are heard')
+def step_states(context, now, mute, heard):
+    names = ('i-1', 'i-2')
     found = [
         ', '.join(sorted(instances)) or 'none'
         for instances in (
-            context.tracker.mute(('i-1', 'i-2'), now, limit),
-            context.tracker.heard(('i-1', 'i-2'), now, limit),
+            context.tracker.mute(names, now),
+            context.tracker.heard(names, now, _LIMIT_S),
         )
     ]
     assert found == [mute, heard], found
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -42,6 +42,21 @@
     _send_during(context, _OTHERS_EVENTS[f'{group} {event}'])
 
 
+@behave.when(
+    'a caller sends a request, and meanwhile one of the other instances is '
+    'full'
+)
+def step_one_full(context):
+    _send_during(context, _fill_one)
+
+
+@behave.then('the second attempt was not made at the full instance')
+def step_not_at_full(context):
+    second = context.fixture.script.arrivals[1].instance
+    running = context.fixture.gateway._balancer._remote_running
+    assert second not in running, second
+
+
 @behave.when('a caller sends a request, and meanwhile its {thing} is {event}')
 def step_configured(context, thing, event):
     _send_during(context, _CONFIGURATIONS[thing])
@@ -95,7 +110,7 @@
     gateway = context.fixture.gateway
     assert not gateway._balancer.running, gateway._balancer.running
     records = gateway._activity._records.values()
-    assert not any(record.running for record in records), records
+    assert not any(record.attempts for record in records), records
 
 
 def _send_during(context, change):
@@ -130,12 +145,11 @@
             instance.refuse_connections()
 
 
-def _fill(fixture):
-    """Let other gateways have taken all slots."""
+def _fill_one(fixture):
+    """Let other gateways have taken all slots of an instance."""
+    name = _other_names(fixture)[0]
     balancer = fixture.gateway._balancer
-    balancer._remote_running = dict.fromkeys(
-        _other_names(fixture), fixture.slots
-    )
+    balancer._remote_running = {name: fixture.slots}
     balancer._remote_counted_at = asyncio.get_running_loop().time()
 
 
@@ -183,7 +197,6 @@
     'other instances are leaving': lambda fixture: fixture.apply_instances(
         leaving=_other_names(fixture)
     ),
-    'other instances are full': _fill,
     'lease ends': _end_lease,
 }
 _CONFIGURATIONS = {
--- a/src/honeyport/gateway/balancer.py
+++ b/src/honeyport/gateway/balancer.py
@@ -312,6 +312,12 @@
             )
         return candidates, counts
 
+    def listed(
+        self, service: str
+    ) -> collections.abc.Sequence[placement.Instance]:
+        """Return all listed instances of a service."""
+        return self._instances_by_service.get(service, ())
+
     def is_full(self, instance: placement.Instance) -> bool:
         """Whether all slots of an instance are likely taken."""
         counts = self._load_counts(instance.service)
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -22,6 +22,7 @@
 from honeyport.gateway import withdrawals
 from honeyport.policy import activity
 from honeyport.policy import placement
+from honeyport.policy import silence
 
 _UNAVAILABLE_STATUS = 503
 
@@ -184,18 +185,26 @@
             if connection is not None:
                 connection.close()
             self._handle_failure(exchange, instance, error)
+            self._forget_untaken(exchange, instance)
             raise
         except asyncio.CancelledError:
-            exchange.tried.discard(instance.id)
+            self._forget_untaken(exchange, instance)
             raise
         return connection
 
+    def _forget_untaken(
+        self, exchange: exchanges.Exchange, instance: placement.Instance
+    ) -> None:
+        """Allow an instance again that a search did not reach."""
+        if exchange.is_under_way:
+            exchange.tried.discard(instance.id)
+
     async def drop(
         self, exchange: exchanges.Exchange, unsent: prepared.PreparedAttempt
     ) -> None:
         """Release an attempt that was prepared and is not made."""
         exchange.tried.discard(unsent.choice.instance.id)
-        self._pool.release(unsent.connection, None)
+        self._pool.put_back(unsent.connection)
         await unsent.release()
 
     async def run(
@@ -253,15 +262,21 @@
         self, exchange: exchanges.Exchange, instance: placement.Instance
     ) -> collections.abc.Iterator[None]:
         """Record when bytes of an attempt arrive."""
-        loop = asyncio.get_running_loop()
-        self._activity.record_sent(instance.id, loop.time())
+        timeouts = silence.timeouts(exchange.match.route)
+        recorded = self._activity.record_sent(
+            instance.id,
+            asyncio.get_running_loop().time(),
+            silence.recent_s(timeouts.first_byte_s),
+        )
         exchange.on_bytes = functools.partial(
-            self._activity.record_bytes, instance.id
+            self._activity.record_bytes,
+            recorded,
+            silence.recent_s(timeouts.gap_s),
         )
         try:
             yield
         finally:
-            self._activity.record_ended(instance.id)
+            self._activity.record_ended(recorded)
 
     async def _attempt(
         self, exchange: exchanges.Exchange, connection: pool.Connection
--- a/src/honeyport/gateway/next_attempts.py
+++ b/src/honeyport/gateway/next_attempts.py
@@ -154,19 +154,20 @@
     ) -> tuple[silence.Situation, frozenset[str]]:
         """Return what is known, and the instances not to choose.
 
-        These are silent, too, or full, so that they would reject the request.
+        These are silent, too, or likely full while others are not.
         """
         now = asyncio.get_running_loop().time()
         route = exchange.match.route
-        instances = self._balancer.expected_reachable(exchange.service)
+        instances = self._balancer.listed(exchange.service)
         others = [
             instance.id
             for instance in instances
             if instance.id != exchange.current_instance_id
         ]
-        limit_s = silence.recent_s(state.limit_s)
-        mute = self._activity.mute(others, now, limit_s)
-        heard = self._activity.heard(others, now, limit_s)
+        mute = self._activity.mute(others, now)
+        heard = self._activity.heard(
+            others, now, silence.recent_s(state.limit_s)
+        )
         situation = silence.Situation(
             may_repeat=exchange.may_repeat,
             is_suspect=exchange.has_permit
@@ -179,14 +180,14 @@
             others=len(others),
             mute=len(mute),
             heard=len(heard),
-            was_shared=state.obstacle is obstacles.Obstacle.ALL_SILENT,
+            was_shared=now - state.shared_at < state.limit_s,
         )
         full = {
             instance.id
             for instance in instances
             if self._balancer.is_full(instance)
         }
-        return situation, mute | full
+        return situation, silence.find_excluded(others, mute, full)
 
     async def _reserve(
         self, exchange: exchanges.Exchange, excluded: frozenset[str]
--- a/src/honeyport/gateway/silence_watch.py
+++ b/src/honeyport/gateway/silence_watch.py
@@ -19,10 +19,13 @@
     :ivar limit_s: the timeout that has passed, in seconds
     :ivar obstacle: why the attempt was not given up when it was last looked
         at; ``None`` the first time
+    :ivar shared_at: loop time at which the other instances were last found to
+        be silent, too; minus infinity if they were not
     """
 
     limit_s: float
-    obstacle: obstacles.Obstacle | None
+    obstacle: obstacles.Obstacle | None = None
+    shared_at: float = float('-inf')
 
 
 # Reserves the next attempt of a silent request, or returns why there is none.
@@ -125,12 +128,16 @@
 
     async def _search_next(self) -> None:
         """Look for the next attempt until there is one."""
-        obstacle: obstacles.Obstacle | None = None
+        loop = asyncio.get_running_loop()
+        state = Silence(self._limit_s)
         while True:
-            obstacle = await self._try_seek(Silence(self._limit_s, obstacle))
+            obstacle = await self._try_seek(state)
             if obstacle is None:
                 self._give_up()
                 return
+            state = attrs.evolve(state, obstacle=obstacle)
+            if obstacle is obstacles.Obstacle.ALL_SILENT:
+                state = attrs.evolve(state, shared_at=loop.time())
             await asyncio.sleep(silence.recheck_s(self._limit_s))
 
     def _give_up(self) -> None:
--- a/src/honeyport/policy/activity.py
+++ b/src/honeyport/policy/activity.py
@@ -5,17 +5,27 @@
 import attrs
 
 
+@attrs.define(eq=False)
+class Attempt:
+    """A request of this gateway that an instance has.
+
+    :ivar quiet_since: when it was sent, or its last bytes arrived
+    :ivar limit_s: how long it may be quiet before it is overdue
+    """
+
+    instance: str
+    quiet_since: float
+    limit_s: float
+
+
 @attrs.define
 class _Record:
     """The requests of this gateway at an instance.
 
-    :ivar running: requests in flight there
-    :ivar busy_since: when the first of them was sent
     :ivar heard_at: when the last bytes arrived from the instance
     """
 
-    running: int = 0
-    busy_since: float = float('-inf')
+    attempts: set[Attempt] = attrs.field(factory=set)
     heard_at: float = float('-inf')
 
 
@@ -28,33 +38,41 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
-    def record_sent(self, instance: str, now: float) -> None:
-        """Record that a request was sent to an instance."""
+    def record_sent(
+        self, instance: str, now: float, limit_s: float
+    ) -> Attempt:
+        """Record that a request was sent to an instance.
+
+        :param limit_s: how long it may be quiet before it is overdue
+        """
+        attempt = Attempt(instance, now, limit_s)
         record = self._records.setdefault(instance, _Record())
-        if not record.running:
-            record.busy_since = now
-        record.running += 1
+        record.attempts.add(attempt)
+        return attempt
 
-    def record_ended(self, instance: str) -> None:
-        """Record that such a request is no longer in flight."""
-        self._records[instance].running -= 1
+    def record_ended(self, attempt: Attempt) -> None:
+        """Record that a request is no longer in flight."""
+        self._records[attempt.instance].attempts.discard(attempt)
 
-    def record_bytes(self, instance: str, now: float) -> None:
-        """Record that bytes arrived from an instance."""
-        self._records[instance].heard_at = now
+    def record_bytes(
+        self, attempt: Attempt, limit_s: float, now: float
+    ) -> None:
+        """Record that bytes of a response arrived.
+
+        :param limit_s: how long it may be quiet from now on
+        """
+        attempt.quiet_since = now
+        attempt.limit_s = limit_s
+        self._records[attempt.instance].heard_at = now
 
     def mute(
-        self,
-        instances: collections.abc.Iterable[str],
-        now: float,
-        limit_s: float,
+        self, instances: collections.abc.Iterable[str], now: float
     ) -> frozenset[str]:
-        """Return the instances with requests that sent nothing for a time."""
+        """Return the instances all of whose requests are overdue."""
         return frozenset(
             instance
-            for instance, record in self._find(instances)
-            if record.running
-            and now - max(record.heard_at, record.busy_since) > limit_s
+            for instance in instances
+            if self._is_mute(self._records.get(instance), now)
         )
 
     def heard(
@@ -66,20 +84,23 @@
         """Return the instances from which bytes arrived within a time."""
         return frozenset(
             instance
-            for instance, record in self._find(instances)
-            if now - record.heard_at <= limit_s
+            for instance in instances
+            if instance in self._records
+            and now - self._records[instance].heard_at <= limit_s
         )
 
     def retain(self, listed_ids: collections.abc.Container[str]) -> None:
         """Drop the idle instances that are not listed."""
         for instance, record in list(self._records.items()):
-            if not record.running and instance not in listed_ids:
+            if not record.attempts and instance not in listed_ids:
                 del self._records[instance]
 
-    def _find(
-        self, instances: collections.abc.Iterable[str]
-    ) -> collections.abc.Iterator[tuple[str, _Record]]:
-        for instance in instances:
-            record = self._records.get(instance)
-            if record is not None:
-                yield instance, record
+    def _is_mute(self, record: _Record | None, now: float) -> bool:
+        return (
+            record is not None
+            and bool(record.attempts)
+            and all(
+                now - attempt.quiet_since > attempt.limit_s
+                for attempt in record.attempts
+            )
+        )
--- a/src/honeyport/policy/silence.py
+++ b/src/honeyport/policy/silence.py
@@ -9,6 +9,8 @@
 timeout of their route.
 """
 
+import collections.abc
+
 import attrs
 
 from honeyport.bundle import model
@@ -53,8 +55,7 @@
     :ivar mute: number of those where requests run and that sent nothing
         either
     :ivar heard: number of those that are sending
-    :ivar was_shared: whether the silence was shared when the attempt was last
-        looked at
+    :ivar was_shared: whether the silence was shared within the last timeout
     """
 
     may_repeat: bool
@@ -76,8 +77,8 @@
 
     @property
     def is_instance_at_fault(self) -> bool:
-        """Whether the instance is silent while others are sending."""
-        return bool(self.heard) and not self.was_shared
+        """Whether other instances are preferred for new requests."""
+        return not self.is_shared and not self.was_shared
 
 
 def timeouts(route: model.Route) -> Timeouts:
@@ -101,14 +102,13 @@
 def find_obstacle(situation: Situation) -> obstacles.Obstacle | None:
     """Return why a silent attempt goes on, or ``None`` if it may be left.
 
-    An instance that is heard again right after all were silent does not show
-    that this one is at fault.
+    After a shared silence, an instance has a timeout to go on like the others.
     """
     checks = (
         (not situation.may_repeat, obstacles.Obstacle.NOT_REPEATABLE),
         (situation.is_shared, obstacles.Obstacle.ALL_SILENT),
         (
-            situation.was_shared and bool(situation.heard),
+            situation.was_shared,
             obstacles.Obstacle.JUST_RESUMED,
         ),
         (
@@ -125,3 +125,21 @@
         ),
     )
     return next((obstacle for applies, obstacle in checks if applies), None)
+
+
+def find_excluded(
+    others: collections.abc.Collection[str],
+    mute: collections.abc.Set[str],
+    full: collections.abc.Set[str],
+) -> frozenset[str]:
+    """Return the instances that a silent attempt is not left for.
+
+    A full instance may queue a request or reject it, so that one with a free
+    slot is preferred.
+
+    :param others: the other instances of the service
+    :param mute: those that are silent, too
+    :param full: those whose slots are likely taken
+    """
+    free = set(others) - mute - full
+    return frozenset(mute | full if free else mute)
