--- /dev/null
+++ b/features/gateway/silence_review.feature
@@ -0,0 +1,74 @@
+Feature: Silent answers, as a review of the gateway sees them
+
+  # A permit that a running request holds is given back by the search for its
+  # next attempt, so that another gateway may run the suspect, too.
+  Scenario: a suspect keeps its permit while its instance is silent
+    Given a gateway for idempotent requests whose instances silent; answer
+    And the leader gives one permit at a time for the part f
+    When a request arrives whose prompt has the parts a,f,own
+    Then no permit was released while an instance still had its request
+
+  Scenario: a permit is kept while a silent instance goes on
+    Given a gateway for idempotent requests whose instances answer after a pause
+    And the leader gives one permit at a time for the part f, and only the first
+    When a request arrives whose prompt has the parts a,f,own
+    Then it gets 200, and 1 requests arrived
+    And no permit was released while an instance still had its request
+
+  # Guards against an answer of two instances.
+  Scenario: a large answer is passed on just as its instance is given up
+    Given a gateway for idempotent requests whose instances start of a large answer; answer
+    When a caller sends a request, and bytes that are passed on arrive as its instance is given up
+    Then 1 requests arrived in all
+
+  # Sparse traffic: the only request of a gateway is given up for silence alone.
+  Scenario: the answer of a single caller goes on while all instances are silent
+    Given a gateway for idempotent requests whose instances answer after 1200 ms
+    When 1 callers send a request at the same time
+    Then 1 requests arrived, and all are answered completely
+
+  Scenario: the answers of three callers go on while all instances are silent
+    Given a gateway for idempotent requests whose instances answer after 1200 ms
+    When 3 callers send a request at the same time
+    Then 3 requests arrived, and all are answered completely
+
+  # Instances with long requests of another route are not silent.
+  Scenario: a dead instance is left while the others run long requests
+    Given a gateway for idempotent requests whose instances answer after 2500 ms; answer after 2500 ms; silent; answer
+    When 2 callers send long requests of another route, and then one sends a request
+    Then it gets 200, and 4 requests arrived
+
+  Scenario: a dead instance is avoided after its request has failed
+    Given a gateway without a retry budget for idempotent requests whose instances silent; answer
+    When a caller sends a request, and its lines are kept
+    Then its instance was avoided
+
+  Scenario: an answer is not given up for an instance that rejects it
+    Given a gateway for streaming resumable requests whose instances stream with a pause; not run; not run
+    When a caller sends a request
+    Then the caller has every event once, in order
+
+  Scenario: answers through another gateway go on while all instances are silent
+    Given a gateway for streaming resumable requests that reaches no instance, and another one whose instances stream with a pause
+    When 12 callers send a request at the same time
+    Then 12 requests arrived, and all are answered completely
+
+  Scenario: an answer through another gateway goes on if that one refuses further requests
+    Given a gateway for streaming resumable requests that reaches no instance, and another one whose instances stream with a pause
+    When a caller sends a request while the other gateway refuses further ones
+    Then the caller has every event once, in order
+
+  # The search for the next attempt uses up the instances that it cannot reach.
+  Scenario: a broken stream goes on at an instance that was not reached while it was silent
+    Given a gateway for streaming resumable requests whose instances stream reset after a pause; stream
+    When a caller sends a request while no connection is made for 600 ms
+    Then the caller has every event once, in order
+
+  Scenario: a reserved attempt that is released does not prolong an idle connection
+    Given a gateway for streaming resumable requests whose instances stream
+    Then releasing an unused connection does not prolong it
+
+  Scenario: a request that was served tells no reason why it was not repeated
+    Given a gateway without a retry budget for streaming resumable requests whose instances stream with a pause
+    When a caller sends a request, and its lines are kept
+    Then its last line has no reason
--- /dev/null
+++ b/features/steps/silence_review_steps.py
@@ -0,0 +1,285 @@
+"""Steps of a review of silent answers."""
+
+import asyncio
+import functools
+import time
+from unittest import mock
+import zlib
+
+import behave
+from tornado import ioloop
+
+from features.steps import gateway_part_steps
+from features.steps import gateway_steps
+from features.steps import silence_steps
+from features.support import caller
+from features.support import log_capture
+from honeyport.bundle import entries as bundle_entries
+from honeyport.bundle import model
+from honeyport import errors
+from honeyport.wire import honeyport_pb2 as pb
+
+_CLOSED_S = 0.1
+_CHUNK = b'y' * 200_000
+
+
+class _Leader:
+    """Gives one permit at a time, as the register of suspects does."""
+
+    def __init__(self, fixture, most):
+        self._fixture = fixture
+        self._most = most
+        self._given = 0
+        self._is_held = False
+        self.released_too_early = []
+
+    def receive(self, item):
+        loop = asyncio.get_running_loop()
+        if item.HasField('permit'):
+            granted = not self._is_held and self._given < self._most
+            if granted:
+                self._is_held = True
+                self._given += 1
+            loop.call_soon(
+                self._fixture.gateway.suspects.resolve_permit,
+                pb.PermitAnswer(id=item.permit.id, granted=granted),
+            )
+        elif item.HasField('release'):
+            self._is_held = False
+            running = [
+                arrival
+                for arrival in self._fixture.script.arrivals
+                if not arrival.disconnected.is_set()
+                and not arrival.answered_at
+            ]
+            loop.call_later(_CLOSED_S, self._check, running)
+        return True
+
+    def _check(self, running):
+        self.released_too_early += [
+            arrival.instance
+            for arrival in running
+            if not arrival.disconnected.is_set() and arrival.step != 'answer'
+        ]
+
+
+def _give_permits(context, part, most):
+    message = gateway_part_steps._bar(part, is_unanswered=True)
+    message.suspects[0].barred = False
+    context.run(gateway_part_steps._apply(context.fixture, message))
+    context.leader = _Leader(context.fixture, most)
+    context.fixture.gateway.suspects.set_sender(context.leader.receive)
+
+
+@behave.given('the leader gives one permit at a time for the part f')
+def step_one_permit(context):
+    _give_permits(context, 'f', 1000)
+
+
+@behave.given(
+    'the leader gives one permit at a time for the part f, and only the first'
+)
+def step_only_permit(context):
+    _give_permits(context, 'f', 1)
+
+
+@behave.then('no permit was released while an instance still had its request')
+def step_not_released(context):
+    context.run(asyncio.sleep(2 * _CLOSED_S))
+    early = context.leader.released_too_early
+    assert not early, early
+
+
+@behave.when(
+    'a caller sends a request, and bytes that are passed on arrive as its '
+    'instance is given up'
+)
+def step_passed_on(context):
+    fixture = context.fixture
+    gateway = fixture.gateway
+    attempts = gateway._forwarder._next_attempts
+    seek, acquire = attempts.seek, gateway._pool.acquire
+    connections = {}
+
+    async def acquire_known(instance):
+        connection = await acquire(instance)
+        connections[instance.id] = connection
+        return connection
+
+    async def seek_and_read(exchange, state):
+        obstacle = await seek(exchange, state)
+        if obstacle is None:
+            _deliver(fixture, connections[exchange.instance_id])
+        return obstacle
+
+    limits = type(gateway._held_bytes._limits)
+    with (
+        mock.patch.object(attempts, 'seek', seek_and_read),
+        mock.patch.object(gateway._pool, 'acquire', acquire_known),
+        mock.patch.object(limits, 'is_under_pressure', lambda *args: True),
+    ):
+        silence_steps.step_send_logged(context)
+
+
+def _deliver(fixture, connection):
+    """Let bytes arrive in the same step of the event loop."""
+    name = connection.instance.id
+    for instance in fixture.instances:
+        if instance.name == name:
+            for writer in instance._writers:
+                writer.write(_CHUNK)
+    time.sleep(0.02)
+    stream = connection.stream
+    stream._handle_events(stream.fileno(), ioloop.IOLoop.READ)
+
+
+@behave.then('{count:d} requests arrived in all')
+def step_arrived(context, count):
+    arrivals = context.fixture.script.arrivals
+    print(context.response.status, context.response.is_complete)
+    print(set(context.response.body), context.response.body[-40:])
+    assert len(arrivals) == count, [arrival.step for arrival in arrivals]
+
+
+@behave.when(
+    'a caller sends a request while the other gateway refuses further ones'
+)
+def step_other_refuses(context):
+    def refuse(fixture):
+        fixture.other.gateway._forwarded._is_refusing = lambda: True
+
+    silence_steps._send_during(context, refuse)
+    print(context.lines)
+
+
+@behave.when(
+    'a caller sends a request while no connection is made for {limit:d} ms'
+)
+def step_no_connection(context, limit):
+    pool = context.fixture.gateway._pool
+    acquire = pool.acquire
+
+    async def refuse(until, instance):
+        if asyncio.get_running_loop().time() < until:
+            raise errors.ConnectionRefused('refused', retry_after=0.1)
+        return await acquire(instance)
+
+    def start(fixture):
+        until = asyncio.get_running_loop().time() + limit / 1000
+        patch = mock.patch.object(
+            pool, 'acquire', functools.partial(refuse, until)
+        )
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+    silence_steps._send_during(context, start)
+
+
+@behave.then('its instance was avoided')
+def step_avoided(context):
+    first = context.fixture.script.arrivals[0].instance
+    avoided = {
+        fields['backend']
+        for fields in silence_steps._lines(context, 'instance_avoided')
+    }
+    assert avoided == {first}, context.lines
+
+
+@behave.then('its last line has no reason')
+def step_no_reason(context):
+    (fields,) = silence_steps._lines(context, *silence_steps._LAST_LINES)
+    assert 'no_retry' not in fields, fields
+
+
+def _configure_two_routes(fixture):
+    fixture.version += 1
+    routes = {
+        name: model.Route(
+            host=caller.HOST,
+            prefix=prefix,
+            semantics='idempotent',
+            weights={'app': 1},
+            timeout_ms=timeout_ms,
+            attempts=2,
+            objective_ms=objective_ms,
+            gap_ms=100,
+        )
+        for name, prefix, timeout_ms, objective_ms in (
+            ('r', '/r/', 1500, 200),
+            ('s', '/s/', 5000, 3000),
+        )
+    }
+    bundle = model.Bundle(
+        version=fixture.version,
+        signers=model.Signers(keys={}),
+        services={'app': model.Service(kind=model.SERVICE)},
+        backends={},
+        accounts={'district': model.Account(keys=(caller.KEY,))},
+        routes=routes,
+    )
+    entries = bundle_entries.to_entries(bundle)
+    text = bundle_entries.canonical(entries)
+    fixture.gateway.state.apply_config(
+        pb.Config(
+            version=fixture.version,
+            digest=bundle_entries.digest(fixture.version, entries),
+            snapshot=zlib.compress(text.encode()),
+        )
+    )
+
+
+@behave.when(
+    '2 callers send long requests of another route, and then one sends a '
+    'request'
+)
+def step_long_requests(context):
+    fixture = context.fixture
+
+    async def send():
+        _configure_two_routes(fixture)
+        tasks = []
+        for number in range(2):
+            tasks.append(
+                asyncio.create_task(
+                    gateway_steps.send_request(
+                        fixture, path='/s/x', request_id=f's-{number}'
+                    )
+                )
+            )
+            async with asyncio.timeout(1.0):
+                while len(fixture.script.arrivals) <= number:
+                    await asyncio.sleep(0.01)
+        await asyncio.sleep(0.4)
+        response = await gateway_steps.send_request(fixture)
+        long = await asyncio.gather(*tasks)
+        assert all(answer.status == 200 for answer in long), long
+        return response
+
+    with log_capture.captured_events() as context.lines:
+        context.response = context.run(send())
+    names = [
+        (arrival.instance, arrival.step)
+        for arrival in fixture.script.arrivals
+    ]
+    print(names)
+    print(context.lines)
+
+
+@behave.then('releasing an unused connection does not prolong it')
+def step_not_prolonged(context):
+    fixture = context.fixture
+    pool = fixture.gateway._pool
+
+    async def release_twice():
+        (instance, *_) = fixture.gateway._balancer.expected_reachable('app')
+        connection = await pool.acquire(instance)
+        pool.release(connection, 1.0)
+        before = connection.expires_at
+        unsent = await pool.acquire(instance)
+        assert unsent is connection
+        await asyncio.sleep(0.1)
+        pool.release(unsent, None)  # as InstanceAttempts.drop does
+        return before, unsent.expires_at
+
+    before, after = context.run(release_twice())
+    assert after <= before, after - before
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -200,6 +200,25 @@
             await asyncio.sleep(_SLOW_EVENT_S)
         writer.write(b'0\r\n\r\n')
         return True
+    if step.startswith('answer after ') and step.endswith(' ms'):
+        delay_ms = int(step.removeprefix('answer after ').removesuffix(' ms'))
+        if await _is_closed_within(reader, delay_ms / 1000):
+            arrival.disconnected.set()
+            return False
+        writer.write(_answer(arrival))
+        return True
+    if step == 'stream reset after a pause':
+        first, _ = _paused_stream(arrival)
+        writer.write(first)
+        if not await _is_closed_within(reader, PAUSE_S):
+            writer.transport.abort()
+        return False
+    if step == 'start of a large answer':
+        head = _answer(arrival, body=LARGE_BODY)
+        writer.write(head[: len(head) - len(LARGE_BODY) + 100])
+        await reader.read(1)
+        arrival.disconnected.set()
+        return False
     if step.startswith('endless '):
         await _write_endless(step.removeprefix('endless '), arrival, writer)
         return False
