--- a/features/gateway/silence_review.feature
+++ b/features/gateway/silence_review.feature
@@ -72,3 +72,37 @@
     Given a gateway without a retry budget for streaming resumable requests whose instances stream with a pause
     When a caller sends a request, and its lines are kept
     Then its last line has no reason
+
+  Scenario: an answer is not given up for the last retry if it may be rejected
+    Given a gateway with one retry for streaming resumable requests whose instances stream with a pause; not run; stream
+    When a caller sends a request
+    Then the caller has every event once, in order
+
+  Scenario: streams stay where they are while all instances of their version leave and are silent
+    Given a gateway for streaming resumable requests whose instances stream with a pause; stream slowly
+    And its instances have the versions v1, v1, v1.1
+    When each instance has a stream, and those of v1 leave and are silent
+    Then 3 requests arrived in all
+
+  Scenario: a caller leaves while the next attempt is prepared
+    Given a gateway for streaming resumable requests whose instances stream and wait
+    When a caller leaves while connections take 500 ms
+    Then nothing is held for another attempt
+
+  Scenario: the deadline passes while the next attempt is prepared
+    Given a gateway for idempotent requests whose instances silent
+    When a caller with a deadline of 800 ms sends a request while connections take 500 ms
+    Then nothing is held for another attempt
+    And its last line has the code HP-3011
+
+  # Guards against connections that stay open until the process ends.
+  Scenario: a search that ends just as its connection is made keeps no connection
+    Given a gateway for streaming resumable requests whose instances stream
+    When 5 connections are made just as nobody waits for them any more
+    Then none of them stays open
+
+  Scenario: streams go on where they are while the instances resume one after the other
+    Given a gateway for streaming resumable requests whose instances stream slowly after 600 ms
+    And two of its instances resume 250 ms after the first one
+    When 6 callers send a request at the same time
+    Then 6 requests arrived, and all are answered completely
--- a/features/steps/silence_review_steps.py
+++ b/features/steps/silence_review_steps.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import functools
+import gc
 import time
 from unittest import mock
 import zlib
 
 import behave
 from tornado import ioloop
+from tornado import tcpclient
 
 from features.steps import gateway_part_steps
 from features.steps import gateway_steps
@@ -283,3 +285,189 @@
 
     before, after = context.run(release_twice())
     assert after <= before, after - before
+
+
+@behave.given(
+    'a gateway with one retry for {kind} requests whose instances {steps}'
+)
+def step_one_retry(context, kind, steps):
+    context.fixture = gateway_steps.GatewayFixture(
+        [step.strip() for step in steps.split(';')], extra=200.0
+    )
+    context.run(context.fixture.start(kind))
+    context.to_stop.append(context.fixture.stop)
+
+    async def remaining():
+        budgets = context.fixture.gateway._forwarder._budgets
+        now = asyncio.get_running_loop().time()
+        return budgets.remaining('app', now)
+
+    if hasattr(context.fixture.gateway._forwarder._budgets, 'remaining'):
+        assert context.run(remaining()) == 1
+
+
+@behave.when('each instance has a stream, and those of v1 leave and are silent')
+def step_version_leaves(context):
+    fixture = context.fixture
+    script = fixture.script
+    for instance in fixture.instances:
+        script.step_by_instance[instance.name] = (
+            'stream with a pause'
+            if instance.version == 'v1'
+            else 'stream slowly'
+        )
+
+    async def send():
+        tasks = []
+        for number in range(3):
+            tasks.append(
+                asyncio.create_task(
+                    gateway_steps.send_request(
+                        fixture, request_id=f'q-{number}'
+                    )
+                )
+            )
+            async with asyncio.timeout(1.0):
+                while len(script.arrivals) <= number:
+                    await asyncio.sleep(0.005)
+        await asyncio.sleep(0.02)
+        now = asyncio.get_running_loop().time()
+        signals = fixture.gateway._balancer._signals
+        for instance in fixture.instances:
+            if instance.version == 'v1':
+                signals._leaving_since[instance.name] = now
+        return await asyncio.gather(*tasks)
+
+    with log_capture.captured_events() as context.lines:
+        context.responses = context.run(send())
+    context.response = context.responses[0]
+    print([(a.instance, a.step) for a in script.arrivals])
+    print([response.is_complete for response in context.responses])
+
+
+def _slow_connections(fixture, delay_s, skip):
+    pool = fixture.gateway._pool
+    acquire = pool.acquire
+    calls = []
+
+    async def acquire_slowly(instance):
+        calls.append(instance.id)
+        if len(calls) > skip:
+            await asyncio.sleep(delay_s)
+        return await acquire(instance)
+
+    return mock.patch.object(pool, 'acquire', acquire_slowly)
+
+
+@behave.when('a caller leaves while connections take {delay:d} ms')
+def step_leaves(context, delay):
+    fixture = context.fixture
+
+    async def send():
+        request = asyncio.create_task(gateway_steps.send_request(fixture))
+        await asyncio.sleep(0.6)
+        request.cancel()
+        await asyncio.sleep(0.2)
+
+    with (
+        log_capture.captured_events() as context.lines,
+        _slow_connections(fixture, delay / 1000, 1),
+    ):
+        context.run(send())
+
+
+@behave.when(
+    'a caller with a deadline of {limit:d} ms sends a request while '
+    'connections take {delay:d} ms'
+)
+def step_deadline(context, limit, delay):
+    fixture = context.fixture
+    with (
+        log_capture.captured_events() as context.lines,
+        _slow_connections(fixture, delay / 1000, 1),
+    ):
+        context.response = context.run(
+            gateway_steps.send_request(fixture, deadline_ms=limit)
+        )
+
+
+@behave.then('its last line has the code {code}')
+def step_code(context, code):
+    (fields,) = silence_steps._lines(context, *silence_steps._LAST_LINES)
+    assert fields['code'] == code, fields
+
+
+@behave.given('one of its instances never answers')
+def step_never_answers(context):
+    context.fixture.script.step_by_instance['i-1'] = 'silent'
+
+
+@behave.when('{count:d} callers send a request in turn, and their lines are kept')
+def step_send_in_turn(context, count):
+    context.responses = []
+    with log_capture.captured_events() as context.lines:
+        for number in range(count):
+            context.responses.append(
+                context.run(
+                    gateway_steps.send_request(
+                        context.fixture, request_id=f'q-{number}'
+                    )
+                )
+            )
+
+
+@behave.then('the silent instance got at most {count:d} requests')
+def step_silent_got(context, count):
+    arrivals = [arrival.instance for arrival in context.fixture.script.arrivals]
+    statuses = [response.status for response in context.responses]
+    assert arrivals.count('i-1') <= count, (arrivals, statuses)
+
+
+@behave.when('5 connections are made just as nobody waits for them any more')
+def step_unawaited(context):
+    fixture = context.fixture
+    pool = fixture.gateway._pool
+    connector = tcpclient._Connector
+    connected = connector.on_connect_done
+    tasks = []
+
+    def cancel(self, *args):
+        connected(self, *args)
+        tasks[-1].cancel()
+
+    async def connect():
+        (instance, *_) = fixture.gateway._balancer.expected_reachable('app')
+        with mock.patch.object(connector, 'on_connect_done', cancel):
+            for _ in range(5):
+                tasks.append(asyncio.create_task(pool.acquire(instance)))
+                await asyncio.wait([tasks[-1]])
+                assert tasks[-1].cancelled()
+        tasks.clear()
+        await asyncio.sleep(0.5)
+
+    context.run(connect())
+
+
+@behave.then('none of them stays open')
+def step_none_open(context):
+    gc.collect()
+    context.run(asyncio.sleep(0.2))
+    still_open = [
+        writer
+        for instance in context.fixture.instances
+        for writer in instance._writers
+        if not writer.is_closing()
+    ]
+    assert not still_open, len(still_open)
+
+
+@behave.given('two of its instances resume 250 ms after the first one')
+def step_resume_late(context):
+    async def configure():
+        context.fixture.timeout_ms = 6000
+        context.fixture.configure('streaming resumable')
+
+    context.run(configure())
+    script = context.fixture.script
+    for name in ('i-2', 'i-3'):
+        script.step_by_instance[name] = 'stream slowly after 850 ms'
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -207,6 +207,18 @@
             return False
         writer.write(_answer(arrival))
         return True
+    if step.startswith('stream slowly after '):
+        delay_ms = int(step.removeprefix('stream slowly after ').split()[0])
+        first, *later = _events(arrival)
+        writer.write(_stream_head(arrival) + _chunk(first))
+        if await _is_closed_within(reader, delay_ms / 1000):
+            arrival.disconnected.set()
+            return False
+        for event in later:
+            writer.write(_chunk(event))
+            await asyncio.sleep(_SLOW_EVENT_S)
+        writer.write(b'0\r\n\r\n')
+        return True
     if step == 'stream reset after a pause':
         first, _ = _paused_stream(arrival)
         writer.write(first)
