--- a/features/steps/silence_review_steps.py
+++ b/features/steps/silence_review_steps.py
@@ -260,8 +260,7 @@
     with log_capture.captured_events() as context.lines:
         context.response = context.run(send())
     names = [
-        (arrival.instance, arrival.step)
-        for arrival in fixture.script.arrivals
+        (arrival.instance, arrival.step) for arrival in fixture.script.arrivals
     ]
     print(names)
     print(context.lines)
@@ -306,7 +305,9 @@
         assert context.run(remaining()) == 1
 
 
-@behave.when('each instance has a stream, and those of v1 leave and are silent')
+@behave.when(
+    'each instance has a stream, and those of v1 leave and are silent'
+)
 def step_version_leaves(context):
     fixture = context.fixture
     script = fixture.script
@@ -402,7 +403,9 @@
     context.fixture.script.step_by_instance['i-1'] = 'silent'
 
 
-@behave.when('{count:d} callers send a request in turn, and their lines are kept')
+@behave.when(
+    '{count:d} callers send a request in turn, and their lines are kept'
+)
 def step_send_in_turn(context, count):
     context.responses = []
     with log_capture.captured_events() as context.lines:
@@ -418,7 +421,9 @@
 
 @behave.then('the silent instance got at most {count:d} requests')
 def step_silent_got(context, count):
-    arrivals = [arrival.instance for arrival in context.fixture.script.arrivals]
+    arrivals = [
+        arrival.instance for arrival in context.fixture.script.arrivals
+    ]
     statuses = [response.status for response in context.responses]
     assert arrivals.count('i-1') <= count, (arrivals, statuses)
 
