--- a/features/gateway/silence_review.feature
+++ b/features/gateway/silence_review.feature
@@ -106,3 +106,10 @@
     And two of its instances resume 250 ms after the first one
     When 6 callers send a request at the same time
     Then 6 requests arrived, and all are answered completely
+
+  # New requests take each slot that becomes free.
+  Scenario: a dead instance is left while the others are busy
+    Given a gateway for streaming resumable requests whose instances stream slowly
+    And each of its instances has 1 slot, and one is silent after its first event
+    When a caller has its stream there while 4 others send one stream after the other
+    Then its stream is whole
--- a/features/steps/silence_review_steps.py
+++ b/features/steps/silence_review_steps.py
@@ -15,6 +15,7 @@
 from features.steps import gateway_steps
 from features.steps import silence_steps
 from features.support import caller
+from features.support import instances
 from features.support import log_capture
 from honeyport.bundle import entries as bundle_entries
 from honeyport.bundle import model
@@ -476,3 +477,76 @@
     script = context.fixture.script
     for name in ('i-2', 'i-3'):
         script.step_by_instance[name] = 'stream slowly after 850 ms'
+
+
+@behave.given(
+    'each of its instances has 1 slot, and one is silent after its first event'
+)
+def step_one_slot(context):
+    fixture = context.fixture
+
+    async def configure():
+        fixture.slots = 1
+        fixture.timeout_ms = 4000
+        fixture.configure('streaming resumable')
+        fixture.apply_instances()
+
+    context.run(configure())
+    fixture.script.step_by_instance['i-1'] = 'stream and wait'
+
+
+@behave.when(
+    'a caller has its stream there while 4 others send one stream after the '
+    'other'
+)
+def step_busy(context):
+    fixture = context.fixture
+    instance = fixture.instances[0]
+
+    async def repeat(number):
+        while True:
+            await gateway_steps.send_request(fixture, request_id=f'o-{number}')
+
+    async def send():
+        # The first caller gets the silent instance; the others do not.
+        leaving = tuple(i.name for i in fixture.instances[1:])
+        fixture.apply_instances(gone=leaving)
+        request = asyncio.create_task(gateway_steps.send_request(fixture))
+        async with asyncio.timeout(1.0):
+            while not fixture.script.arrivals:
+                await asyncio.sleep(0.005)
+        fixture.apply_instances()
+        health = fixture.gateway._balancer._health
+        health.record_failure(
+            instance.name,
+            asyncio.get_running_loop().time() + 60,
+            connected=True,
+            confirmed=True,
+        )
+        others = []
+        for number in range(4):
+            others.append(asyncio.create_task(repeat(number)))
+            await asyncio.sleep(0.15)
+        try:
+            return await request
+        finally:
+            for task in others:
+                task.cancel()
+
+    with log_capture.captured_events() as context.lines:
+        context.response = context.run(send())
+    print(
+        [
+            (fields['no_retry'], fields.get('detail'), fields['available'])
+            for fields in silence_steps._lines(
+                context, 'silent_answer_awaited'
+            )
+        ]
+    )
+
+
+@behave.then('its stream is whole')
+def step_whole(context):
+    response = context.response
+    assert response.is_complete, response
+    assert response.body.count(b'id: ') == instances.EVENTS, response
