Go on with a begun stream only with an event stream

What callers saw: a stream whose end was lost was resumed, and the next instance answered with something else than events, such as 204, 404 or a JSON body.

Cause: responses.check passed on any answer below 500, also when the reply had begun, and write sent it as a whole response with a head of its own.

Change: such an answer is a failed attempt. It may be followed by another one within the route's limit and budget; otherwise the caller's stream is broken off. Answers that are passed on unfinished are marked as relayed and are not concerned. A gateway that gets the answer through another gateway checks it in the same place.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -78,6 +78,23 @@
       | sized    | whole               |
       | unframed | with a last comment |
 
+  # Guards against the head of another answer inside the body of a stream.
+  Scenario Outline: a begun stream does not go on with an answer that is no stream
+    Given a gateway for streaming resumable requests whose instances stream cut later; <answer>
+    When a caller sends a request
+    Then it gets 200, and 2 requests arrived
+    And the caller sees that the answer is incomplete
+    And the caller has only whole events
+
+    Examples:
+      | answer       |
+      | answer       |
+      | large answer |
+      | no content   |
+      | not found    |
+      | fail         |
+      | unsigned     |
+
   # An instance has nothing left to send if only the end of its stream was lost.
   Scenario: a stream that is resumed after its last event is complete without more events
     Given a gateway for streaming resumable requests whose instances unframed stream ended after its last event; chunked stream whole
--- a/features/steps/detour_steps.py
+++ b/features/steps/detour_steps.py
@@ -20,10 +20,10 @@
     The instances and their script are those of the other gateway.
     """
 
-    def __init__(self, steps):
-        super().__init__(['answer'])
+    def __init__(self, steps, extra=1000.0):
+        super().__init__(['answer'], extra)
         self.other_domain = 'thu-duc'
-        self.other = gateway_steps.GatewayFixture(steps, name='g-2')
+        self.other = gateway_steps.GatewayFixture(steps, extra, name='g-2')
         self.script = self.other.script
         self.instances = self.other.instances
         self.cut()
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -11,6 +11,7 @@
 KEY = 'key-of-district'
 _NAMES = instances.NAMES
 _NO_HEADERS: dict[str, str] = {}
+_WITHOUT_BODY = (204, 304)
 
 
 @attrs.define
@@ -56,6 +57,8 @@
     status_line, *header_lines = head.strip().split('\r\n')
     headers = dict(line.split(': ', 1) for line in header_lines)
     response = Response(int(status_line.split()[1]), headers, b'', True)
+    if response.status in _WITHOUT_BODY:
+        return response
     try:
         if 'Content-Length' in headers:
             length = int(headers['Content-Length'])
@@ -65,6 +68,6 @@
             response.body += await reader.readexactly(size)
             await reader.readexactly(2)
         await reader.readexactly(2)
-    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+    except (asyncio.IncompleteReadError, ConnectionError):
         response.is_complete = False
     return response
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from features.support import cut_heads
 from honeyport.gateway import headers as gateway_headers
 from honeyport import local
 from honeyport.settings import roles
@@ -24,6 +25,8 @@
 # Silence of an instance that goes on; longer than the idle timeouts of a
 # gateway in tests.
 PAUSE_S = 0.7
+# Step of an instance that answers and begins another answer, up to a byte.
+_STALE_PREFIX = 'answer, and bytes of another: '
 # Time between the events of a slow stream; shorter than these timeouts.
 _SLOW_EVENT_S = 0.1
 
@@ -167,6 +170,10 @@
     if step == 'reset':
         writer.transport.abort()
         return False
+    if step.startswith(cut_heads.STEP):
+        request_id = arrival.headers[NAMES.request_id]
+        await cut_heads.run_step(step, request_id, writer)
+        return False
     if step in ('silent', 'stream and wait'):
         if step == 'stream and wait':
             writer.write(
@@ -248,6 +255,9 @@
     """
     signal, _, inner_step = step.partition(', ')
     name, _, value = signal.partition(' ')
+    if step.startswith(_STALE_PREFIX):
+        size = int(step.removeprefix(_STALE_PREFIX))
+        return _answer(arrival) + _answer(arrival, body=b'')[:size]
     if inner_step and name in _SIGNAL_HEADERS:
         header = f'\r\n{_SIGNAL_HEADERS[name]}: {value or 1}\r\n'.encode()
         return _answer_bytes(inner_step, arrival).replace(b'\r\n', header, 1)
@@ -392,6 +402,10 @@
     'answer': _answer,
     'fail': lambda arrival: _answer(arrival, '500 Internal Server Error'),
     'busy': lambda arrival: _answer(arrival, '503 Service Unavailable'),
+    'no content': lambda arrival: _answer(
+        arrival, '204 No Content', b'', Content_Length=''
+    ),
+    'not found': lambda arrival: _answer(arrival, '404 Not Found'),
     'not run': lambda arrival: _answer(
         arrival, '503 Service Unavailable', **{NAMES.not_run: '1'}
     ),
--- a/src/honeyport/gateway/responses.py
+++ b/src/honeyport/gateway/responses.py
@@ -66,11 +66,15 @@
             f'status {head.status}', retry_after=_RETRY_AFTER_S
         )
     has_not_run_status = head.status in _NOT_RUN_STATUSES
+    is_started = exchange.reply.is_started
+    if is_started and not response.is_relayed:
+        raise errors.AttemptFailed(
+            f'status {head.status} without events, but a stream goes on'
+        )
     if head.status < _MIN_FAILURE_STATUS and not has_not_run_status:
         return response
     # Without the header, a status that callers take as "not run" is not
     # passed on: the request may have run.
-    is_started = exchange.reply.is_started
     if not has_not_run_status and not is_started:
         exchange.failed_response = response
         if not exchange.may_repeat:
