Take no unframed stream that ends after its head for whole

What callers saw: a stream broke off after two of six events and was resumed. The next instance closed the connection right after the head of an answer without framing. The caller got two events and a regular end (ORDER: the stream ends as complete before its last piece).

Cause: a resumed stream may have no events left, so that the check of its end did not ask for one. Without framing, the end of the connection is all that ends such an answer, and one that was cut after its head looks the same as one with nothing left.

Change: an event stream without framing whose body is empty is incomplete, and the request is repeated or broken off. An instance that has nothing left can say so in chunks, with a length or with an event. A first stream without events was incomplete before; with chunks or a length an empty resumed stream is whole as before.

--- a/features/gateway/cut_heads.feature
+++ b/features/gateway/cut_heads.feature
@@ -63,6 +63,7 @@
       | without content             |
       | after an interim answer     |
       | of a stream                 |
+      | of a stream without framing |
 
   Scenario Outline: a begun stream is resumed through another gateway, with an answer that is cut inside its head
     Given a gateway for all kinds of requests that reaches no instance, and another one that does
@@ -72,6 +73,7 @@
     Examples:
       | head                        |
       | without content             |
+      | of a stream without framing |
 
   Scenario: the second answer on a kept connection is cut inside its head
     Given a gateway for non_idempotent requests and one instance
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -95,6 +95,15 @@
       | fail         |
       | unsigned     |
 
+  # Guards against streams passed on as complete whose instance closed the
+  # connection after the head.
+  Scenario: a begun stream does not end with an answer that has neither events nor framing
+    Given a gateway for streaming resumable requests whose instances stream cut later; unframed stream without events
+    When a caller sends a request
+    Then it gets 200, and 2 requests arrived
+    And the caller sees that the answer is incomplete
+    And the caller has only whole events
+
   # An instance has nothing left to send if only the end of its stream was lost.
   Scenario: a stream that is resumed after its last event is complete without more events
     Given a gateway for streaming resumable requests whose instances unframed stream ended after its last event; chunked stream whole
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -148,7 +148,7 @@
         self.relay_error: BaseException | None = None
         self.excess: errors.ResponseTooLarge | None = None
         self.body = bytearray()
-        self._received_bytes = 0
+        self.received_bytes = 0
         self._is_discarded = False
         self._is_unfinished = False
         self._may_pass_on = False
@@ -186,8 +186,8 @@
         self, chunk: bytes
     ) -> collections.abc.Awaitable[None] | None:
         self._relay.on_activity()
-        self._received_bytes += len(chunk)
-        if self._received_bytes > self._max_bytes:
+        self.received_bytes += len(chunk)
+        if self.received_bytes > self._max_bytes:
             self.cut_off(f'over {self._max_bytes} bytes in a body')
         if self.excess is not None:
             raise httputil.HTTPInputError(self.excess.detail)
@@ -333,6 +333,10 @@
         if head.is_success and self._header_names.digest not in head.headers:
             raise errors.ForeignAnswer('a success response without a digest')
         if reader.is_event_stream:
+            if head.framing == 'close' and not reader.received_bytes:
+                # One that was cut after its head looks the same as one with
+                # nothing left to send.
+                raise errors.BackendLost('the stream ended after its head')
             self._relay.check_end()
         return Response(head, bytes(reader.body), reader.is_relayed)
 
