Take a success with an empty digest for one without

What callers saw: an instance whose head ended early with a blank line, right after the name of the digest header, began a stream for the caller with an empty digest; a whole body with an empty digest was passed on as a success (MIXED: a success without the replica's signature).

Cause: it was asked whether the header is there, not whether it has a value.

Evidence: before, cut_heads, "the head of an answer ends early with a blank line, before its digest", fails for a stream at the position after the colon (1 of 4 rows); the other rows hold, since such an answer has no digest or no whole body. After: 4 of 4.

Change: an empty value is no digest, at the instance and for answers that come through another gateway.

--- a/features/gateway/cut_heads.feature
+++ b/features/gateway/cut_heads.feature
@@ -75,6 +75,19 @@
       | without content             |
       | of a stream without framing |
 
+  Scenario Outline: the head of an answer ends early with a blank line, before its digest
+    Given a gateway for all kinds of requests
+    When instances end the head of an answer <head> early, with a blank line
+    Then each caller gets the whole answer of an instance, or a failure
+    And only requests that may be repeated were repeated
+
+    Examples:
+      | head                    |
+      | with a length           |
+      | in chunks               |
+      | after an interim answer |
+      | of a stream             |
+
   Scenario: the second answer on a kept connection is cut inside its head
     Given a gateway for non_idempotent requests and one instance
     When the instance cuts the second answer on a connection at each byte of its head
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -171,7 +171,7 @@
             self._is_discarded = True
             return None
         self.head = head
-        has_digest = self._header_names.digest in headers
+        has_digest = bool(headers.get(self._header_names.digest))
         if not (self.head.is_success and has_digest):
             # A success without a digest is not passed on.
             self._is_discarded = self.head.is_success
@@ -330,7 +330,7 @@
             raise errors.BackendLost(
                 _describe_cause(self._connection.stream.error)
             )
-        if head.is_success and self._header_names.digest not in head.headers:
+        if head.is_success and not head.headers.get(self._header_names.digest):
             raise errors.ForeignAnswer('a success response without a digest')
         if reader.is_event_stream:
             if head.framing == 'close' and not reader.received_bytes:
--- a/src/honeyport/gateway/detours.py
+++ b/src/honeyport/gateway/detours.py
@@ -193,7 +193,7 @@
                 head = _to_head(frame)
                 exchange.remote_instance_id = frame.backend
                 self._reported[gateway] = _ReportedLoad(frame.running, _now())
-                has_digest = self._names.digest in head.headers
+                has_digest = bool(head.headers.get(self._names.digest))
                 is_relayed = head.is_success and head.is_stream and has_digest
                 exchange.attempt_version = frame.version
                 if is_relayed:
