Do not take an interim response of a backend server for its answer

What callers saw: at the product's own routers, nothing so far; a backend server that sends 103 or 102 before its response had that status passed on as its answer, and the body of the response behind it. If the head of the response was cut, the call counted as one whose answer had begun: it was not repeated.

Cause: the client of backend servers left out 100 alone. For other interim responses, it reported a head, and the head of the final response was taken for a second one, which the dispatcher drops.

Evidence: before, backend/responses, "a response that ends inside its head is no response", fails in both rows "after three interim answers" (100, 103, 102): a head with status 103, and AnswerCut in place of BackendLost. The other 13 rows hold on the source as it was: every byte position of the head, closed and reset, with and without an idempotency key.

Change: all responses below 200 are left out; tornado reads on until the final one and limits their number. After: 21 of 21.

--- a/features/backend/responses.feature
+++ b/features/backend/responses.feature
@@ -26,3 +26,28 @@
       | two events        | complete   |
       | one and a half    | incomplete |
       | no event          | incomplete |
+
+  # Guards against successes with an empty or short body, framed as whole.
+  Scenario Outline: a response that ends inside its head is no response
+    Given a router with <server> behind it
+    When it cuts a response <head> at each byte of its head
+    Then the router takes no response for complete that is not whole
+    And it has seen no head but that of the response
+
+    Examples:
+      | server    | head                        |
+      | a service | with a length               |
+      | a service | in chunks                   |
+      | a service | without framing             |
+      | a service | without content             |
+      | a service | not modified                |
+      | a service | without a reason            |
+      | a service | with line feeds             |
+      | a service | with a folded line          |
+      | a service | after three interim answers |
+      | a service | of a stream                 |
+      | a service | of a stream without framing |
+      | an engine | with a length               |
+      | an engine | after three interim answers |
+      | an engine | of a stream                 |
+      | an engine | of a stream without framing |
--- a/src/honeyport/backend/http.py
+++ b/src/honeyport/backend/http.py
@@ -26,6 +26,7 @@
 _BODY_MAX_BYTES = 64 * 1024 * 1024
 _IDLE_CONNECTIONS_MAX = 16
 _CONNECT_TIMEOUT_S = 2.0
+_MIN_FINAL_STATUS = 200  # those below are interim
 
 
 @attrs.frozen
@@ -74,11 +75,12 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code < _MIN_FINAL_STATUS:
+            return  # tornado calls again with the final response
         self._ends_with_connection = not (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
-        if start_line.code != 100:
-            self._add(ResponseHead(start_line.code, headers))
+        self._add(ResponseHead(start_line.code, headers))
 
     def data_received(
         self, chunk: bytes
