Reuse no connection to a backend server with unread bytes

What callers saw: at the product's own routers, a backend server that wrote bytes of another response after a whole one had them taken for the answer to the next request on that connection: a success with an empty body for a whole stray response, a failure for the start of one.

Cause: the client of backend servers took each idle connection that was open. The gateway's pool has asked for unread bytes all along.

Evidence: before, backend/responses, "a connection is not kept if bytes of another response follow", fails for services and engines at the first position already (BackendLost).

Change: the check moves from the gateway's pool to a module of its own, and both clients use it. Bytes that arrive after the check cannot be told from the answer here: responses of backend servers do not name their request.

--- a/features/backend/responses.feature
+++ b/features/backend/responses.feature
@@ -51,3 +51,14 @@
       | an engine | after three interim answers |
       | an engine | of a stream                 |
       | an engine | of a stream without framing |
+
+  # Guards against an answer made of bytes that belong to no request.
+  Scenario Outline: a connection is not kept if bytes of another response follow
+    Given a router with <server> behind it
+    When it writes bytes of another response after a whole one
+    Then the next request is answered on another connection
+
+    Examples:
+      | server    |
+      | a service |
+      | an engine |
--- a/src/honeyport/backend/http.py
+++ b/src/honeyport/backend/http.py
@@ -18,6 +18,7 @@
 from tornado import iostream
 
 from honeyport.backend import connection_errors
+from honeyport.backend import idle_connections
 from honeyport import errors
 from honeyport.settings import roles
 
@@ -223,8 +224,9 @@
     async def _connect(self, new_connection: bool) -> iostream.IOStream:
         while self._idle and not new_connection:
             stream = self._idle.pop()
-            if not stream.closed():
+            if idle_connections.is_usable(stream):
                 return stream
+            stream.close()
         stream = _Stream(socket.socket(self._family))
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -10,6 +10,7 @@
 from tornado import tcpclient
 
 from honeyport.backend import connection_errors
+from honeyport.backend import idle_connections
 from honeyport import errors
 from honeyport.policy import placement
 
@@ -184,21 +185,6 @@
 
 
 def _is_reusable(connection: Connection) -> bool:
-    """Whether an idle connection is open and has no unread bytes.
-
-    Unread bytes on an idle connection belong to no request.
-    """
-    stream = connection.stream
+    """Whether an idle connection may get another request."""
     is_expired = connection.expires_at < asyncio.get_running_loop().time()
-    if is_expired or stream.closed():
-        return False
-    # Tornado reads ahead; it has no public access to its read buffer.
-    if stream._read_buffer_size:
-        return False
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
+    return not is_expired and idle_connections.is_usable(connection.stream)
