Resume a router's stream only with an event stream

What callers saw: at the product's own routers, the stream of an engine broke off and its resumption was answered with something else, such as 500, 404, 204 or a JSON body. The body of that answer stood after the events that had come, and the stream ended with the mark of a whole one: "...id: 3\ndata: token\n\n{}: whole bytes=59\n\n" (MIXED, ORDER).

Cause: the dispatcher took the head of each answer for the one it had passed on, and its end for the end of the stream. The client of engines checks the end of event streams alone, and the status for 410 and refusals.

Change: an answer to a resumption that is no successful event stream counts as a cut answer: the resumption is tried again up to the limit, then the caller gets the error event and no mark. Its rest is read and dropped, since closing it early would cancel the stream at the engine.

--- a/src/honeyport/router/dispatch.py
+++ b/src/honeyport/router/dispatch.py
@@ -165,13 +165,18 @@
         attempt = 1
         handover_deadline = 0.0
         while True:
+            is_no_stream = False  # the answer to a resumption
             try:
                 async for frame in self._send(current, backend):
                     if isinstance(frame, exchange.Head):
+                        if is_head_sent:
+                            is_no_stream = not _is_stream(frame)
+                            continue
                         is_event_stream = frame.is_event_stream
-                        if not is_head_sent:
-                            yield frame
+                        yield frame
                         is_head_sent = True
+                    elif is_no_stream:
+                        continue
                     elif isinstance(frame, exchange.Data):
                         payload = frame.payload
                         if is_event_stream:
@@ -179,6 +184,8 @@
                         frame_count += 1
                         byte_count += len(payload)
                         yield exchange.Data(frame_count, payload)
+                if is_no_stream:
+                    raise errors.AnswerCut(f'{backend} did not resume it')
                 yield exchange.End(frame_count, byte_count)
                 return
             except _INTERRUPTION_ERRORS as error:
@@ -251,3 +258,8 @@
             raise errors.NotReady(f'{backend} has no owner yet')
         self._metrics.count('hops', kind='one')
         return self._links.get(member.peer_address).answer(call, backend)
+
+
+def _is_stream(head: exchange.Head) -> bool:
+    """Whether a stream may go on with an answer."""
+    return head.is_success and head.is_event_stream
