--- a/src/honeyport/backend/http.py
+++ b/src/honeyport/backend/http.py
@@ -18,6 +18,7 @@
 from tornado import iostream
 
 from honeyport.backend import connection_errors
+from honeyport.backend import idle_connections
 from honeyport import errors
 from honeyport.settings import roles
 
@@ -26,6 +27,7 @@
 _BODY_MAX_BYTES = 64 * 1024 * 1024
 _IDLE_CONNECTIONS_MAX = 16
 _CONNECT_TIMEOUT_S = 2.0
+_MIN_FINAL_STATUS = 200  # those below are interim
 
 
 @attrs.frozen
@@ -74,11 +76,12 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code < _MIN_FINAL_STATUS:
+            return  # tornado calls again with the final response
         self._ends_with_connection = not (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
-        if start_line.code != 100:
-            self._add(ResponseHead(start_line.code, headers))
+        self._add(ResponseHead(start_line.code, headers))
 
     def data_received(
         self, chunk: bytes
@@ -221,8 +224,9 @@
     async def _connect(self, new_connection: bool) -> iostream.IOStream:
         while self._idle and not new_connection:
             stream = self._idle.pop()
-            if not stream.closed():
+            if idle_connections.is_usable(stream):
                 return stream
+            stream.close()
         stream = _Stream(socket.socket(self._family))
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
