FAULT, test only: bytes that arrive as the next attempt is found

The whole answer, or the connection's end, is passed on before the timeout that was rescheduled fires. SilenceWatch.__aexit__ then awaits asyncio.wait([search]), which gives the loop a turn also if the search is done; the cancellation arrives there, before the timeout's own __aexit__, and is never turned into a TimeoutError. The same order with write_unfinished (an answer that is passed on before it is whole): Forwarder._find_retry_obstacle looks at is_retry_spent before is_passed_on, so that a second answer may follow the first part.

The steps let the search go on right before what waits for the bytes.

Proposed: let bytes win. reset() after the decision, as long as the timeout has not expired: reschedule(None), release the reserved attempt, give the retry back (or leave it spent). In __aexit__, wait only for a search that is not done. In take(), drop a reserved attempt of another version.

--- /dev/null
+++ b/features/gateway/silence_races.feature
@@ -0,0 +1,26 @@
+Feature: An instance sends in the moment in which another attempt is found
+
+  # Guards against callers that get neither an answer nor the end of their
+  # connection.
+  Scenario: the whole answer arrives in the moment in which it would be given up
+    Given a gateway for idempotent requests whose instances answer after a pause
+    When a caller sends a request, and its bytes arrive as the next attempt is found
+    Then it gets 200, and 1 requests arrived
+    And the answer is the complete answer of an instance
+
+  Scenario: the connection breaks in the moment in which its answer would be given up
+    Given a watch over an attempt that is silent
+    When its connection breaks as the next attempt is found
+    Then the attempt ends with that error
+
+  # Guards against streams that are joined from two versions.
+  Scenario: the first event arrives in the moment in which its stream would be given up
+    Given a gateway for streaming resumable requests whose instances begin a stream after a pause; stream
+    And its instances have the versions v1, v1.1, v1.2
+    When a caller sends a request, and its bytes arrive as the next attempt is found
+    Then all events of the stream are of one version
+
+  Scenario: a slot and a permit are free again after an attempt that was not made
+    Given a gateway for idempotent requests whose instances answer after a pause
+    When a caller sends a request, and its bytes arrive as the next attempt is found
+    Then no instance has a request in flight
--- /dev/null
+++ b/features/steps/silence_race_steps.py
@@ -0,0 +1,108 @@
+"""Steps about bytes that arrive while the next attempt is being found."""
+
+import asyncio
+import re
+from unittest import mock
+
+import behave
+from tornado import iostream
+
+from features.steps import gateway_steps
+from features.support import instances
+from honeyport import errors
+from honeyport.gateway import silence_watch
+from honeyport.policy import silence
+
+_LIMIT_S = 0.01
+_ANSWER_TIMEOUT_S = 4.0
+
+
+@behave.when(
+    'a caller sends a request, and its bytes arrive as the next attempt is '
+    'found'
+)
+def step_arrive_as_found(context):
+    context.run(_send(context))
+
+
+async def _send(context):
+    fixture = context.fixture
+    release = asyncio.Event()
+    read = asyncio.Event()
+    preparation = fixture.gateway._forwarder._next_attempts
+    seek = preparation.seek
+    finish_read = iostream.BaseIOStream._finish_read
+
+    async def seek_until_read(exchange, state):
+        obstacle = await seek(exchange, state)
+        if obstacle is None:
+            release.set()
+            await read.wait()
+        return obstacle
+
+    def note_read(stream, *args):
+        # The search goes on first, and then what waits for these bytes.
+        if release.is_set():
+            read.set()
+        finish_read(stream, *args)
+
+    async def is_closed(reader, limit_s):
+        await release.wait()
+        return False
+
+    with (
+        mock.patch.object(preparation, 'seek', seek_until_read),
+        mock.patch.object(iostream.BaseIOStream, '_finish_read', note_read),
+        mock.patch.object(instances, '_is_closed_within', is_closed),
+    ):
+        async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+            context.response = await gateway_steps.send_request(fixture)
+
+
+@behave.then('all events of the stream are of one version')
+def step_one_version(context):
+    versions = set(re.findall(rb'of (v[0-9.]+)', context.response.body))
+    assert len(versions) == 1, context.response
+
+
+@behave.then('no instance has a request in flight')
+def step_none_in_flight(context):
+    async def wait():
+        async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+            while context.fixture.gateway._forwarder.running:
+                await asyncio.sleep(0.01)
+
+    context.run(wait())
+    running = context.fixture.gateway._balancer.running
+    assert not any(running.values()), running
+
+
+@behave.given('a watch over an attempt that is silent')
+def step_watch(context):
+    context.timeouts = silence.Timeouts(_LIMIT_S, _LIMIT_S)
+
+
+@behave.when('its connection breaks as the next attempt is found')
+def step_break(context):
+    context.ended_with = context.run(_break(context.timeouts))
+
+
+async def _break(timeouts):
+    broken = asyncio.get_running_loop().create_future()
+
+    async def seek(state):
+        broken.set_exception(errors.BackendLost())
+        return None
+
+    try:
+        async with silence_watch.SilenceWatch(timeouts, seek):
+            await broken
+    except (errors.BackendLost, asyncio.CancelledError, TimeoutError) as error:
+        return error
+
+
+@behave.then('the attempt ends with that error')
+def step_ended(context):
+    assert isinstance(context.ended_with, errors.BackendLost), (
+        context.ended_with
+    )
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -363,6 +363,10 @@
 ] = {
     'stream with a pause': _paused_stream,
     'answer after a pause': lambda arrival: (b'', _answer(arrival)),
+    'begin a stream after a pause': lambda arrival: (
+        b'',
+        _stream_head(arrival) + _chunk(_event(1, arrival.version)),
+    ),
 }
 _CLOSING_STEPS = (
     'cut',
