FAULT, test only: a search gives the running attempt's permit back

Interim: a failing test for the lead, no change of the source. While an attempt with a permit is silent, the search for the next one asks for a permit of the same suspect (NextAttempts._reserve, CrashGuard.hold_permit). The leader refuses it, as one is held; SuspectTracker._request_permit then releases "what may have been granted with a late answer", and the leader, which knows the gateway only, gives the first attempt's permit back while an instance still works on the request. The next search, or another gateway, gets it: several requests that may crash their instances run at once, each search is one more permit_refused and suspects_refused.

Proposed: an attempt that has a permit (exchange.has_permit) is not left for silence (an obstacle of its own), or its permit passes on to the reserved attempt. Without a permit, the search must not ask for one either while the first attempt runs.

--- a/features/gateway/part_suspects.feature
+++ b/features/gateway/part_suspects.feature
@@ -82,6 +82,14 @@
     When a request arrives whose prompt has the parts a,f,own
     Then it was not answered before its deadline
 
+  # Guards against several requests that run at once and crash their instances.
+  Scenario: a permit is kept while the instance of its request is silent
+    Given a gateway for idempotent requests whose instances answer after a pause
+    And the leader gives one permit at a time for the part f
+    When a request arrives whose prompt has the parts a,f,own
+    Then no permit was given back while an instance had the request
+    And the answer is the complete answer of an instance
+
   Scenario: a withdrawn request counts if its instance crashes right after
     Given a gateway for non_idempotent requests whose instances silent
     And the leader bars requests with the part f, never answered, 0.05 s after one arrives
--- a/features/steps/gateway_part_steps.py
+++ b/features/steps/gateway_part_steps.py
@@ -70,6 +70,18 @@
     tracker.set_sender(lambda item: _grant(tracker, item))
 
 
+@behave.given('the leader gives one permit at a time for the part {part}')
+def step_permit_in_turn(context, part):
+    step_permit(context, part)
+    context.permits = _Permits(context.fixture)
+
+
+@behave.then('no permit was given back while an instance had the request')
+def step_permit_kept(context):
+    assert context.permits.granted, 'no permit was requested'
+    assert not context.permits.early, context.permits.early
+
+
 @behave.when('a request arrives whose prompt has the parts {prompt}')
 def step_send(context, prompt):
     context.response = context.run(_send(context, prompt))
@@ -140,6 +152,39 @@
     return True
 
 
+class _Permits:
+    """A leader that gives one permit at a time.
+
+    :ivar early: instances that had the request when its permit was given back
+    """
+
+    def __init__(self, fixture):
+        self._fixture = fixture
+        self._tracker = fixture.gateway.suspects
+        self._is_held = False
+        self.granted = 0
+        self.early = []
+        self._tracker.set_sender(self._receive)
+
+    def _receive(self, item):
+        loop = asyncio.get_running_loop()
+        if item.HasField('permit'):
+            is_granted = not self._is_held
+            self._is_held = True
+            self.granted += is_granted
+            answer = pb.PermitAnswer(id=item.permit.id, granted=is_granted)
+            loop.call_soon(self._tracker.resolve_permit, answer)
+        elif item.HasField('release'):
+            self._is_held = False
+            self.early += [
+                arrival.instance
+                for arrival in self._fixture.script.arrivals
+                if not arrival.answered_at
+                and not arrival.disconnected.is_set()
+            ]
+        return True
+
+
 async def _bar_after_end(fixture, part, delay):
     while not fixture.counters.counter('instances_ended'):
         await asyncio.sleep(_POLL_S)
