Close a link between routers only if it is idle at that moment

Cause: PeerLinks._close_idle found all idle links first and then closed them one after the other. Closing one takes several turns of the event loop; a request that began to use the next one meanwhile was closed with it. Class: an answer under way is ended for a reason that is not true any more.

Change: each link is looked at right before it is closed.

Test: router/relay, "a link that was idle is used while another idle one is closed": PeerLost before, whole after. The other three scenarios of the file (a silent answer keeps its link; one of several is given up; the peer ends) passed before, too. 4 of 4 in one run.

--- a/src/honeyport/router/relay.py
+++ b/src/honeyport/router/relay.py
@@ -358,13 +358,11 @@
     async def _close_idle(self, idle_timeout_s: float) -> None:
         while self._links:
             await asyncio.sleep(idle_timeout_s)
-            await self.retain(
-                {
-                    address
-                    for address, link in self._links.items()
-                    if link.idle_s < idle_timeout_s
-                }
-            )
+            for address, link in list(self._links.items()):
+                # It may have been used while another one was closed.
+                is_idle = link.idle_s >= idle_timeout_s
+                if is_idle and self._links.get(address) is link:
+                    await self._links.pop(address).close()
 
     async def retain(self, addresses: set[str]) -> None:
         """Close the links to all peers but these.
