Let a frame that cannot be handled end no answer on its link

What callers saw: nothing so far; found by reading. All answers that pass over a link between two gateways break as lost with their peer if one frame of it (about a slot of a shared queue, or about begun streams) raises an error where it is handled, at either end.

Cause: the loops that read a link hand each frame to its handler without a guard; an error ends the loop, and its end closes the link. At the asking end, the answers after the failing one were not even told, and waited for their deadlines.

Change: an error is logged for its frame, and the link goes on.

--- a/features/router/relay.feature
+++ b/features/router/relay.feature
@@ -20,3 +20,15 @@
     Given links to 1 peers, which are closed after 0.3 s without use
     When 5 calls are sent whose answers are silent for 1 s, and the peer ends
     Then 5 answers break within 0.5 s as lost with their peer
+
+  # Guards against answers that end because of a frame that is not theirs.
+  Scenario Outline: a frame that cannot be handled ends no answer
+    Given links to 1 peers, which are closed after 0.3 s without use
+    When 5 calls are sent whose answers are silent for 1 s, and <side> fails to handle a frame about <matter>
+    Then the other 5 answers are whole
+
+    Examples:
+      | side       | matter  |
+      | the peer   | slots   |
+      | the peer   | streams |
+      | the router | slots   |
--- a/src/honeyport/router/relay.py
+++ b/src/honeyport/router/relay.py
@@ -303,7 +303,7 @@
                 for frame in batch.frames:
                     stream = self._streams.get(frame.stream)
                     if stream is not None:
-                        stream.inbox.put_nowait(frame)
+                        _deliver(stream, frame)
         except grpc.RpcError as error:
             logs.emit(
                 events.PEER_LOST, peer=self._address, error=error.code().name
@@ -314,7 +314,7 @@
             streams = list(self._streams.values())
             self._streams.clear()
             for stream in streams:
-                stream.inbox.put_nowait(None)
+                _deliver(stream, None)
 
 
 class PeerLinks:
@@ -461,13 +461,20 @@
             with contextlib.suppress(grpc.RpcError):
                 async for batch in batches:
                     for frame in batch.frames:
-                        self._handle_frame(frame, link)
+                        self._try_handle_frame(frame, link)
         except Exception as error:
             logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
         finally:
             # Without it, the peer would wait for answers on a dead link.
             link.box.close()
 
+    def _try_handle_frame(self, frame: pb.Frame, link: _ServerLink) -> None:
+        """Handle a frame; an error must not end the answers on the link."""
+        try:
+            self._handle_frame(frame, link)
+        except Exception as error:
+            logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
+
     def _handle_frame(self, frame: pb.Frame, link: _ServerLink) -> None:
         frame_type = frame.WhichOneof('body')
         number = frame.stream
@@ -529,6 +536,16 @@
             streams.pop(number, None)
 
 
+def _deliver(
+    stream: _ClientStream | _SlotStream, frame: pb.Frame | None
+) -> None:
+    """Pass a frame on; an error must not end the answers on the link."""
+    try:
+        stream.inbox.put_nowait(frame)
+    except Exception as error:
+        logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
+
+
 async def _wait_for_credit(
     stream: _ServerStream, frame: exchange.Data
 ) -> None:
