Answer a call from a peer also if it cannot be read

What callers saw: nothing so far; found by reading. A request that a peer cannot read waits for its deadline, without an answer or an error.

Cause: PeerServicer._answer read the call before the block that turns errors into an answer; the task ended with an error that nobody saw, and its stream stayed open.

Test: router/relay, "a call that cannot be read is answered with an error": no answer for 2.5 s before; 8 of 8 of the file pass.

--- a/features/router/relay.feature
+++ b/features/router/relay.feature
@@ -32,3 +32,8 @@
       | the peer   | slots   |
       | the peer   | streams |
       | the router | slots   |
+
+  Scenario: a call that cannot be read is answered with an error
+    Given links to 1 peers, which are closed after 0.3 s without use
+    When a call is sent that the peer fails to read
+    Then it is answered with an error within 0.5 s
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -180,9 +180,11 @@
         raise ValueError('a call that cannot be read')
 
     with mock.patch.object(frames, 'decode_call', fail):
+        started_at = context.loop.time()
         context.results = [
             context.run(_result(context, context.peers[0].address))
         ]
+        context.took_s = context.results[0][1] - started_at
 
 
 @behave.then('the last answer is whole')
@@ -210,6 +212,7 @@
 def step_error(context, limit):
     ((result, _),) = context.results
     assert isinstance(result, errors.HoneyportError), result
+    assert context.took_s < limit, context.took_s
 
 
 def _send_and(context, count, silence, act):
--- a/src/honeyport/router/relay.py
+++ b/src/honeyport/router/relay.py
@@ -519,8 +519,9 @@
         box: Box,
         streams: dict[int, _ServerStream],
     ) -> None:
-        answer = self._serve(frames.decode_call(message), message.backend)
         try:
+            call = frames.decode_call(message)
+            answer = self._serve(call, message.backend)
             async with contextlib.aclosing(answer):
                 async for frame in answer:
                     box.put(frames.encode_frame(number, frame))
