Test that silent engines and services keep their answers

Scenarios for places at which a router could end an answer because of silence alone: an engine that freezes in the middle of its answers, alone and while the router gets SIGTERM; a service that freezes before its answer; the steward of an engine that stops while other routers have answers there.

--- a/features/promises/leaving.feature
+++ b/features/promises/leaving.feature
@@ -9,6 +9,24 @@
     Then "router-1" ends with code 0
     And every running answer is whole and is what the engine wrote
 
+  # Guards against answers that are cut because their engines are silent for a
+  # while.
+  Scenario: a router stops while its engines are silent
+    Given 6 long answers are running through "router-1"
+    When "draft-llm-1" freezes
+    And "draft-llm-2" freezes
+    And "router-1" gets SIGTERM
+    And "draft-llm-1" resumes after 1500 ms
+    And "draft-llm-2" resumes after 0 ms
+    Then every running answer is whole and is what the engine wrote
+    And "router-1" ends with code 0
+    And no answer ran twice
+
+  Scenario: the steward of an engine stops while other routers have answers there
+    When long answers run on an engine whose steward is another router, which stops
+    Then every running answer is whole and is what the engine wrote
+    And no answer ran twice
+
   Scenario: a router that stops refuses new work with an error
     Given 2 long answers are running through "router-1"
     When "router-1" gets SIGTERM
--- a/features/promises/whole_answers.feature
+++ b/features/promises/whole_answers.feature
@@ -17,6 +17,21 @@
     When long answers run on an engine whose steward is another router, which freezes
     Then every running answer is whole or visibly incomplete
 
+  # Guards against answers that are cut because their engine is silent.
+  Scenario: an engine is silent during an answer
+    Given a fleet of 1 control replicas, 2 routers and 2 engines
+    And 6 long answers are running through "router-1"
+    When "draft-llm-1" freezes
+    And "draft-llm-1" resumes after 2500 ms
+    Then every running answer is whole and is what the engine wrote
+    And no answer ran twice
+
+  Scenario: a service is silent before its answer
+    Given a fleet of 1 control replicas, 2 routers and 1 services
+    When a filing runs at "router-1" and its service freezes for 2500 ms
+    Then the filing is answered with status 200
+    And it ran once
+
   Scenario: an engine is killed during an answer
     Given a fleet of 1 control replicas, 2 routers and 2 engines
     When 6 long answers are running and "draft-llm-1" is killed
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -83,6 +83,15 @@
     failure_steps.step_freeze(context, context.steward)
 
 
+@behave.when(
+    'long answers run on an engine whose steward is another router, which '
+    'stops'
+)
+def step_stop_steward(context):
+    context.run(start_on_remote_engine(context))
+    failure_steps.step_terminate(context, context.steward)
+
+
 async def start_on_remote_engine(context):
     """Start answers on an engine whose steward is not the entry router."""
     world = context.world
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -53,6 +53,27 @@
     context.world.send_signal(name, signal.SIGCONT)
 
 
+@behave.when(
+    'a filing runs at "{router}" and its service freezes for {pause:d} ms'
+)
+def step_freeze_service(context, router, pause):
+    context.run(freeze_service(context, router, pause / 1000))
+
+
+async def freeze_service(context, router, pause_s):
+    """Send a filing; freeze the only service while it runs."""
+    world = context.world
+    (service,) = world.backends
+    request = calls.filing_request(query='?slow=300')
+    sending = asyncio.ensure_future(calls.send(world.address(router), request))
+    world.tasks.append(sending)
+    await world.wait_until(world.executions_logged, 'the filing runs')
+    world.send_signal(service, signal.SIGSTOP)
+    await asyncio.sleep(pause_s)
+    world.send_signal(service, signal.SIGCONT)
+    context.replies = [await sending]
+
+
 @behave.when('all routers get SIGTERM')
 def step_terminate_all(context):
     for name in context.world.routers:
