FAULT, test only: silent answers through another gateway are given up too soon

While a gateway reaches no instance, its requests go through another one, and the other one leaves the decision about silence to it (callers_gateway_decides). It decides knowing nothing: its activity tracker has seen no instance, so that a shared silence is never recognised, and NextAttempts._reserve holds no more than a retry and the name of a gateway.

- a stream is cut although its instance goes on, if the other gateway takes no second call: it refuses requests as it shuts down, its lease has ended, its instances are leaving (no_instance).
- while all instances are silent, each of 12 answers is moved, stream or not.

Proposed: the gateway that has the connection decides. No change of the protocol.

--- a/features/steps/detour_steps.py
+++ b/features/steps/detour_steps.py
@@ -20,8 +20,8 @@
     The instances and their script are those of the other gateway.
     """
 
-    def __init__(self, steps):
-        super().__init__(['answer'])
+    def __init__(self, steps, **options):
+        super().__init__(['answer'], **options)
         self.other_domain = 'thu-duc'
         self.other = gateway_steps.GatewayFixture(steps, name='g-2')
         self.script = self.other.script
@@ -89,6 +89,18 @@
     context.to_stop.append(context.fixture.stop)
 
 
+@behave.given(
+    'a gateway without a retry budget for {kind} requests that reaches no '
+    'instance, and another one whose instances {steps}'
+)
+def step_cut_off_without_budget(context, kind, steps):
+    context.fixture = CutOffFixture(
+        [step.strip() for step in steps.split(';')], extra=0.0
+    )
+    context.run(context.fixture.start(kind))
+    context.to_stop.append(context.fixture.stop)
+
+
 @behave.when('the other gateway has an older configuration')
 def step_older_configuration(context):
     async def configure():
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -8,6 +8,7 @@
 from features.steps import gateway_steps
 from features.support import instances
 from features.support import log_capture
+from honeyport.wire import honeyport_pb2 as pb
 
 _KIND = 'streaming resumable'
 _LAST_LINES = ('request_broken', 'request_refused', 'request_served')
@@ -101,7 +102,33 @@
     fixture.gateway.state._lease_until = float('-inf')
 
 
+def _end_other_lease(fixture):
+    fixture.other.gateway.state._lease_until = float('-inf')
+
+
+def _leave(fixture):
+    names = tuple(instance.name for instance in fixture.instances)
+    fixture.other.apply_instances(leaving=names)
+
+
+def _refuse_requests(fixture):
+    fixture.other.gateway._caller_server.start_refusing()
+
+
+def _unlist(fixture):
+    fixture.gateway.state.apply_presence(pb.Presence())
+
+
+def _stop_other(fixture):
+    fixture.stopping = asyncio.create_task(fixture.other.tree.stop())
+
+
 _OTHERS_EVENTS = {
+    'instances are leaving': _leave,
+    'other gateway refuses requests': _refuse_requests,
+    'other gateway is not listed': _unlist,
+    'other gateway gets SIGTERM': _stop_other,
+    'lease of the other gateway ends': _end_other_lease,
     'other instances refuse connections': _refuse_connections,
     'other instances are leaving': lambda fixture: fixture.apply_instances(
         leaving=_other_names(fixture)
