Test what does not end an answer while its instance is silent

Scenarios for the places at which a gateway could end an answer: changes of the configuration (route, key, service, time limit, idle and size limits), of the list (gone, leaving, resting, empty), connections refused, SIGTERM, the end of the lease, memory that is short, a request that is withdrawn while its next attempt is sought, and SIGTERM while an instance is silent for good (served until stop_after_s, then visibly broken).

--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -70,6 +70,7 @@
             self.counters,
         )
         self.tree = supervisor.Supervisor(name)
+        self.kind = ''
         self.version = 0
         self.list_number = 0
         self.address_by_instance = {
@@ -108,15 +109,18 @@
         account: str = 'district',
         regions: tuple[str, ...] = (),
         prefix: str = '/r/',
+        service: str = 'app',
+        limits: model.RequestLimits | None = None,
     ) -> None:
         """Apply a configuration with one route."""
+        self.kind = kind
         self.version += 1
         semantics, _, resumable = kind.partition(' ')
         route = model.Route(
             host=caller.HOST,
             prefix=prefix,
             semantics=semantics,
-            weights={'app': 1},
+            weights={service: 1},
             timeout_ms=self.timeout_ms,
             attempts=2,
             objective_ms=_OBJECTIVE_MS,
@@ -127,10 +131,11 @@
         bundle = model.Bundle(
             version=self.version,
             signers=model.Signers(keys={}),
-            services={'app': model.Service(kind=model.SERVICE)},
+            services={service: model.Service(kind=model.SERVICE)},
             backends={},
             accounts={account: model.Account(keys=keys)},
             routes={'r': route},
+            requests=limits or model.RequestLimits(),
         )
         entries = bundle_entries.to_entries(bundle)
         text = bundle_entries.canonical(entries)
