Test without a budget at both gateways of a detour

"A silent instance goes on, and no retry is left" took the budget from the caller's gateway only; which of the two pays is not what it is about.

--- a/features/steps/detour_steps.py
+++ b/features/steps/detour_steps.py
@@ -23,7 +23,7 @@
     def __init__(self, steps, **options):
         super().__init__(['answer'], **options)
         self.other_domain = 'thu-duc'
-        self.other = gateway_steps.GatewayFixture(steps, name='g-2')
+        self.other = gateway_steps.GatewayFixture(steps, name='g-2', **options)
         self.script = self.other.script
         self.instances = self.other.instances
         self.cut()
