--- a/features/gateway/silence_races.feature
+++ b/features/gateway/silence_races.feature
@@ -24,3 +24,14 @@
     Given a gateway for idempotent requests whose instances answer after a pause
     When a caller sends a request, and its bytes arrive as the next attempt is found
     Then no instance has a request in flight
+
+  Scenario Outline: nothing is held after a request that ended while its next attempt was sought
+    Given a gateway for idempotent requests whose instances silent
+    When <event> while the next attempt is sought
+    Then no instance has a request in flight
+    And the instance sees the disconnect within half a second
+
+    Examples:
+      | event                         |
+      | a caller leaves               |
+      | the time of a request is over |
--- a/features/steps/silence_race_steps.py
+++ b/features/steps/silence_race_steps.py
@@ -15,6 +15,8 @@
 
 _LIMIT_S = 0.01
 _ANSWER_TIMEOUT_S = 4.0
+# Longer than the timeout for the first byte, and shorter than the route's.
+_OVER_MS = 1000
 
 
 @behave.when(
@@ -59,6 +61,41 @@
             context.response = await gateway_steps.send_request(fixture)
 
 
+@behave.when('a caller leaves while the next attempt is sought')
+def step_leave_while_sought(context):
+    context.run(_end_while_sought(context, _OVER_MS * 2, is_leaving=True))
+
+
+@behave.when('the time of a request is over while the next attempt is sought')
+def step_over_while_sought(context):
+    context.run(_end_while_sought(context, _OVER_MS, is_leaving=False))
+
+
+async def _end_while_sought(context, deadline_ms, *, is_leaving):
+    fixture = context.fixture
+    sought = asyncio.Event()
+    pool = fixture.gateway._pool
+    acquire = pool.acquire
+
+    async def acquire_late(instance):
+        if fixture.script.arrivals:
+            sought.set()
+            await asyncio.sleep(_ANSWER_TIMEOUT_S)
+        return await acquire(instance)
+
+    with mock.patch.object(pool, 'acquire', acquire_late):
+        request = asyncio.create_task(
+            gateway_steps.send_request(fixture, deadline_ms=deadline_ms)
+        )
+        async with asyncio.timeout(_ANSWER_TIMEOUT_S / 2):
+            await sought.wait()
+            if is_leaving:
+                request.cancel()
+            await asyncio.wait([request])
+            while fixture.gateway._forwarder.running:
+                await asyncio.sleep(0.01)
+
+
 @behave.then('all events of the stream are of one version')
 def step_one_version(context):
     versions = set(re.findall(rb'of (v[0-9.]+)', context.response.body))
