Leave the streams of a former steward to the next one

Cause: a router whose link breaks takes its callers for gone and cancels their streams at the engine. A former steward does so when it goes on, after the streams were resumed through the next one. Class: an answer is ended for a reason that is not true any more.

Change: a router without a lease cancels nothing; the engine ends a stream that nobody reads. The lease is judged by this router's own clock, which goes on while the process is frozen.

--- a/features/promises/whole_answers.feature
+++ b/features/promises/whole_answers.feature
@@ -32,6 +32,13 @@
     Then the filing is answered with status 200
     And it ran once
 
+  # Guards against answers that a former steward cancels at their engine.
+  Scenario: the steward is frozen for longer than its lease, and goes on
+    Given a fleet of 3 control replicas, 3 routers and 3 engines
+    When long answers run on an engine whose steward is another router, which freezes for 1600 ms
+    Then every running answer is whole and is what the engine wrote
+    And no answer ran twice
+
   Scenario: an engine is killed during an answer
     Given a fleet of 1 control replicas, 2 routers and 2 engines
     When 6 long answers are running and "draft-llm-1" is killed
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -83,6 +83,16 @@
     failure_steps.step_freeze(context, context.steward)
 
 
+@behave.when(
+    'long answers run on an engine whose steward is another router, which '
+    'freezes for {pause:d} ms'
+)
+def step_freeze_steward_briefly(context, pause):
+    context.run(start_on_remote_engine(context, _TOKENS * 3))
+    failure_steps.step_freeze(context, context.steward)
+    failure_steps.step_resume(context, context.steward, pause)
+
+
 @behave.when(
     'long answers run on an engine whose steward is another router, which '
     'stops'
@@ -92,7 +102,7 @@
     failure_steps.step_terminate(context, context.steward)
 
 
-async def start_on_remote_engine(context):
+async def start_on_remote_engine(context, tokens=_TOKENS):
     """Start answers on an engine whose steward is not the entry router."""
     world = context.world
     entry = 'router-1'
@@ -108,7 +118,7 @@
                 world.address(entry),
                 calls.chat_request(
                     f'far-{number}',
-                    tokens=_TOKENS,
+                    tokens=tokens,
                     Honeyport_Placement=engine,
                 ),
             )
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -201,7 +201,10 @@
             self._handle_error(server, error, request)
             raise
         finally:
-            if abandoned and call.repeatable:
+            # Without a lease, another router may have resumed it meanwhile;
+            # engines end streams that nobody reads.
+            is_steward = self._state.lease_left > 0
+            if abandoned and call.repeatable and is_steward:
                 self._cancel_in_background(server, call, started_at)
             else:
                 self._finish_request(server, loop.time() - started_at)
