Do not cancel an answer that its caller has resumed

What callers saw: an answer that was read in part, with Honeyport-Linger, and resumed at another router, broke off one reconnect period (linger_ms) after the first connection closed, if it still ran then.

Cause: the steward of an engine keeps the stream for that period after its caller has left, and cancels it then, whether or not it was resumed meanwhile. Class: an answer is ended for a reason that is not true any more.

Change: a stream is not cancelled while a call with its id runs at the same engine, nor by a router that is not its steward any more, through which it would have been resumed.

The older scenario's answer ends before the period does.

--- a/features/promises/whole_answers.feature
+++ b/features/promises/whole_answers.feature
@@ -51,6 +51,13 @@
     Then both parts together are what the engine wrote
     And no answer ran twice
 
+  # Guards against answers that are cancelled after they were resumed.
+  Scenario: a caller resumes an answer that lasts longer than the reconnect period
+    Given a fleet of 1 control replicas, 2 routers and 2 engines
+    When a caller reads part of a very long answer at "router-1" and resumes it at "router-2"
+    Then both parts together are what the engine wrote
+    And no answer ran twice
+
   Scenario: an answer is cancelled when its caller disconnects
     Given a fleet of 1 control replicas, 2 routers and 2 engines
     When a caller disconnects during an answer at "router-1"
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -20,6 +20,8 @@
 from honeyport.router import resume
 
 _TOKENS = 150
+# Lasts longer than the reconnect period of the test fleet.
+_VERY_LONG_TOKENS = 600
 
 
 @behave.given(
@@ -171,11 +173,19 @@
     context.run(resume_elsewhere(context, first, second))
 
 
-async def resume_elsewhere(context, first, second):
+@behave.when(
+    'a caller reads part of a very long answer at "{first}" and resumes it at '
+    '"{second}"'
+)
+def step_resume_long(context, first, second):
+    context.run(resume_elsewhere(context, first, second, _VERY_LONG_TOKENS))
+
+
+async def resume_elsewhere(context, first, second, tokens=_TOKENS):
     world = context.world
     offset = resume.StreamOffset()
     headers = {'X_Request_Id': 'resumed-1', 'Honeyport_Linger': '1'}
-    request = calls.chat_request('yard-5', tokens=_TOKENS, **headers)
+    request = calls.chat_request('yard-5', tokens=tokens, **headers)
     received = b''
     pool = http.Pool(world.address(first))
     parts = pool.fetch(request)
@@ -187,7 +197,7 @@
                 break
     offset.begin_resume()
     headers['Last_Event_ID'] = str(offset.last_event)
-    request = calls.chat_request('yard-5', tokens=_TOKENS, **headers)
+    request = calls.chat_request('yard-5', tokens=tokens, **headers)
     reply = await calls.send(world.address(second), request)
     assert reply.status == 200, reply
     answer, _, _ = reply.body.rpartition(b': whole bytes=')
--- a/src/honeyport/router/steward.py
+++ b/src/honeyport/router/steward.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import typing
@@ -70,6 +71,10 @@
         self._backoffs = rests.Backoffs()
         self._transfers = prefix_transfer.PrefixTransfers(state, counters)
         self._cancel_tasks: set[asyncio.Task[None]] = set()
+        # Calls that run now, by backend server and request id.
+        self._calls: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         counters.gauge('steward_slots', lambda: len(self._owned_servers()))
         counters.gauge('steward_running', lambda: self.running)
 
@@ -184,6 +189,8 @@
         started_at = loop.time()
         abandoned = True
         answer = server.client.answer(call)
+        running = (server.name, call.request_id)
+        self._calls[running] += 1
         try:
             async with contextlib.aclosing(answer):
                 async for frame in answer:
@@ -201,6 +208,9 @@
             self._handle_error(server, error, request)
             raise
         finally:
+            self._calls[running] -= 1
+            if not self._calls[running]:
+                del self._calls[running]
             # Without a lease, another router may have resumed it meanwhile;
             # engines end streams that nobody reads.
             is_steward = self._state.lease_left > 0
@@ -573,11 +583,18 @@
         call: exchange.Call,
         started_at: float,
     ) -> None:
-        """Cancel a call, after the reconnect period if it has one."""
+        """Cancel a call, after the reconnect period if it has one.
+
+        One that was resumed meanwhile goes on, also through another steward.
+        """
+        is_resumed = False
         if call.linger:
             await asyncio.sleep(self._state.timing.linger_ms / 1000)
-        with contextlib.suppress(errors.HoneyportError):
-            await server.client.cancel(call.request_id)
+            is_here = (server.name, call.request_id) in self._calls
+            is_resumed = is_here or not server.owned
+        if not is_resumed:
+            with contextlib.suppress(errors.HoneyportError):
+                await server.client.cancel(call.request_id)
         loop = asyncio.get_running_loop()
         self._finish_request(server, loop.time() - started_at)
 
