--- a/features/promises/whole_answers.feature
+++ b/features/promises/whole_answers.feature
@@ -26,6 +26,11 @@
     Then every running answer is whole and is what the engine wrote
     And no answer ran twice
 
+  Scenario: an engine is silent for good during an answer
+    Given a fleet of 1 control replicas, 2 routers and 1 engines
+    When an answer with a deadline of 2 seconds runs at "router-1" and its engine freezes
+    Then it ends 2 to 3.5 seconds after it began, with an error event "HP-3011"
+
   Scenario: a service is silent before its answer
     Given a fleet of 1 control replicas, 2 routers and 1 services
     When a filing runs at "router-1" and its service freezes for 2500 ms
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -212,6 +212,39 @@
     assert hashlib.sha256(context.received).hexdigest() in digests
 
 
+@behave.when(
+    'an answer with a deadline of {limit:d} seconds runs at "{router}" and '
+    'its engine freezes'
+)
+def step_freeze_for_good(context, limit, router):
+    context.replies = [context.run(freeze_for_good(context, limit, router))]
+
+
+async def freeze_for_good(context, limit, router):
+    world = context.world
+    (engine,) = world.backends
+    request = calls.chat_request(
+        'yard-7', tokens=_VERY_LONG_TOKENS, Honeyport_Deadline=str(limit)
+    )
+    sending = asyncio.ensure_future(calls.send(world.address(router), request))
+    world.tasks.append(sending)
+    await world.wait_until(world.executions_logged, 'the answer runs')
+    await asyncio.sleep(0.2)
+    failure_steps.step_freeze(context, engine)
+    return await sending
+
+
+@behave.then(
+    'it ends {first:g} to {last:g} seconds after it began, with an error '
+    'event "{code}"'
+)
+def step_ended_by_deadline(context, first, last, code):
+    (reply,) = context.replies
+    assert first <= reply.duration_s <= last, reply.duration_s
+    last_event = reply.body.rstrip().rpartition(b'\n\n')[2]
+    assert f'"code": "{code}"'.encode() in last_event, reply.body[-400:]
+
+
 @behave.when('a caller disconnects during an answer at "{router}"')
 def step_disconnect(context, router):
     context.run(disconnect(context, router))
