FAULT, test only: attempts that are prepared too long, or held and not used

Interim: two failing tests for the lead, no change of the source.

NextAttempts.seek looks at the situation, and then prepares: it may wait for a permit, a place in a shared queue and a connection. When these come, the time left may be below the objective, all instances may be silent, or no other one be heard any more; the attempt is given up all the same. Proposed: keep expires_at; a connection that was not used has not become younger.

--- a/features/gateway/silence_races.feature
+++ b/features/gateway/silence_races.feature
@@ -35,3 +35,16 @@
       | event                         |
       | a caller leaves               |
       | the time of a request is over |
+
+  # Guards against answers that are given up for an attempt that comes too late.
+  Scenario: the time left passes while the next attempt is prepared
+    Given a gateway for idempotent requests whose instances answer after a pause
+    And its instances pause for 1420 ms
+    When a caller sends a request, and meanwhile connections take 850 ms
+    Then it gets 200, and 1 requests arrived
+
+  # Guards against requests on connections that their instances have closed.
+  Scenario: a connection that was held and not used expires as before
+    Given a gateway for idempotent requests whose instances answer
+    When a connection that expires in 100 ms is held for an attempt that is not made
+    Then it is not used 200 ms later
--- a/features/steps/silence_race_steps.py
+++ b/features/steps/silence_race_steps.py
@@ -1,6 +1,7 @@
 """Steps about bytes that arrive while the next attempt is being found."""
 
 import asyncio
+import contextlib
 import re
 from unittest import mock
 
@@ -10,7 +11,10 @@
 from features.steps import gateway_steps
 from features.support import instances
 from honeyport import errors
+from honeyport.gateway import pool
+from honeyport.gateway import prepared
 from honeyport.gateway import silence_watch
+from honeyport.policy import placement
 from honeyport.policy import silence
 
 _LIMIT_S = 0.01
@@ -74,8 +78,8 @@
 async def _end_while_sought(context, deadline_ms, *, is_leaving):
     fixture = context.fixture
     sought = asyncio.Event()
-    pool = fixture.gateway._pool
-    acquire = pool.acquire
+    connections = fixture.gateway._pool
+    acquire = connections.acquire
 
     async def acquire_late(instance):
         if fixture.script.arrivals:
@@ -83,7 +87,7 @@
             await asyncio.sleep(_ANSWER_TIMEOUT_S)
         return await acquire(instance)
 
-    with mock.patch.object(pool, 'acquire', acquire_late):
+    with mock.patch.object(connections, 'acquire', acquire_late):
         request = asyncio.create_task(
             gateway_steps.send_request(fixture, deadline_ms=deadline_ms)
         )
@@ -143,3 +147,45 @@
     assert isinstance(context.ended_with, errors.BackendLost), (
         context.ended_with
     )
+
+
+@behave.given('its instances pause for {pause:d} ms')
+def step_pause(context, pause):
+    patch = mock.patch.object(instances, 'PAUSE_S', pause / 1000)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.when(
+    'a connection that expires in {expiry:d} ms is held for an attempt that '
+    'is not made'
+)
+def step_hold(context, expiry):
+    context.run(_hold(context, expiry / 1000))
+
+
+async def _hold(context, expiry_s):
+    gateway = context.fixture.gateway
+    (context.instance, *_) = gateway._balancer.expected_reachable('app')
+    connection = await gateway._pool.acquire(context.instance)
+    gateway._pool.release(connection, expiry_s / pool._PEER_TIMEOUT_RATIO)
+    held = await gateway._pool.acquire(context.instance)
+    assert held is connection
+    unsent = prepared.PreparedAttempt(
+        placement.Choice(context.instance, -1, 0, 0, 1),
+        held,
+        False,
+        contextlib.AsyncExitStack(),
+    )
+    exchange = mock.Mock(tried=set())
+    await gateway._forwarder._attempts.drop(exchange, unsent)
+
+
+@behave.then('it is not used {later:d} ms later')
+def step_expired(context, later):
+    async def has_idle():
+        await asyncio.sleep(later / 1000)
+        connections = context.fixture.gateway._pool
+        return connections.has_idle(context.instance, float('-inf'))
+
+    assert not context.run(has_idle())
