--- a/features/gateway/silence_races.feature
+++ b/features/gateway/silence_races.feature
@@ -20,6 +20,13 @@
     When a caller sends a request, and its bytes arrive as the next attempt is found
     Then all events of the stream are of one version
 
+  # Guards against streams that are cut in the moment in which they go on.
+  Scenario: a stream goes on in the moment in which it would be given up
+    Given a gateway for streaming resumable requests whose instances stream slowly after a pause; stream
+    And its instances have the versions v1, v1.1, v1.2
+    When a caller sends a request, and its bytes arrive as the next attempt is found
+    Then the caller has every event once, in order
+
   Scenario: a slot and a permit are free again after an attempt that was not made
     Given a gateway for idempotent requests whose instances answer after a pause
     When a caller sends a request, and its bytes arrive as the next attempt is found
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -193,6 +193,10 @@
         await writer.drain()
         arrival.answered_at = time.monotonic()
         return True
+    if step == 'stream slowly after a pause':
+        if await _is_closed_within(reader, PAUSE_S):
+            return False
+        step = 'stream slowly'
     if step == 'stream slowly':
         writer.write(_stream_head(arrival))
         for event in _events(arrival):
