Give no permit back after a refusal

What callers saw: nothing by itself; several requests that may crash their instances could run at once.

Cause: a gateway that is refused a permit released it "in case it was granted with a late answer". The leader knows the holder by its gateway only. If another request of the same gateway had the permit, the refusal of the second took it from the first, which went on without. Since the search for a next attempt asks beside a running one, each silent suspect did so, too.

Change: it is released only if no answer came. A refusal shows that none was granted.

--- a/features/steps/cancellation_steps.py
+++ b/features/steps/cancellation_steps.py
@@ -7,6 +7,7 @@
 
 from features.support import cancellation
 from honeyport.control import leadership
+from honeyport import errors
 from honeyport.policy import traits
 from honeyport.router import suspects
 from honeyport.telemetry import metrics
@@ -63,6 +64,41 @@
     context.ignored = context.run(cancel())
 
 
+@behave.when(
+    'a suspect request runs with a permit, and another one like it is refused'
+)
+def step_refuse_suspect(context):
+    tracker = suspects.SuspectTracker(metrics.Metrics())
+    asked = []
+    context.released = 0
+
+    def send(item):
+        context.released += item.HasField('release')
+        if item.HasField('permit'):
+            asked.append(item.permit.id)
+            answer = pb.PermitAnswer(id=asked[-1], granted=len(asked) == 1)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(tracker.resolve_permit, answer)
+        return True
+
+    async def run():
+        tracker.set_sender(send)
+        tracker.apply(
+            pb.Suspects(
+                suspects=[pb.Suspect(request=bytes.fromhex(_REQUEST), ends=2)]
+            )
+        )
+        request = traits.Traits(_REQUEST)
+        async with tracker.admit(request, lambda release: None):
+            try:
+                await _run_suspect(tracker)
+            except errors.RequestHeld:
+                return
+            raise AssertionError('the second request was not refused')
+
+    context.run(run())
+
+
 @behave.then('its permit was released {count:d} times')
 def step_released(context, count):
     assert context.released == count, context.released
--- a/src/honeyport/router/suspects.py
+++ b/src/honeyport/router/suspects.py
@@ -337,7 +337,7 @@
         permit_request = pb.PermitRequest(
             id=number, request=bytes.fromhex(request)
         )
-        granted = False
+        is_answered = False
         try:
             if not self._send(pb.RouterItem(permit=permit_request)):
                 raise errors.RequestHeld(
@@ -345,17 +345,18 @@
                 )
             async with asyncio.timeout(_PERMIT_TIMEOUT_S):
                 answer = await future
+            is_answered = True
             if not answer.granted:
                 raise _refusal_error(answer)
-            granted = True
         except TimeoutError:
             raise errors.RequestHeld(
                 'the leader did not answer in time', retry_after=_RETRY_AFTER_S
             ) from None
         finally:
             del self._pending_permits[number]
-            if not granted:
+            if not is_answered:
                 # The leader may have granted it with an answer that was late.
+                # After a refusal, another request here may have the permit.
                 self._release_permit(request)
 
     def _clear(self, requests: list[str]) -> None:
