--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -20,6 +20,8 @@
 from honeyport.router import resume
 
 _TOKENS = 150
+# Lasts longer than the reconnect period of the test fleet.
+_VERY_LONG_TOKENS = 600
 
 
 @behave.given(
@@ -83,7 +85,26 @@
     failure_steps.step_freeze(context, context.steward)
 
 
-async def start_on_remote_engine(context):
+@behave.when(
+    'long answers run on an engine whose steward is another router, which '
+    'freezes for {pause:d} ms'
+)
+def step_freeze_steward_briefly(context, pause):
+    context.run(start_on_remote_engine(context, _TOKENS * 3))
+    failure_steps.step_freeze(context, context.steward)
+    failure_steps.step_resume(context, context.steward, pause)
+
+
+@behave.when(
+    'long answers run on an engine whose steward is another router, which '
+    'stops'
+)
+def step_stop_steward(context):
+    context.run(start_on_remote_engine(context))
+    failure_steps.step_terminate(context, context.steward)
+
+
+async def start_on_remote_engine(context, tokens=_TOKENS):
     """Start answers on an engine whose steward is not the entry router."""
     world = context.world
     entry = 'router-1'
@@ -99,7 +120,7 @@
                 world.address(entry),
                 calls.chat_request(
                     f'far-{number}',
-                    tokens=_TOKENS,
+                    tokens=tokens,
                     Honeyport_Placement=engine,
                 ),
             )
@@ -152,11 +173,19 @@
     context.run(resume_elsewhere(context, first, second))
 
 
-async def resume_elsewhere(context, first, second):
+@behave.when(
+    'a caller reads part of a very long answer at "{first}" and resumes it at '
+    '"{second}"'
+)
+def step_resume_long(context, first, second):
+    context.run(resume_elsewhere(context, first, second, _VERY_LONG_TOKENS))
+
+
+async def resume_elsewhere(context, first, second, tokens=_TOKENS):
     world = context.world
     offset = resume.StreamOffset()
     headers = {'X_Request_Id': 'resumed-1', 'Honeyport_Linger': '1'}
-    request = calls.chat_request('yard-5', tokens=_TOKENS, **headers)
+    request = calls.chat_request('yard-5', tokens=tokens, **headers)
     received = b''
     pool = http.Pool(world.address(first))
     parts = pool.fetch(request)
@@ -168,7 +197,7 @@
                 break
     offset.begin_resume()
     headers['Last_Event_ID'] = str(offset.last_event)
-    request = calls.chat_request('yard-5', tokens=_TOKENS, **headers)
+    request = calls.chat_request('yard-5', tokens=tokens, **headers)
     reply = await calls.send(world.address(second), request)
     assert reply.status == 200, reply
     answer, _, _ = reply.body.rpartition(b': whole bytes=')
@@ -183,6 +212,39 @@
     assert hashlib.sha256(context.received).hexdigest() in digests
 
 
+@behave.when(
+    'an answer with a deadline of {limit:d} seconds runs at "{router}" and '
+    'its engine freezes'
+)
+def step_freeze_for_good(context, limit, router):
+    context.replies = [context.run(freeze_for_good(context, limit, router))]
+
+
+async def freeze_for_good(context, limit, router):
+    world = context.world
+    (engine,) = world.backends
+    request = calls.chat_request(
+        'yard-7', tokens=_VERY_LONG_TOKENS, Honeyport_Deadline=str(limit)
+    )
+    sending = asyncio.ensure_future(calls.send(world.address(router), request))
+    world.tasks.append(sending)
+    await world.wait_until(world.executions_logged, 'the answer runs')
+    await asyncio.sleep(0.2)
+    failure_steps.step_freeze(context, engine)
+    return await sending
+
+
+@behave.then(
+    'it ends {first:g} to {last:g} seconds after it began, with an error '
+    'event "{code}"'
+)
+def step_ended_by_deadline(context, first, last, code):
+    (reply,) = context.replies
+    assert first <= reply.duration_s <= last, reply.duration_s
+    last_event = reply.body.rstrip().rpartition(b'\n\n')[2]
+    assert f'"code": "{code}"'.encode() in last_event, reply.body[-400:]
+
+
 @behave.when('a caller disconnects during an answer at "{router}"')
 def step_disconnect(context, router):
     context.run(disconnect(context, router))
--- a/features/steps/silence_race_steps.py
+++ b/features/steps/silence_race_steps.py
@@ -1,6 +1,7 @@
 """Steps about bytes that arrive while the next attempt is being found."""
 
 import asyncio
+import contextlib
 import re
 from unittest import mock
 
@@ -10,11 +11,16 @@
 from features.steps import gateway_steps
 from features.support import instances
 from honeyport import errors
+from honeyport.gateway import pool
+from honeyport.gateway import prepared
 from honeyport.gateway import silence_watch
+from honeyport.policy import placement
 from honeyport.policy import silence
 
 _LIMIT_S = 0.01
 _ANSWER_TIMEOUT_S = 4.0
+# Longer than the timeout for the first byte, and shorter than the route's.
+_OVER_MS = 1000
 
 
 @behave.when(
@@ -59,6 +65,41 @@
             context.response = await gateway_steps.send_request(fixture)
 
 
+@behave.when('a caller leaves while the next attempt is sought')
+def step_leave_while_sought(context):
+    context.run(_end_while_sought(context, _OVER_MS * 2, is_leaving=True))
+
+
+@behave.when('the time of a request is over while the next attempt is sought')
+def step_over_while_sought(context):
+    context.run(_end_while_sought(context, _OVER_MS, is_leaving=False))
+
+
+async def _end_while_sought(context, deadline_ms, *, is_leaving):
+    fixture = context.fixture
+    sought = asyncio.Event()
+    connections = fixture.gateway._pool
+    acquire = connections.acquire
+
+    async def acquire_late(instance):
+        if fixture.script.arrivals:
+            sought.set()
+            await asyncio.sleep(_ANSWER_TIMEOUT_S)
+        return await acquire(instance)
+
+    with mock.patch.object(connections, 'acquire', acquire_late):
+        request = asyncio.create_task(
+            gateway_steps.send_request(fixture, deadline_ms=deadline_ms)
+        )
+        async with asyncio.timeout(_ANSWER_TIMEOUT_S / 2):
+            await sought.wait()
+            if is_leaving:
+                request.cancel()
+            await asyncio.wait([request])
+            while fixture.gateway._forwarder.running:
+                await asyncio.sleep(0.01)
+
+
 @behave.then('all events of the stream are of one version')
 def step_one_version(context):
     versions = set(re.findall(rb'of (v[0-9.]+)', context.response.body))
@@ -115,3 +156,45 @@
 def step_ended(context, outcome):
     expected = {'given up': TimeoutError, 'cancelled': asyncio.CancelledError}
     assert context.ended_with is expected[outcome], context.ended_with
+
+
+@behave.given('its instances pause for {pause:d} ms')
+def step_pause(context, pause):
+    patch = mock.patch.object(instances, 'PAUSE_S', pause / 1000)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.when(
+    'a connection that expires in {expiry:d} ms is held for an attempt that '
+    'is not made'
+)
+def step_hold(context, expiry):
+    context.run(_hold(context, expiry / 1000))
+
+
+async def _hold(context, expiry_s):
+    gateway = context.fixture.gateway
+    (context.instance, *_) = gateway._balancer.expected_reachable('app')
+    connection = await gateway._pool.acquire(context.instance)
+    gateway._pool.release(connection, expiry_s / pool._PEER_TIMEOUT_RATIO)
+    held = await gateway._pool.acquire(context.instance)
+    assert held is connection
+    unsent = prepared.PreparedAttempt(
+        placement.Choice(context.instance, -1, 0, 0, 1),
+        held,
+        False,
+        contextlib.AsyncExitStack(),
+    )
+    exchange = mock.Mock(tried=set())
+    await gateway._forwarder._attempts.drop(exchange, unsent)
+
+
+@behave.then('it is not used {later:d} ms later')
+def step_expired(context, later):
+    async def has_idle():
+        await asyncio.sleep(later / 1000)
+        connections = context.fixture.gateway._pool
+        return connections.has_idle(context.instance, float('-inf'))
+
+    assert not context.run(has_idle())
--- a/src/honeyport/gateway/next_attempts.py
+++ b/src/honeyport/gateway/next_attempts.py
@@ -120,17 +120,13 @@
         :returns: why there is none yet; ``None`` if it is reserved
         """
         is_elsewhere = await self._is_elsewhere(exchange)
-        now = asyncio.get_running_loop().time()
-        mute = self._activity.mute(exchange.service, now) - {
-            exchange.current_instance_id
-        }
-        situation = self._observe(exchange, state, is_elsewhere, mute)
+        situation = self._observe(exchange, state, is_elsewhere)
         if situation.is_instance_at_fault:
             self._attempts.record_silence(exchange)
         obstacle, detail = silence.find_obstacle(situation), ''
         if obstacle is None:
             try:
-                obstacle = await self._reserve(exchange, mute)
+                obstacle = await self._reserve(exchange, state)
             except errors.HoneyportError as error:
                 obstacle = obstacles.Obstacle.CANNOT_BE_PREPARED
                 detail = f'{error.code}: {error.detail}'
@@ -155,17 +151,19 @@
             exchange.failed_gateways.add(exchange.via)
         return is_answering
 
+    def _find_mute(self, exchange: exchanges.Exchange) -> frozenset[str]:
+        """Return the other instances of the service that are silent, too."""
+        now = asyncio.get_running_loop().time()
+        mute = self._activity.mute(exchange.service, now)
+        return mute - {exchange.current_instance_id}
+
     def _observe(
         self,
         exchange: exchanges.Exchange,
         state: silence_watch.Silence,
         is_elsewhere: bool,
-        mute: frozenset[str],
     ) -> silence.Situation:
-        """Return what is known while an attempt is silent.
-
-        :param mute: the other instances that are silent, too
-        """
+        """Return what is known while an attempt is silent."""
         now = asyncio.get_running_loop().time()
         heard = self._activity.heard(
             exchange.service, now, silence.recent_s(state.limit_s)
@@ -181,38 +179,46 @@
             remaining_s=exchange.deadline - now,
             objective_s=exchange.match.route.objective_ms / 1000,
             others=max(0, len(listed) - 1),
-            mute=len(mute),
+            mute=len(self._find_mute(exchange)),
             heard=len(heard),
             was_shared=now - state.shared_at < state.limit_s,
         )
 
-    def _find_excluded(
-        self, exchange: exchanges.Exchange, mute: frozenset[str]
-    ) -> frozenset[str]:
+    def _find_excluded(self, exchange: exchanges.Exchange) -> frozenset[str]:
         """Return the instances that are not chosen for the next attempt."""
         listed = self._balancer.listed(exchange.service)
         others = {instance.id for instance in listed} - {
             exchange.current_instance_id
         }
-        full = self._balancer.find_full(exchange.service)
-        return silence.find_excluded(others, mute, full)
+        return silence.find_excluded(
+            others,
+            self._find_mute(exchange),
+            self._balancer.find_full(exchange.service),
+        )
 
     async def _reserve(
-        self, exchange: exchanges.Exchange, mute: frozenset[str]
+        self, exchange: exchanges.Exchange, state: silence_watch.Silence
     ) -> obstacles.Obstacle | None:
         """Get all that the next attempt needs; the retry is spent last.
 
+        :returns: what has come in between, if anything
         :raises errors.HoneyportError: if it cannot be made
         """
-        excluded = self._find_excluded(exchange, mute)
-        attempt = await self.prepare(exchange, excluded)
+        attempt = await self.prepare(exchange, self._find_excluded(exchange))
         if attempt is None:
             self._detours.check_available(exchange)
+        obstacle = silence.find_obstacle(
+            self._observe(exchange, state, is_elsewhere=False)
+        )
         now = asyncio.get_running_loop().time()
-        if not self._budgets.try_spend(exchange.service, now):
+        if obstacle is None and not self._budgets.try_spend(
+            exchange.service, now
+        ):
+            obstacle = obstacles.Obstacle.NO_BUDGET_LEFT
+        if obstacle is not None:
             if attempt is not None:
                 await self._attempts.drop(exchange, attempt)
-            return obstacles.Obstacle.NO_BUDGET_LEFT
+            return obstacle
         exchange.next_attempt = attempt
         exchange.is_retry_spent = True
         return None
--- a/src/honeyport/router/relay.py
+++ b/src/honeyport/router/relay.py
@@ -303,7 +303,7 @@
                 for frame in batch.frames:
                     stream = self._streams.get(frame.stream)
                     if stream is not None:
-                        stream.inbox.put_nowait(frame)
+                        _deliver(stream, frame)
         except grpc.RpcError as error:
             logs.emit(
                 events.PEER_LOST, peer=self._address, error=error.code().name
@@ -314,7 +314,7 @@
             streams = list(self._streams.values())
             self._streams.clear()
             for stream in streams:
-                stream.inbox.put_nowait(None)
+                _deliver(stream, None)
 
 
 class PeerLinks:
@@ -358,13 +358,11 @@
     async def _close_idle(self, idle_timeout_s: float) -> None:
         while self._links:
             await asyncio.sleep(idle_timeout_s)
-            await self.retain(
-                {
-                    address
-                    for address, link in self._links.items()
-                    if link.idle_s < idle_timeout_s
-                }
-            )
+            for address, link in list(self._links.items()):
+                # It may have been used while another one was closed.
+                is_idle = link.idle_s >= idle_timeout_s
+                if is_idle and self._links.get(address) is link:
+                    await self._links.pop(address).close()
 
     async def retain(self, addresses: set[str]) -> None:
         """Close the links to all peers but these.
@@ -463,13 +461,20 @@
             with contextlib.suppress(grpc.RpcError):
                 async for batch in batches:
                     for frame in batch.frames:
-                        self._handle_frame(frame, link)
+                        self._try_handle_frame(frame, link)
         except Exception as error:
             logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
         finally:
             # Without it, the peer would wait for answers on a dead link.
             link.box.close()
 
+    def _try_handle_frame(self, frame: pb.Frame, link: _ServerLink) -> None:
+        """Handle a frame; an error must not end the answers on the link."""
+        try:
+            self._handle_frame(frame, link)
+        except Exception as error:
+            logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
+
     def _handle_frame(self, frame: pb.Frame, link: _ServerLink) -> None:
         frame_type = frame.WhichOneof('body')
         number = frame.stream
@@ -514,8 +519,9 @@
         box: Box,
         streams: dict[int, _ServerStream],
     ) -> None:
-        answer = self._serve(frames.decode_call(message), message.backend)
         try:
+            call = frames.decode_call(message)
+            answer = self._serve(call, message.backend)
             async with contextlib.aclosing(answer):
                 async for frame in answer:
                     box.put(frames.encode_frame(number, frame))
@@ -531,6 +537,16 @@
             streams.pop(number, None)
 
 
+def _deliver(
+    stream: _ClientStream | _SlotStream, frame: pb.Frame | None
+) -> None:
+    """Pass a frame on; an error must not end the answers on the link."""
+    try:
+        stream.inbox.put_nowait(frame)
+    except Exception as error:
+        logs.emit(events.REQUEST_FAILED, error=repr(error), exc_info=True)
+
+
 async def _wait_for_credit(
     stream: _ServerStream, frame: exchange.Data
 ) -> None:
