Take a stream up by the newest list only

Callers could get a stream of two software versions: a gateway that had an older list than others, with one version in it for 20 s, took up a stream that nobody had a record of, at that version.

Two ways led there. A gateway that hears control was trusted without a look at the lists of those it asked, but control is also heard while a large list waits for its rate limit. And what another gateway's list says was accepted although a third one had named a newer list.

Now none of those asked may have a newer list, whether control is heard or not, and all of the first four are waited for (0.12 s at most) where one answer was enough; another gateway's word counts only if its list is the newest one.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -142,6 +142,63 @@
     When a caller takes up a stream that no gateway knows at g-2
     Then it is refused as not run within 500 ms, with a time to come back
 
+  # Guards against a stream that goes on by a list that is sent late.
+  Scenario: a gateway that hears control has an older list than others
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And the others than g-2 get a list with the versions v1, v1, v1.1
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+
+  # Guards against a stream that goes on by what an older list says.
+  Scenario: one of the gateways that are asked has an older list than others
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    And g-2 has just started
+    And g-1 gets a list with the versions v1, v1, v1.1
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+
+  # Guards against streams that go on at any version once nobody knows theirs.
+  Scenario Outline: all gateways are killed at once
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
+    And the instances have the versions <before>
+    When 3 streams begin at g-1 and break
+    And all gateways are killed
+    And they are started again while the versions are <after>
+    And their callers take them up at <gateway>
+    Then they are refused as not run, and no request arrived
+
+    Examples:
+      | before       | after            | gateway |
+      | v1, v1, v1.1 | v1, v1, v1.1     | g-2     |
+      | v1, v1, v1   | v1, v1, v1.1     | g-2     |
+      | v1, v1, v1   | v1.1, v1.1, v1.1 | g-2     |
+      | v1, v1, v1.1 | v1.1, v1.1, v1.1 | g-2     |
+
+  Scenario Outline: a gateway with an older list survives
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
+    And the lists have shown one version for as long as a stream lasts
+    And the others than g-3 get a list with the versions v1.1, v1.1, v1.1
+    When 3 streams begin at g-1 and break
+    And all gateways but g-3 are killed
+    And they are started again while the versions are v1.1, v1.1, v1.1
+    And g-3 forgets what it was told
+    And their callers take them up at <gateway>
+    Then they are refused as not run, and no request arrived
+
+    Examples:
+      | gateway |
+      | g-2     |
+      | g-3     |
+
+  # Guards against a window that is shorter than the stream.
+  Scenario: a caller that waits for longer than versions are remembered
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the lists have shown one version for as long as a stream lasts
+    When a caller that waits for 25 s takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+
   Scenario: a caller without a limit of time
     Given a fleet of 5 gateways for streaming resumable requests whose instances stream cut later
     And the instances have the versions v1, v1, v1.1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -16,6 +16,7 @@
 from honeyport import exchange
 from honeyport.gateway import stream_copies
 from honeyport import local
+from honeyport.policy import begun_streams
 from honeyport.policy import versions
 from honeyport.router import fleetstate
 from honeyport.router import frames
@@ -27,6 +28,7 @@
 # Time for records to arrive at other gateways.
 _TOLD_S = 0.1
 _UNKNOWN_ID = 'never-seen'
+_NO_HEADERS: dict[str, str] = {}
 _EVENT = re.compile(rb'id: (\d+)\ndata: token \1 of (\S+)\n\n')
 
 
@@ -166,6 +168,17 @@
     context.run(context.fleet.apply_versions(names.split(', '), but=name))
 
 
+@behave.given('{name} gets a list with the versions {names}')
+def step_newer_list_at(context, name, names):
+    context.run(context.fleet.apply_versions(names.split(', '), only=name))
+
+
+@behave.when('{name} forgets what it was told')
+def step_forget(context, name):
+    streams = context.fleet.gateways[name].gateway._streams
+    streams._held = begun_streams.Records()
+
+
 @behave.when('{count:d} streams begin at {name} and break')
 def step_begin(context, count, name):
     context.run(_begin(context, count, context.fleet.gateways[name]))
@@ -208,27 +221,69 @@
         context.run(context.fleet.stop_gateway(name))
 
 
+@behave.when('all gateways are killed')
+def step_kill_all(context):
+    step_kill_but(context, '')
+
+
+@behave.when('all gateways but {survivor} are killed')
+def step_kill_but(context, survivor):
+    names = [name for name in context.fleet.gateways if name != survivor]
+
+    async def kill():
+        for name in names:
+            await context.fleet.kill(name)
+
+    context.run(kill())
+    context.killed = names
+
+
+@behave.when('they are started again while the versions are {names}')
+def step_restart(context, names):
+    for instance, version in zip(
+        context.fleet.instances, names.split(', '), strict=True
+    ):
+        instance.version = version
+    context.run(context.fleet.restart(context.killed))
+
+
+@behave.when('their callers take them up at {name}, and name no request')
+def step_take_up_unnamed(context, name):
+    _take_all_up(context, name, {instances.NAMES.resumes: ''})
+
+
 @behave.when('their callers take them up at {name}')
 def step_take_up(context, name):
+    _take_all_up(context, name, {})
+
+
+def _take_all_up(context, name, headers):
     context.fleet.script.replace(['stream'])
     context.fleet.script.arrivals.clear()
     fixture = context.fleet.gateways[name]
     context.responses = []
     for request_id, parts in context.parts.items():
-        response = context.run(_take_up(fixture, request_id, parts[0]))
+        response = context.run(
+            _take_up(fixture, request_id, parts[0], headers)
+        )
         context.responses.append(response)
         parts.append(response.body)
 
 
-async def _take_up(fixture, request_id, received):
+async def _take_up(
+    fixture, request_id, received, headers=_NO_HEADERS, deadline_ms=5000
+):
     numbers = [int(number) for number, _ in _EVENT.findall(received)]
+    all_headers = {
+        instances.NAMES.resumes: request_id,
+        instances.NAMES.last_event: str(numbers[-1]),
+        **headers,
+    }
     return await gateway_steps.send_request(
         fixture,
         request_id=f'{request_id}-again',
-        headers={
-            instances.NAMES.resumes: request_id,
-            instances.NAMES.last_event: str(numbers[-1]),
-        },
+        deadline_ms=deadline_ms,
+        headers={name: text for name, text in all_headers.items() if text},
     )
 
 
@@ -246,11 +301,25 @@
 
 @behave.when('a caller takes up a stream that no gateway knows at {name}')
 def step_take_up_unknown(context, name):
+    _take_unknown_up(context, name)
+
+
+@behave.when(
+    'a caller that waits for {limit_s:d} s takes up a stream that no gateway '
+    'knows at {name}'
+)
+def step_take_up_long(context, limit_s, name):
+    _take_unknown_up(context, name, deadline_ms=limit_s * 1000)
+
+
+def _take_unknown_up(context, name, **options):
     fixture = context.fleet.gateways[name]
     event = b'id: 2\ndata: token 2 of v1\n\n'
     started_at = time.monotonic()
     with log_capture.captured_events() as context.lines:
-        context.response = context.run(_take_up(fixture, _UNKNOWN_ID, event))
+        context.response = context.run(
+            _take_up(fixture, _UNKNOWN_ID, event, **options)
+        )
     context.took_s = time.monotonic() - started_at
 
 
--- a/features/support/gateway_fleet.py
+++ b/features/support/gateway_fleet.py
@@ -18,25 +18,36 @@
     """
 
     def __init__(self, number_of_gateways, steps, **options):
+        self._steps = steps
+        self._options = options
         self.gateways = {
-            f'g-{number}': gateway_steps.GatewayFixture(
-                steps, name=f'g-{number}', **options
-            )
-            for number in range(1, number_of_gateways + 1)
+            name: self._make(name)
+            for name in (f'g-{n}' for n in range(1, number_of_gateways + 1))
         }
         self.first = self.gateways['g-1']
         self.script = self.first.script
+        self.instances = self.first.instances
         self.stopped = set()
 
+    def _make(self, name):
+        return gateway_steps.GatewayFixture(
+            self._steps, name=name, **self._options
+        )
+
     async def start(self, kind):
+        self._kind = kind
         await self.first.start(kind)
         for fixture in self._others():
-            fixture.instances = self.first.instances
-            fixture.address_by_instance = self.first.address_by_instance
-            await fixture.gateway.start(fixture.tree)
-            fixture.make_ready(kind)
+            await self._start_beside(fixture)
         self.list_gateways()
 
+    async def _start_beside(self, fixture):
+        """Start a gateway in front of the instances that run."""
+        fixture.instances = self.instances
+        fixture.address_by_instance = self.first.address_by_instance
+        await fixture.gateway.start(fixture.tree)
+        fixture.make_ready(self._kind)
+
     def list_gateways(self):
         presence = pb.Presence()
         for number, fixture in enumerate(self.gateways.values()):
@@ -56,11 +67,11 @@
             if fixture is not self.first
         ]
 
-    async def apply_versions(self, names, but=''):
-        for instance, version in zip(self.first.instances, names, strict=True):
+    async def apply_versions(self, names, but='', only=''):
+        for instance, version in zip(self.instances, names, strict=True):
             instance.version = version
         for fixture in self.gateways.values():
-            if fixture.name != but:
+            if fixture.name != but and only in ('', fixture.name):
                 fixture.apply_instances()
 
     async def shorten_history(self):
@@ -82,9 +93,19 @@
         self.gateways[name].gateway._streams.hand_over = lambda: None
         await self.stop_gateway(name)
 
+    async def restart(self, names):
+        """Start processes for gateways that were killed."""
+        latest = max(fixture.list_number for fixture in self.gateways.values())
+        for name in names:
+            fixture = self.gateways[name] = self._make(name)
+            fixture.list_number = latest
+            self.stopped.discard(name)
+            await self._start_beside(fixture)
+        self.list_gateways()
+
     async def stop(self):
         for name, fixture in self.gateways.items():
             if name not in self.stopped:
                 await fixture.tree.stop()
-        for instance in self.first.instances:
+        for instance in self.instances:
             await instance.stop()
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -185,19 +185,12 @@
         only_version = self._only_version(lookup.service, lifetime_s)
         is_current = self._history.silence_s(_now()) <= _MAX_SILENCE_S
         ranked = self._copies.rank(lookup.request_id, _MAX_ASKED)
-        origin = await self._ask(
-            search,
-            ranked[:_FIRST_ASKED],
-            is_one_enough=is_current and bool(only_version),
-        )
+        origin = await self._ask(search, ranked[:_FIRST_ASKED])
         if origin is not None:
             return origin
-        # Without control, another gateway must have no newer list.
-        is_latest = (
-            search.answered > 0
-            and search.newest_list <= self._state.instances.number
-        )
-        if only_version and (is_current or is_latest):
+        # Control is also heard while a large list waits to be sent.
+        has_newest = search.newest_list <= self._state.instances.number
+        if only_version and has_newest and (is_current or search.answered):
             return Origin(lookup.service, only_version, 'list')
         origin = await self._ask(search, ranked[_FIRST_ASKED:_MAX_ASKED])
         if origin is not None or lifetime_s > _MAX_STREAM_S:
@@ -205,24 +198,21 @@
         return self._accept_only_origin(search)
 
     def _accept_only_origin(self, search: '_Search') -> Origin | None:
-        """Return what another gateway's list says, unless the own differs."""
+        """Return what the newest list says, unless the own one differs.
+
+        A gateway with an older list does not know what others have begun.
+        """
         origin = search.only_origin
-        if origin is None:
+        newest_list = max(search.newest_list, self._state.instances.number)
+        if origin is None or search.origin_list < newest_list:
             return None
         own_versions = self._history.versions(origin.service)
         return origin if own_versions <= {origin.version} else None
 
     async def _ask(
-        self,
-        search: '_Search',
-        members: list[pb.Member],
-        *,
-        is_one_enough: bool = False,
+        self, search: '_Search', members: list[pb.Member]
     ) -> Origin | None:
-        """Ask gateways at once; return the first record of the stream.
-
-        :param is_one_enough: whether to wait for one answer only
-        """
+        """Ask gateways at once; return the first record of the stream."""
         if not members:
             return None
         tasks = [
@@ -234,7 +224,7 @@
             async with asyncio.timeout(_ASK_TIMEOUT_S):
                 for task in asyncio.as_completed(tasks):
                     origin = await task
-                    if origin or (is_one_enough and search.answered):
+                    if origin:
                         return origin
         except TimeoutError:
             # The line about the whole search has this number.
@@ -258,7 +248,9 @@
         if found.HasField('stream'):
             stream = found.stream
             return Origin(stream.service, stream.version, member.router)
-        if found.HasField('only_version'):
+        is_newer = found.list_number > search.origin_list
+        if found.HasField('only_version') and is_newer:
+            search.origin_list = found.list_number
             search.only_origin = Origin(
                 search.lookup.service, found.only_version, member.router
             )
@@ -306,6 +298,7 @@
     :ivar unanswered: number of those that did not
     :ivar newest_list: number of the newest list that one of them has
     :ivar only_origin: the only version that another gateway's list has shown
+    :ivar origin_list: number of that list
     """
 
     lookup: pb.StreamLookup
@@ -314,6 +307,7 @@
     unanswered: int = 0
     newest_list: int = 0
     only_origin: Origin | None = None
+    origin_list: int = 0
 
 
 def _now() -> float:
