Keep streams of callers that name no request at one version

Callers that take a stream up with Last-Event-Id alone, as SSE clients do by themselves, could get a stream of two software versions: such a request named no stream and went to any instance, also when all gateways had been killed and another version had come meanwhile, or when several were in service.

Nothing is recorded for it.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -170,11 +170,13 @@
     Then they are refused as not run, and no request arrived
 
     Examples:
-      | before       | after            | gateway |
-      | v1, v1, v1.1 | v1, v1, v1.1     | g-2     |
-      | v1, v1, v1   | v1, v1, v1.1     | g-2     |
-      | v1, v1, v1   | v1.1, v1.1, v1.1 | g-2     |
-      | v1, v1, v1.1 | v1.1, v1.1, v1.1 | g-2     |
+      | before       | after            | gateway                  |
+      | v1, v1, v1.1 | v1, v1, v1.1     | g-2                      |
+      | v1, v1, v1   | v1, v1, v1.1     | g-2                      |
+      | v1, v1, v1   | v1.1, v1.1, v1.1 | g-2                      |
+      | v1, v1, v1.1 | v1.1, v1.1, v1.1 | g-2                      |
+      | v1, v1, v1.1 | v1, v1, v1.1     | g-2, and name no request |
+      | v1, v1, v1   | v1.1, v1.1, v1.1 | g-2, and name no request |
 
   Scenario Outline: a gateway with an older list survives
     Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
@@ -188,9 +190,19 @@
     Then they are refused as not run, and no request arrived
 
     Examples:
-      | gateway |
-      | g-2     |
-      | g-3     |
+      | gateway                  |
+      | g-2                      |
+      | g-3                      |
+      | g-2, and name no request |
+      | g-3, and name no request |
+
+  Scenario: a caller that names no request, while there is one version
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
+    And the lists have shown one version for as long as a stream lasts
+    When 3 streams begin at g-1 and break
+    And g-1 is killed
+    And their callers take them up at g-2, and name no request
+    Then all streams are whole, each of one version
 
   # Guards against a window that is shorter than the stream.
   Scenario: a caller that waits for longer than versions are remembered
--- a/src/honeyport/gateway/exchange_factory.py
+++ b/src/honeyport/gateway/exchange_factory.py
@@ -144,10 +144,15 @@
         :raises errors.StreamUnknown: if that is not known, or if the route no
             longer leads there
         """
-        if not request.resumes or match.route.semantics != model.STREAMING:
+        route = match.route
+        # Without the id of a request, its caller takes some stream up.
+        takes_up = request.resumes or (
+            route.resumable and request.last_event_id
+        )
+        if not takes_up or route.semantics != model.STREAMING:
             return None
         origin = await self._streams.find(request, match)
-        if origin.service not in match.route.weights:
+        if origin.service not in route.weights:
             raise errors.StreamUnknown(
                 f'the stream began at {origin.service}, which {match.name} no '
                 'longer leads to',
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -158,7 +158,7 @@
             )
             raise errors.StreamUnknown(
                 f'none of {search.asked} gateways knows the version of the '
-                f'stream that {began_as} began',
+                f'stream that {began_as or "an unnamed request"} began',
                 retry_after=_RETRY_AFTER_S,
             )
         logs.emit(
@@ -168,11 +168,12 @@
             known_by=origin.known_by,
             **fields,
         )
-        self.record(
-            begun_streams.BegunStream(
-                began_as, origin.service, origin.version, request.deadline
+        if began_as:
+            self.record(
+                begun_streams.BegunStream(
+                    began_as, origin.service, origin.version, request.deadline
+                )
             )
-        )
         return origin
 
     async def _search(
