Keep the versions that may have begun streams on record

Control records the versions of each service in its log now. A version is committed before routers get its instances, and removed when it was not listed for 30 s of one leader's clock, so that the record never names a version too few; the first record of a service also stands for earlier versions. It goes to the routers with the list. A gateway takes a stream up at the only version on record. Nothing is trusted across a restart but committed entries; no wall clock is used.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -112,3 +112,73 @@
       | 0     | 7     |
       | 2     | 3     |
       | 900   | 2     |
+
+  Scenario: versions before the first record are remembered for a while
+    Given a catalog that has read the versions a=v1, b=v1
+    Then earlier+v1 may have begun streams
+    When 29 seconds pass
+    And the list shows the versions a=v1, b=v1
+    Then earlier+v1 may have begun streams
+    When 2 seconds pass
+    And the list shows the versions a=v1, b=v1
+    Then v1 may have begun streams
+
+  # Guards against streams of versions that no record names.
+  Scenario: instances of a new version are published once it is on record
+    Given a catalog that has read the versions a=v1
+    When commits fail
+    And the list shows the versions a=v1, b=v1.1
+    Then the known instances are a
+    When commits succeed again
+    Then the known instances are a, b
+    And earlier+v1+v1.1 may have begun streams
+
+  Scenario: nothing is published before the first versions are on record
+    Given a catalog that has read the versions a=v1
+    When commits fail
+    And all processes restart and the list shows the versions b=v1.1
+    Then no list is published
+    When commits succeed again
+    Then the known instances are b
+
+  Scenario: the record outlives all processes
+    Given a catalog that has read the versions a=v1
+    When 31 seconds pass
+    And the list shows the versions a=v1, b=v1.1
+    And all processes restart and the list shows the versions b=v1.1
+    Then v1+v1.1 may have begun streams
+    When 29 seconds pass
+    And the list shows the versions b=v1.1
+    Then v1+v1.1 may have begun streams
+    When 2 seconds pass
+    And the list shows the versions b=v1.1
+    Then v1.1 may have begun streams
+
+  Scenario: one version on record is known at once after a restart
+    Given a catalog that has read the versions a=v1
+    When 31 seconds pass
+    And the list shows the versions a=v1
+    And all processes restart and the list shows the versions a=v1
+    Then v1 may have begun streams
+
+  # Guards against a version that is published while its removal is committed.
+  Scenario: a version comes back while its removal is not known to be committed
+    Given a catalog that has read the versions a=v1, b=v1.1
+    When the list shows the versions a=v1
+    And 31 seconds pass
+    And commits fail
+    And the list shows the versions a=v1
+    And the list shows the versions a=v1, c=v1.1
+    Then the known instances are a
+    When commits succeed again
+    Then the known instances are a, c
+    And v1+v1.1 may have begun streams
+
+  Scenario: a service that is no longer listed needs no record
+    Given a catalog that has read the versions a=v1
+    When the list is empty
+    And 31 seconds pass
+    And the list is empty
+    Then 0 services are on record
+    When the list shows the versions b=v1.1
+    Then earlier+v1.1 may have begun streams
--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -178,6 +178,39 @@
       | v1, v1, v1.1 | v1, v1, v1.1     | g-2, and name no request |
       | v1, v1, v1   | v1.1, v1.1, v1.1 | g-2, and name no request |
 
+  # Guards against refusals by gateways that have all just started.
+  Scenario Outline: all gateways are killed, and one version is on record
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
+    And the instances have the versions v1, v1, v1
+    When 3 streams begin at g-1 and break
+    And all gateways are killed
+    And they are started again with v1 on record while the versions are v1, v1, v1
+    And their callers take them up at <gateway>
+    Then all streams are whole, each of one version
+
+    Examples:
+      | gateway                  |
+      | g-2                      |
+      | g-2, and name no request |
+
+  Scenario Outline: all gateways are killed, and several versions are on record
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
+    And the instances have the versions <before>
+    When 3 streams begin at g-1 and break
+    And all gateways are killed
+    And they are started again with <recorded> on record while the versions are <after>
+    And their callers take them up at <gateway>
+    Then they are refused as not run, and no request arrived
+
+    Examples:
+      | before       | after            | recorded   | gateway                  |
+      | v1, v1, v1.1 | v1, v1, v1.1     | v1+v1.1    | g-2                      |
+      | v1, v1, v1   | v1.1, v1.1, v1.1 | v1+v1.1    | g-2                      |
+      | v1, v1, v1   | v1.1, v1.1, v1.1 | v1         | g-2                      |
+      | v1, v1, v1   | v1, v1, v1       | earlier+v1 | g-2                      |
+      | v1, v1, v1   | v1, v1, v1       | earlier    | g-2                      |
+      | v1, v1, v1   | v1.1, v1.1, v1.1 | v1+v1.1    | g-2, and name no request |
+
   Scenario Outline: a gateway with an older list survives
     Given a fleet of 3 gateways for streaming resumable requests whose instances stream cut later
     And the lists have shown one version for as long as a stream lasts
--- a/features/policy/versions.feature
+++ b/features/policy/versions.feature
@@ -42,6 +42,21 @@
       | 42  | v1      |
       | 44  | unknown |
 
+  Scenario Outline: the versions on record
+    Given llm has <recorded> on record
+    When its latest instances have the versions <listed> for <seconds> s
+    Then <planned> is to be on record
+
+    Examples:
+      | recorded | listed  | seconds | planned    |
+      | nothing  | v1      | 0       | earlier+v1 |
+      | v1       | v1      | 90      | v1         |
+      | v1       | v1+v1.1 | 0       | v1+v1.1    |
+      | v1+v1.1  | v1.1    | 29      | v1+v1.1    |
+      | v1+v1.1  | v1.1    | 31      | v1.1       |
+      | v1       | none    | 29      | v1         |
+      | v1       | none    | 31      | nothing    |
+
   Scenario: the number of records is limited, and they expire
     Given records of 60000 streams, each of which lasts for 10 s
     Then 50000 of them are known, the latest ones
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -17,6 +17,9 @@
 _READ_AND_COMMIT_S = 0.5
 
 
+_COMMANDS = {pb.PlaceChange: 'places', pb.VersionChange: 'versions'}
+
+
 class _FakeLeader:
     """Fake of a leading control replica, with what the catalog uses."""
 
@@ -28,10 +31,11 @@
         self.commits_succeed = True
 
     async def propose(self, command):
-        """Apply a change of places at once, or fail."""
+        """Apply a change at once, or fail."""
         if not self.commits_succeed:
             raise errors.CommitUnknown('no quorum')
-        return self.machine.apply(pb.Entry(places=command))
+        field = _COMMANDS[type(command)]
+        return self.machine.apply(pb.Entry(**{field: command}))
 
 
 class CatalogSetup:
@@ -58,8 +62,10 @@
         snapshot = pb.State.FromString(
             self.node.machine.save().SerializeToString()
         )
+        commits_succeed = self.node.commits_succeed
         self.node = _FakeLeader(term=self.node.term + 1)
         self.node.machine.restore(snapshot)
+        self.node.commits_succeed = commits_succeed
         self.become_leader()
 
     def read(self, names: str, leaving: str = '') -> None:
@@ -70,6 +76,16 @@
         ]
         self.read_current_list()
 
+    def read_versions(self, entries: str) -> None:
+        """Read a list of instances with versions, such as ``a=v1``."""
+        self.listed_instances = [
+            pb.Instance(id=name, service='llm', version=version)
+            for name, version in (
+                entry.split('=') for entry in entries.split(', ')
+            )
+        ]
+        self.read_current_list()
+
     def read_cold(self, names: str, cold_name: str, cold_ms: int) -> None:
         """Read a list in which one instance is cold."""
         self.listed_instances = [
@@ -134,6 +150,52 @@
     context.catalog.read(names)
 
 
+@behave.given('a catalog that has read the versions {entries}')
+def step_version_catalog(context, entries):
+    context.catalog = CatalogSetup()
+    context.catalog.read_versions(entries)
+
+
+@behave.when('the list shows the versions {entries}')
+def step_read_versions(context, entries):
+    context.catalog.read_versions(entries)
+
+
+@behave.when('all processes restart and the list shows the versions {entries}')
+def step_restart_versions(context, entries):
+    context.catalog.restart()
+    context.catalog.read_versions(entries)
+
+
+@behave.when('the list is empty')
+def step_read_empty(context):
+    context.catalog.listed_instances = []
+    context.catalog.read_current_list()
+
+
+@behave.then('no list is published')
+def step_no_list(context):
+    assert context.catalog.catalog.number == 0
+
+
+@behave.then('{count:d} services are on record')
+def step_services(context, count):
+    recorded = context.catalog.node.machine.versions
+    assert len(recorded) == count, recorded
+
+
+@behave.then('{names} may have begun streams')
+def step_may_have_begun(context, names):
+    lists = context.catalog.catalog.lists
+    lists.publish()
+    message = lists.message(0, b'')
+    published = {
+        entry.service: {version or 'earlier' for version in entry.versions}
+        for entry in message.versions
+    }
+    assert published == {'llm': set(names.split('+'))}, published
+
+
 @behave.when('a part of the list with {names} is readable')
 def step_read_part(context, names):
     context.catalog.missing = 'no answer'
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -72,6 +72,8 @@
         self.tree = supervisor.Supervisor(name)
         self.version = 0
         self.list_number = 0
+        # Software versions on record at control, if it keeps a record.
+        self.recorded: tuple[str, ...] = ()
         self.address_by_instance = {
             instance.name: instance.address for instance in self.instances
         }
@@ -152,6 +154,8 @@
         """
         self.list_number += 1
         instance_list = pb.Instances(number=self.list_number)
+        if self.recorded:
+            instance_list.versions.add(service='app', versions=self.recorded)
         for instance in self.instances:
             if instance.name in gone:
                 continue
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -240,11 +240,24 @@
 
 @behave.when('they are started again while the versions are {names}')
 def step_restart(context, names):
+    _restart(context, names)
+
+
+@behave.when(
+    'they are started again with {recorded} on record while the versions are '
+    '{names}'
+)
+def step_restart_recorded(context, recorded, names):
+    on_record = tuple(recorded.replace('earlier', '').split('+'))
+    _restart(context, names, on_record)
+
+
+def _restart(context, names, recorded=()):
     for instance, version in zip(
         context.fleet.instances, names.split(', '), strict=True
     ):
         instance.version = version
-    context.run(context.fleet.restart(context.killed))
+    context.run(context.fleet.restart(context.killed, recorded))
 
 
 @behave.when('their callers take them up at {name}, and name no request')
--- a/features/steps/version_history_steps.py
+++ b/features/steps/version_history_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from honeyport.policy import begun_streams
+from honeyport.policy import version_records
 from honeyport.policy import versions
 
 # Between two messages of control.
@@ -52,6 +53,26 @@
     return frozenset(names.split('+'))
 
 
+@behave.given('llm has {names} on record')
+def step_on_record(context, names):
+    context.recorded = {} if names == 'nothing' else {'llm': _parse(names)}
+
+
+@behave.when('its latest instances have the versions {names} for {end:d} s')
+def step_listed_for(context, names, end):
+    recorder = version_records.VersionRecorder()
+    listed = {} if names == 'none' else {'llm': _parse(names)}
+    for now in (0.0, float(end)):
+        context.planned = recorder.plan(context.recorded, listed, now)
+
+
+@behave.then('{names} is to be on record')
+def step_to_be_on_record(context, names):
+    expected = set() if names == 'nothing' else set(names.split('+'))
+    planned = {name or 'earlier' for name in context.planned['llm']}
+    assert planned == expected, planned
+
+
 @behave.given(
     'records of {count:d} streams, each of which lasts for {seconds:d} s'
 )
--- a/features/support/gateway_fleet.py
+++ b/features/support/gateway_fleet.py
@@ -93,12 +93,16 @@
         self.gateways[name].gateway._streams.hand_over = lambda: None
         await self.stop_gateway(name)
 
-    async def restart(self, names):
-        """Start processes for gateways that were killed."""
+    async def restart(self, names, recorded=()):
+        """Start processes for gateways that were killed.
+
+        :param recorded: the software versions that control has on record
+        """
         latest = max(fixture.list_number for fixture in self.gateways.values())
         for name in names:
             fixture = self.gateways[name] = self._make(name)
             fixture.list_number = latest
+            fixture.recorded = recorded
             self.stopped.discard(name)
             await self._start_beside(fixture)
         self.list_gateways()
--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -7,10 +7,15 @@
 of the replicated state and survive a restart of all processes. They are sent
 to the routers before they are committed, so that disk latency does not delay
 the message that an instance is leaving.
+
+Software versions are on record, too (:mod:`honeyport.policy.version_records`).
+Instances of a new version are sent to the routers once it is committed, since
+they may begin streams; nothing else waits for that.
 """
 
 import asyncio
 import collections.abc
+import contextlib
 
 from honeyport.control import instance_lists
 from honeyport.control import machine
@@ -19,6 +24,7 @@
 from honeyport.policy import cold
 from honeyport.policy import places
 from honeyport.policy import readings
+from honeyport.policy import version_records
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
@@ -69,6 +75,13 @@
         self._cold_periods = cold.ColdPeriods()
         self._counter = 0
         self._is_readable = True
+        self._recorder = version_records.VersionRecorder()
+        self._published_versions: version_records.Records = {}
+        # What is on record whichever of the changes that are not known to be
+        # committed is, by service.
+        self._uncertain_versions: dict[str, frozenset[str]] = {}
+        self._recording: asyncio.Task[None] | None = None
+        self._has_recorded = asyncio.Event()
 
     @property
     def lists(self) -> instance_lists.InstanceLists:
@@ -89,8 +102,9 @@
         """Read the list while this replica leads, until cancelled."""
         while True:
             if self._node.leads:
+                self._has_recorded.clear()
                 retry_after_s = await self._read()
-                await asyncio.sleep(max(READ_INTERVAL_S, retry_after_s))
+                await self._pause(retry_after_s)
             else:
                 self._lists.clear()
                 self._instances = []
@@ -98,8 +112,19 @@
                 self._list_number = 0
                 self._cold_periods = cold.ColdPeriods()
                 self._assigner = None
+                self._recorder = version_records.VersionRecorder()
+                self._uncertain_versions = {}
                 await asyncio.sleep(0.1)
 
+    async def _pause(self, retry_after_s: float) -> None:
+        """Wait for the next reading: until versions are recorded, at most."""
+        if retry_after_s:
+            await asyncio.sleep(max(READ_INTERVAL_S, retry_after_s))
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READ_INTERVAL_S):
+                await self._has_recorded.wait()
+
     async def persist_places(self) -> None:
         """Commit changed places while this replica leads, until cancelled."""
         while True:
@@ -144,13 +169,22 @@
         """Publish a new list if the reading differs from the latest one."""
         self._log_readability(reading.missing_reason)
         self._log_refusals(tuple(reading.refused_entries))
-        instances = readings.merge(self._instances, reading)
+        merged = readings.merge(self._instances, reading)
+        instances = self._withhold_unrecorded(merged)
+        if not self._list_number and len(instances) < len(merged):
+            return  # An incomplete list would make routers ready.
         self._assign_places(instances)
         has_new_cold_period = self._extract_cold_periods(instances)
-        is_same = self._instances == instances and not has_new_cold_period
+        recorded = self._node.machine.versions
+        is_same = (
+            self._instances == instances
+            and not has_new_cold_period
+            and self._published_versions == recorded
+        )
         if self._list_number and is_same:
             return
         self._instances = instances
+        self._published_versions = recorded
         self._has_unsaved_places = True
         self._counter += 1
         self._list_number = (
@@ -159,7 +193,11 @@
         self._latest = [
             self._with_cold_period(instance) for instance in instances
         ]
-        self._lists.replace(self._list_number, self._latest)
+        self._lists.replace(
+            self._list_number,
+            self._latest,
+            machine.version_messages(recorded),
+        )
         logs.emit(
             events.LIST_CHANGED,
             list_number=self._list_number,
@@ -169,6 +207,66 @@
             ],
         )
 
+    def _withhold_unrecorded(
+        self, instances: list[pb.Instance]
+    ) -> list[pb.Instance]:
+        """Return the instances whose versions are on record.
+
+        Starts to record those of the others, and to remove what is over.
+        """
+        listed: dict[str, set[str]] = {}
+        for instance in instances:
+            listed.setdefault(instance.service, set()).add(instance.version)
+        recorded = self._node.machine.versions
+        planned = self._recorder.plan(
+            recorded, listed, asyncio.get_running_loop().time()
+        )
+        changes = {
+            service: planned.get(service, frozenset())
+            for service in planned.keys() | self._uncertain_versions.keys()
+            if planned.get(service) != recorded.get(service)
+            or service in self._uncertain_versions
+        }
+        if changes and (self._recording is None or self._recording.done()):
+            for service, versions in changes.items():
+                pending = self._uncertain_versions.get(service, versions)
+                self._uncertain_versions[service] = pending & versions
+            self._recording = asyncio.create_task(
+                self._commit_versions(changes)
+            )
+        return [
+            instance for instance in instances if self._is_recorded(instance)
+        ]
+
+    def _is_recorded(self, instance: pb.Instance) -> bool:
+        """Whether the record has a version, also after uncertain changes."""
+        service, version = instance.service, instance.version
+        recorded = self._node.machine.versions.get(service, frozenset())
+        pending = self._uncertain_versions.get(service, recorded)
+        return version in recorded and version in pending
+
+    async def _commit_versions(
+        self, changes: dict[str, frozenset[str]]
+    ) -> None:
+        """Commit changed records; a later reading retries a failed one."""
+        change = pb.VersionChange(put=machine.version_messages(changes))
+        try:
+            await self._node.propose(change)
+        except errors.HoneyportError as error:
+            logs.emit(
+                events.VERSIONS_UNSAVED, code=error.code, detail=error.detail
+            )
+            return
+        self._uncertain_versions = {}
+        self._has_recorded.set()
+        logs.emit(
+            events.VERSIONS_RECORDED,
+            versions={
+                service: sorted(versions)
+                for service, versions in changes.items()
+            },
+        )
+
     def _extract_cold_periods(self, instances: list[pb.Instance]) -> bool:
         """Move the ends of cold periods from the list to the schedule.
 
--- a/src/honeyport/control/durable_log.py
+++ b/src/honeyport/control/durable_log.py
@@ -30,6 +30,7 @@
     pb.RouterChange: 'routers',
     pb.SuspectChange: 'suspects',
     pb.EvacuationChange: 'evacuations',
+    pb.VersionChange: 'versions',
 }
 
 
--- a/src/honeyport/control/instance_lists.py
+++ b/src/honeyport/control/instance_lists.py
@@ -1,5 +1,9 @@
 """The lists of instances of one term, and the messages that carry them."""
 
+import collections.abc
+
+import attrs
+
 from honeyport.control import deltas
 from honeyport.wire import honeyport_pb2 as pb
 from honeyport.wire import listing
@@ -10,6 +14,15 @@
 _MAX_KEPT_LISTS = 16
 
 
+@attrs.frozen
+class _List:
+    """A list of instances, and the software versions on record."""
+
+    number: int
+    instances: list[pb.Instance]
+    versions: list[pb.ServiceVersions]
+
+
 class InstanceLists:
     """The latest lists, kept in the leader's memory.
 
@@ -26,7 +39,8 @@
             deltas.History(_MAX_KEPT_LISTS, self._make_message)
         )
         self._latest: list[pb.Instance] = []
-        self._unpublished: tuple[int, list[pb.Instance]] | None = None
+        self._unpublished: _List | None = None
+        self._versions: list[pb.ServiceVersions] = []
         self._digests = b''
         # Changes to a list of another leader, by its number and digests.
         self._changes_by_digests: dict[tuple[int, bytes], pb.InstanceList] = {}
@@ -53,13 +67,19 @@
         """The failure domain of each instance in the latest list."""
         return self._domains
 
-    def replace(self, number: int, latest: list[pb.Instance]) -> None:
+    def replace(
+        self,
+        number: int,
+        latest: list[pb.Instance],
+        versions: collections.abc.Sequence[pb.ServiceVersions] = (),
+    ) -> None:
         """Set the list to publish at the next tick.
 
         :param number: above the numbers of all lists before
         :param latest: sorted by identifier
+        :param versions: the software versions on record
         """
-        self._unpublished = (number, latest)
+        self._unpublished = _List(number, latest, list(versions))
 
     def publish(self) -> None:
         """Make the list of the last :meth:`replace` the latest one.
@@ -68,7 +88,8 @@
         """
         if self._unpublished is None:
             return
-        number, latest = self._unpublished
+        number, latest = self._unpublished.number, self._unpublished.instances
+        self._versions = self._unpublished.versions
         self._unpublished = None
         previous = self._history.latest
         self._latest = [
@@ -107,7 +128,12 @@
         return self._list_from(change.base, packed_change)
 
     def _list_from(self, base: int, change: bytes) -> pb.InstanceList:
-        return pb.InstanceList(number=self.number, base=base, change=change)
+        return pb.InstanceList(
+            number=self.number,
+            base=base,
+            change=change,
+            versions=self._versions,
+        )
 
     def _pack_difference(self, digests: bytes) -> bytes:
         """Return the parts that differ from a router's, and cold instances.
--- a/src/honeyport/control/machine.py
+++ b/src/honeyport/control/machine.py
@@ -10,6 +10,7 @@
 from honeyport.control import claims
 from honeyport.policy import places
 from honeyport.policy import suspicion
+from honeyport.policy import version_records
 from honeyport.wire import honeyport_pb2 as pb
 from honeyport.wire import prompt_parts
 
@@ -54,6 +55,7 @@
         self._routers: dict[str, str] = {}
         self._suspects: dict[str, suspicion.StoredSuspect] = {}
         self._evacuated: frozenset[str] = frozenset()
+        self._versions: dict[str, frozenset[str]] = {}
 
     @property
     def accepted(self) -> Accepted:
@@ -90,6 +92,11 @@
         """Failure domains whose instances get no new requests."""
         return self._evacuated
 
+    @property
+    def versions(self) -> version_records.Records:
+        """Software versions that may have begun streams, by service."""
+        return self._versions
+
     def apply(self, entry: pb.Entry) -> Result:
         """Apply a committed entry; return the result for its proposer."""
         kind = entry.WhichOneof('command')
@@ -107,6 +114,8 @@
             return self._change_suspects(entry.suspects)
         if kind == 'evacuations':
             return self._change_evacuated(entry.evacuations)
+        if kind == 'versions':
+            return self._change_versions(entry.versions)
         return None
 
     def save(self) -> pb.State:
@@ -120,6 +129,7 @@
             document=accepted.document,
             routers=self._routers,
             evacuated=sorted(self._evacuated),
+            versions=version_messages(self._versions),
         )
         for version, digest in self._history.items():
             state.receipts.add(version=version, digest=digest)
@@ -144,6 +154,7 @@
         self._routers = dict(state.routers)
         self._suspects = _suspects_by_request(state.suspects)
         self._evacuated = frozenset(state.evacuated)
+        self._versions = _versions_by_service(state.versions)
         self._claims.restore(state)
 
     def _apply_bundle_delta(self, command: pb.AcceptBundle) -> bool:
@@ -214,6 +225,14 @@
         remaining = self._evacuated - frozenset(command.ended)
         self._evacuated = remaining | frozenset(command.begun)
 
+    def _change_versions(self, command: pb.VersionChange) -> None:
+        changed = {**self._versions, **_versions_by_service(command.put)}
+        self._versions = {
+            service: recorded
+            for service, recorded in changed.items()
+            if recorded
+        }
+
     def _add_to_history(self, version: int, digest: str) -> None:
         self._history[version] = digest
         while len(self._history) > _HISTORY_VERSIONS:
@@ -227,6 +246,24 @@
     )
 
 
+def version_messages(
+    records: version_records.Records,
+) -> list[pb.ServiceVersions]:
+    """Return the protobuf messages for recorded software versions."""
+    return [
+        pb.ServiceVersions(service=service, versions=sorted(records[service]))
+        for service in sorted(records)
+    ]
+
+
+def _versions_by_service(
+    messages: collections.abc.Iterable[pb.ServiceVersions],
+) -> dict[str, frozenset[str]]:
+    return {
+        message.service: frozenset(message.versions) for message in messages
+    }
+
+
 def _holding_messages(holdings: places.PlaceAssignments) -> list[pb.Holding]:
     return [
         pb.Holding(
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -4,9 +4,10 @@
 gone. While several versions of a service may have streams, the gateway that
 passes on a first event tells two others, which are chosen by rendezvous
 hashing of the request's id. The gateway that takes a stream up asks these
-first. Without a record, the only version that the list has shown for as long
-as a stream lasts began it (:mod:`honeyport.policy.versions`); else the request
-is refused.
+first. Without a record, the only version that can have begun it did: the only
+one that control has on record (:mod:`honeyport.policy.version_records`), or
+that the list has shown for as long as a stream lasts
+(:mod:`honeyport.policy.versions`). Else the request is refused.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 from honeyport.gateway import routes
 from honeyport.gateway import stream_copies
 from honeyport.policy import begun_streams
+from honeyport.policy import version_records
 from honeyport.policy import versions
 from honeyport.router import fleetstate
 from honeyport.router import relay
@@ -81,6 +83,9 @@
         self._own = begun_streams.Records()
         self._held = begun_streams.Records()
         self._shared_services: set[str] = set()
+        # The only version on record by service, and the list with the record.
+        self._on_record: dict[str, str | None] = {}
+        self._record_number = 0
         self._is_leaving = False
         counters.gauge('streams_recorded', lambda: len(self._own))
         counters.gauge('streams_held', lambda: len(self._held))
@@ -100,7 +105,7 @@
         shared = {
             service
             for service in self._history.services
-            if self._history.only_version(service, now) is None
+            if self._only_possible(service, now) is None
         }
         newly_shared = shared - self._shared_services
         self._shared_services = shared
@@ -261,7 +266,22 @@
         """Return the only version that can have begun a stream."""
         if lifetime_s > _MAX_STREAM_S:
             return None
-        return self._history.only_version(service, _now())
+        return self._only_possible(service, _now())
+
+    def _only_possible(self, service: str, now: float) -> str | None:
+        """Return the only version that can have begun streams.
+
+        This gateway may have started after they began, and asks the record.
+        """
+        instance_list = self._state.instances
+        if instance_list.number != self._record_number:
+            self._record_number = instance_list.number
+            self._on_record = {
+                message.service: version_records.only_version(message.versions)
+                for message in instance_list.versions
+            }
+        on_record = self._on_record.get(service)
+        return on_record or self._history.only_version(service, now)
 
     def _find(self, request_id: str) -> begun_streams.BegunStream | None:
         now = _now()
@@ -286,7 +306,7 @@
         now = _now()
         version = None
         if self._history.silence_s(now) <= _MAX_SILENCE_S:
-            version = self._history.only_version(lookup.service, now)
+            version = self._only_possible(lookup.service, now)
         return pb.StreamFound(only_version=version, list_number=list_number)
 
 
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -270,6 +270,21 @@
     'A change of which instance holds which place was not committed; it '
     'is retried.',
 )
+VERSIONS_RECORDED = define(
+    2407,
+    'versions_recorded',
+    'info',
+    'The software versions that may have begun streams changed; the change '
+    'was committed.',
+)
+VERSIONS_UNSAVED = define(
+    2408,
+    'versions_unsaved',
+    'warning',
+    'A change of the software versions that may have begun streams was not '
+    'committed; it is retried. Instances of new versions get no requests '
+    'meanwhile.',
+)
 LIST_ENTRIES_REFUSED = define(
     2406,
     'list_entries_refused',
--- a/src/honeyport/wire/listing.py
+++ b/src/honeyport/wire/listing.py
@@ -66,6 +66,7 @@
     return pb.Instances(
         number=message.number,
         instances=[by_id[instance_id] for instance_id in sorted(by_id)],
+        versions=message.versions,
     )
 
 
