Trust lists only for streams that they are old enough for

Callers could get a stream of two software versions: one that began before the list changed, more than 20 s ago, went on at the version that the list had shown alone for 20 s. The check compared what the caller has left of its time, which is short near the end of a long stream.

The route's timeout is the longest time until the complete answer. It counts now, too, both when a stream is taken up and when it is decided whether its version is told to other gateways, so that streams which no list can vouch for have two copies of their record.

A caller that goes on for longer than its route allows is not covered.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -244,6 +244,23 @@
     When a caller that waits for 25 s takes up a stream that no gateway knows at g-2
     Then it is refused as not run within 500 ms, with a time to come back
 
+  # Guards against a window that is shorter than the time since the first event.
+  Scenario: a caller that has little time left of a long stream
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the route allows 25 s for a stream
+    And the lists have shown one version for as long as a stream lasts
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+
+  Scenario: streams of a route that allows more time than versions are remembered
+    Given a fleet of 5 gateways for streaming resumable requests whose instances stream cut later
+    And the route allows 25 s for a stream
+    And the lists have shown one version for as long as a stream lasts
+    When 3 streams begin at g-1 and break
+    And g-1 is killed
+    And their callers take them up at g-3
+    Then all streams are whole, each of one version
+
   Scenario: a caller without a limit of time
     Given a fleet of 5 gateways for streaming resumable requests whose instances stream cut later
     And the instances have the versions v1, v1, v1.1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -132,6 +132,16 @@
     context.run(context.fleet.shorten_history())
 
 
+@behave.given('the route allows {limit_s:d} s for a stream')
+def step_route_timeout(context, limit_s):
+    async def allow():
+        for fixture in context.fleet.gateways.values():
+            fixture.timeout_ms = limit_s * 1000
+            fixture.make_ready(context.fleet.kind)
+
+    context.run(allow())
+
+
 @behave.given('{name} has just started')
 def step_just_started(context, name):
     gateway = context.fleet.gateways[name].gateway
--- a/features/support/gateway_fleet.py
+++ b/features/support/gateway_fleet.py
@@ -35,7 +35,7 @@
         )
 
     async def start(self, kind):
-        self._kind = kind
+        self.kind = kind
         await self.first.start(kind)
         for fixture in self._others():
             await self._start_beside(fixture)
@@ -46,7 +46,7 @@
         fixture.instances = self.instances
         fixture.address_by_instance = self.first.address_by_instance
         await fixture.gateway.start(fixture.tree)
-        fixture.make_ready(self._kind)
+        fixture.make_ready(self.kind)
 
     def list_gateways(self):
         presence = pb.Presence()
--- a/src/honeyport/gateway/exchange_factory.py
+++ b/src/honeyport/gateway/exchange_factory.py
@@ -171,5 +171,6 @@
                 exchange.service,
                 exchange.attempt_version,
                 request.deadline,
-            )
+            ),
+            exchange.match.route.timeout_ms / 1000,
         )
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -29,7 +29,7 @@
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
-# Streams with a longer time limit are always told to other gateways.
+# Streams that may last longer are always told to other gateways.
 _MAX_STREAM_S = 20.0
 # Gateways asked first: those with copies, also if the ranking has changed by
 # the one that told them or by one that is gone.
@@ -122,13 +122,20 @@
         for records in (self._own, self._held):
             self._copies.send(records.live(_now()))
 
-    def record(self, stream: begun_streams.BegunStream) -> None:
-        """Record a stream whose first event is passed on."""
+    def record(
+        self, stream: begun_streams.BegunStream, timeout_s: float
+    ) -> None:
+        """Record a stream whose first event is passed on.
+
+        :param timeout_s: the longest time that its route allows for it
+        """
         now = _now()
         lifetime_s = min(_MAX_RECORD_S, stream.expires_at - now)
         stream = attrs.evolve(stream, expires_at=now + lifetime_s)
         self._own.add(stream, now)
-        only_version = self._only_version(stream.service, lifetime_s)
+        only_version = self._only_version(
+            stream.service, max(lifetime_s, timeout_s)
+        )
         if self._is_leaving or only_version is None:
             self._copies.send([stream])
 
@@ -144,7 +151,10 @@
         services = list(match.route.weights)
         service = services[0] if len(services) == 1 else ''
         search = _Search(pb.StreamLookup(request_id=began_as, service=service))
-        origin = await self._search(search, request.deadline - started_at)
+        # It may have begun long before this request.
+        timeout_s = match.route.timeout_ms / 1000
+        longest_s = max(timeout_s, request.deadline - started_at)
+        origin = await self._search(search, longest_s)
         fields: dict[str, typing.Any] = {
             'request': request.request_id,
             'began_as': began_as,
@@ -177,7 +187,8 @@
             self.record(
                 begun_streams.BegunStream(
                     began_as, origin.service, origin.version, request.deadline
-                )
+                ),
+                timeout_s,
             )
         return origin
 
