Tell callers when a stream's version may be known

Callers that took up a stream of a service with two versions tried about every 0.3 s in vain until their deadline, after all gateways had been killed: each refusal named 0.3 s, although no gateway had a record and only the lists could settle it, 20 s later at the earliest.

The refusal names that time now if all gateways that were asked have answered, this one hears control, and has done so for 3 s, so that others that were killed with it are back. Else it stays at 0.3 s. A 4xx that ends the tries would blame the request.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -104,6 +104,30 @@
     Then it is refused as not run within 500 ms, with a time to come back
     And the log says which versions there are
 
+  # Guards against callers that try in vain until their deadline.
+  Scenario: nobody knows a stream, and no gateway is missing
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the instances have the versions v1, v1, v1.1
+    And control has been heard for 4 s
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+    And the time to come back is 20 s
+
+  Scenario Outline: nobody knows a stream, but a gateway may be missing
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the instances have the versions v1, v1, v1.1
+    And control has been heard for <heard> s
+    And <event>
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+    And the time to come back is 0.3 s
+
+    Examples:
+      | heard | event                                            |
+      | 4     | g-2 hears neither control nor the other gateways |
+      | 4     | g-2 does not hear control                        |
+      | 2     | all are back                                     |
+
   Scenario: nobody knows a stream, and there were two versions
     Given a fleet of 3 gateways for streaming resumable requests whose instances stream
     And the lists have shown one version for as long as a stream lasts
--- a/features/policy/versions.feature
+++ b/features/policy/versions.feature
@@ -32,6 +32,18 @@
       | v1 from 0 s, none from 40 s                           | v1      | 50 |
       | v1 from 0 s, none from 40 s, v1.1 from 45 s           | unknown | 50 |
 
+  Scenario Outline: when the only version may be known
+    When the lists show <lists>
+    Then the only version of llm may be known <seconds> s after <at> s
+
+    Examples:
+      | lists                                 | seconds | at |
+      | v1 from 0 s                           | 30      | 0  |
+      | v1 from 0 s                           | 10      | 20 |
+      | v1 from 0 s                           | 0       | 40 |
+      | v1 from 0 s, v1.1 from 35 s           | 25      | 40 |
+      | v1 from 0 s, v1+v1.1 from 35 s        | 30      | 50 |
+
   Scenario Outline: a time without lists
     When the lists show v1 from 0 s
     And no list comes from 40 s to <end> s
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -153,6 +153,24 @@
     context.run(apply())
 
 
+@behave.given('control has been heard for {seconds:d} s')
+def step_heard(context, seconds):
+    for fixture in context.fleet.gateways.values():
+        fixture.gateway._streams._history._known_since -= seconds
+
+
+@behave.given('all are back')
+def step_back(context):
+    """Go on."""
+
+
+@behave.then('the time to come back is {seconds:g} s')
+def step_come_back(context, seconds):
+    assert float(context.response.headers['Retry-After']) == seconds, (
+        context.response
+    )
+
+
 @behave.given('{name} does not hear control')
 def step_silent(context, name):
     async def hear():
--- a/features/steps/version_history_steps.py
+++ b/features/steps/version_history_steps.py
@@ -34,8 +34,23 @@
 
 @behave.then('the only version of llm is {version} at {at:d} s')
 def step_only_version(context, version, at):
+    expected = None if version == 'unknown' else version
+    actual = _observe(context, at).only_version('llm', float(at))
+    assert actual == expected, actual
+
+
+@behave.then(
+    'the only version of llm may be known {seconds:d} s after {at:d} s'
+)
+def step_settled(context, seconds, at):
+    actual = _observe(context, at).settled_in_s('llm', float(at))
+    assert abs(actual - seconds) < _PERIOD_S, actual
+
+
+def _observe(context, at):
+    """Return the history of the lists until a time."""
     history = versions.VersionHistory(context.window_s)
-    for period in range(int(at / _PERIOD_S)):
+    for period in range(int(at / _PERIOD_S) + 1):
         now = period * _PERIOD_S
         if any(start < now < end for start, end in context.silences):
             continue
@@ -44,9 +59,7 @@
             key=lambda entry: entry[0],
         )
         history.observe(now, listed)
-    expected = None if version == 'unknown' else version
-    actual = history.only_version('llm', float(at))
-    assert actual == expected, actual
+    return history
 
 
 def _parse(names):
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -42,8 +42,10 @@
 _MAX_SILENCE_S = 0.6
 # A record is kept for this time at most.
 _MAX_RECORD_S = 600.0
-# Retry-After of a stream whose version is not known, in seconds.
+# Retry-After while another gateway may still know a version, in seconds.
 _RETRY_AFTER_S = 0.3
+# Within this time after the start, others may not be back either.
+_STARTING_S = 3.0
 
 
 @attrs.frozen
@@ -174,7 +176,7 @@
             raise errors.StreamUnknown(
                 f'none of {search.asked} gateways knows the version of the '
                 f'stream that {began_as or "an unnamed request"} began',
-                retry_after=_RETRY_AFTER_S,
+                retry_after=self._retry_after_s(search),
             )
         logs.emit(
             events.STREAM_TAKEN_UP,
@@ -214,6 +216,19 @@
             return origin
         return self._accept_only_origin(search)
 
+    def _retry_after_s(self, search: '_Search') -> float:
+        """Return when the version of a stream may be known, in seconds."""
+        now = _now()
+        may_be_known_elsewhere = (
+            search.unanswered > 0
+            or self._history.known_for_s(now) < _STARTING_S
+            or self._history.silence_s(now) > _MAX_SILENCE_S
+        )
+        if may_be_known_elsewhere:
+            return _RETRY_AFTER_S
+        service = search.lookup.service
+        return max(_RETRY_AFTER_S, self._history.settled_in_s(service, now))
+
     def _accept_only_origin(self, search: '_Search') -> Origin | None:
         """Return what the newest list says, unless the own one differs.
 
--- a/src/honeyport/policy/versions.py
+++ b/src/honeyport/policy/versions.py
@@ -71,6 +71,22 @@
         }
         return next(iter(versions)) if len(versions) == 1 else None
 
+    def settled_in_s(self, service: str, now: float) -> float:
+        """Return the seconds until one version may be the only one.
+
+        A lower bound: of the versions listed now, one at most may stay.
+        """
+        if len(self.versions(service)) > 1:
+            return self._window_s
+        known_since = max(
+            (self._known_since, *self._gone.get(service, {}).values())
+        )
+        return max(0.0, known_since + self._window_s - now)
+
+    def known_for_s(self, now: float) -> float:
+        """Return for how long control was heard without a gap."""
+        return now - self._known_since
+
     def _drop_expired(self, now: float) -> None:
         window_start = now - self._window_s
         for service in list(self._gone):
