--- a/features/support/links.py
+++ b/features/support/links.py
@@ -129,6 +129,7 @@
         }
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self.versions = dict.fromkeys(self._addresses, 'v1')
         self.arrivals: list[Arrival] = []
         self.connections: collections.Counter[str] = collections.Counter()
 
@@ -148,13 +149,17 @@
             for link in self._links[node.name].values():
                 await link.start()
             self._write_redirects(node)
+        self.publish()
+
+    def publish(self) -> None:
+        """Publish the list; an instance has a new id with a new version."""
         self._platform.list_entries[:] = [
             {
-                'id': name,
+                'id': f'{name}-{self.versions[name]}',
                 'service': 'app',
                 'address': address,
                 'zone': _ZONE,
-                'version': 'v1',
+                'version': self.versions[name],
                 'slots': 8,
                 'state': 'ready',
                 'cold_remaining_ms': 0,
@@ -228,7 +233,8 @@
             arrival.disconnected_at = time.monotonic()
             raise ConnectionResetError
         if arrival.path.startswith('/app/stream/'):
-            await _write_stream(arrival, writer)
+            version = self.versions[arrival.instance]
+            await _write_stream(arrival, version, writer)
             return
         await asyncio.sleep(_RUN_S)
         head = response_head(arrival, f'Content-Length: {len(ANSWER)}')
@@ -246,7 +252,7 @@
 
 
 async def _write_stream(
-    arrival: Arrival, writer: asyncio.StreamWriter
+    arrival: Arrival, version: str, writer: asyncio.StreamWriter
 ) -> None:
     writer.write(
         response_head(
@@ -257,7 +263,8 @@
     )
     first = int(arrival.headers.get('Last-Event-Id', 0)) + 1
     for number in range(first, EVENTS + 1):
-        event = f'id: {number}\ndata: token {number}\n\n'.encode()
+        text = f'id: {number}\ndata: token {number} of {version}\n\n'
+        event = text.encode()
         writer.write(f'{len(event):x}\r\n'.encode() + event + b'\r\n')
         await writer.drain()
         if writer.transport.is_closing():
