Test that a state without a record of versions still loads

The scenario shows that a state of an earlier release counts as one in which any version may have begun streams.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -161,6 +161,14 @@
     And all processes restart and the list shows the versions a=v1
     Then v1 may have begun streams
 
+  Scenario: the state of an earlier release has no record
+    Given a catalog that has read the versions a=v1
+    When 31 seconds pass
+    And the list shows the versions a=v1
+    And all processes restart with a state of an earlier release
+    And the list shows the versions a=v1
+    Then earlier+v1 may have begun streams
+
   # Guards against a version that is published while its removal is committed.
   Scenario: a version comes back while its removal is not known to be committed
     Given a catalog that has read the versions a=v1, b=v1.1
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -57,11 +57,13 @@
         """Create the catalog of a new leader."""
         self.catalog = catalog.Catalog(self.node, self._read, self.counters)
 
-    def restart(self) -> None:
+    def restart(self, *, has_record: bool = True) -> None:
         """Restart with the state of a snapshot only, as a new leader."""
         snapshot = pb.State.FromString(
             self.node.machine.save().SerializeToString()
         )
+        if not has_record:
+            snapshot.ClearField('versions')
         commits_succeed = self.node.commits_succeed
         self.node = _FakeLeader(term=self.node.term + 1)
         self.node.machine.restore(snapshot)
@@ -167,6 +169,11 @@
     context.catalog.read_versions(entries)
 
 
+@behave.when('all processes restart with a state of an earlier release')
+def step_restart_earlier(context):
+    context.catalog.restart(has_record=False)
+
+
 @behave.when('the list is empty')
 def step_read_empty(context):
     context.catalog.listed_instances = []
