Keep changes of the record of versions across a lapse of the lease

A leader whose lease lapsed for a moment, while it was committing that a version is no longer on record, forgot that change. If the version was listed again just then, its instances were published, and the commit took it off the record: streams that they began could have been joined after a kill of all processes. Found by reading, not seen.

What is uncertain stays so until a later change is committed.

--- a/features/control/catalog.feature
+++ b/features/control/catalog.feature
@@ -182,6 +182,23 @@
     Then the known instances are a, c
     And v1+v1.1 may have begun streams
 
+  # Guards against a change that is forgotten while it is committed.
+  Scenario: a leader cannot lead for a moment while it removes a version
+    Given a catalog that has read the versions a=v1, b=v1.1
+    When the list shows the versions a=v1
+    And 31 seconds pass
+    And commits take 3 s
+    And the list shows the versions a=v1
+    And it does not lead for a moment
+    And the list shows the versions a=v1, c=v1.1
+    Then no list is published
+    When 9 seconds pass
+    And the list shows the versions a=v1, c=v1.1
+    And 9 seconds pass
+    And the list shows the versions a=v1, c=v1.1
+    Then the known instances are a, c
+    And v1+v1.1 may have begun streams
+
   Scenario: a service that is no longer listed needs no record
     Given a catalog that has read the versions a=v1
     When the list is empty
--- a/features/steps/catalog_steps.py
+++ b/features/steps/catalog_steps.py
@@ -29,11 +29,13 @@
         self.term = term
         self.machine = machine.Machine()
         self.commits_succeed = True
+        self.commit_s = 0.0
 
     async def propose(self, command):
         """Apply a change at once, or fail."""
         if not self.commits_succeed:
             raise errors.CommitUnknown('no quorum')
+        await asyncio.sleep(self.commit_s)
         field = _COMMANDS[type(command)]
         return self.machine.apply(pb.Entry(**{field: command}))
 
@@ -174,6 +176,18 @@
     context.catalog.restart(has_record=False)
 
 
+@behave.when('commits take {seconds:d} s')
+def step_slow_commits(context, seconds):
+    context.catalog.node.commit_s = float(seconds)
+
+
+@behave.when('it does not lead for a moment')
+def step_not_leading(context):
+    context.catalog.node.leads = False
+    context.catalog.read_current_list()
+    context.catalog.node.leads = True
+
+
 @behave.when('the list is empty')
 def step_read_empty(context):
     context.catalog.listed_instances = []
--- a/src/honeyport/control/catalog.py
+++ b/src/honeyport/control/catalog.py
@@ -112,8 +112,8 @@
                 self._list_number = 0
                 self._cold_periods = cold.ColdPeriods()
                 self._assigner = None
+                # Uncertain versions stay so: a commit may be under way.
                 self._recorder = version_records.VersionRecorder()
-                self._uncertain_versions = {}
                 await asyncio.sleep(0.1)
 
     async def _pause(self, retry_after_s: float) -> None:
