--- a/features/steps/version_history_steps.py
+++ b/features/steps/version_history_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from honeyport.policy import begun_streams
+from honeyport.policy import version_records
 from honeyport.policy import versions
 
 # Between two messages of control.
@@ -33,8 +34,23 @@
 
 @behave.then('the only version of llm is {version} at {at:d} s')
 def step_only_version(context, version, at):
+    expected = None if version == 'unknown' else version
+    actual = _observe(context, at).only_version('llm', float(at))
+    assert actual == expected, actual
+
+
+@behave.then(
+    'the only version of llm may be known {seconds:d} s after {at:d} s'
+)
+def step_settled(context, seconds, at):
+    actual = _observe(context, at).settled_in_s('llm', float(at))
+    assert abs(actual - seconds) < _PERIOD_S, actual
+
+
+def _observe(context, at):
+    """Return the history of the lists until a time."""
     history = versions.VersionHistory(context.window_s)
-    for period in range(int(at / _PERIOD_S)):
+    for period in range(int(at / _PERIOD_S) + 1):
         now = period * _PERIOD_S
         if any(start < now < end for start, end in context.silences):
             continue
@@ -43,15 +59,33 @@
             key=lambda entry: entry[0],
         )
         history.observe(now, listed)
-    expected = None if version == 'unknown' else version
-    actual = history.only_version('llm', float(at))
-    assert actual == expected, actual
+    return history
 
 
 def _parse(names):
     return frozenset(names.split('+'))
 
 
+@behave.given('llm has {names} on record')
+def step_on_record(context, names):
+    context.recorded = {} if names == 'nothing' else {'llm': _parse(names)}
+
+
+@behave.when('its latest instances have the versions {names} for {end:d} s')
+def step_listed_for(context, names, end):
+    recorder = version_records.VersionRecorder()
+    listed = {} if names == 'none' else {'llm': _parse(names)}
+    for now in (0.0, float(end)):
+        context.planned = recorder.plan(context.recorded, listed, now)
+
+
+@behave.then('{names} is to be on record')
+def step_to_be_on_record(context, names):
+    expected = set() if names == 'nothing' else set(names.split('+'))
+    planned = {name or 'earlier' for name in context.planned['llm']}
+    assert planned == expected, planned
+
+
 @behave.given(
     'records of {count:d} streams, each of which lasts for {seconds:d} s'
 )
--- a/src/honeyport/gateway/exchange_factory.py
+++ b/src/honeyport/gateway/exchange_factory.py
@@ -145,10 +145,15 @@
         :raises errors.StreamUnknown: if that is not known, or if the route no
             longer leads there
         """
-        if not request.resumes or match.route.semantics != model.STREAMING:
+        route = match.route
+        # Without the id of a request, its caller takes some stream up.
+        takes_up = request.resumes or (
+            route.resumable and request.last_event_id
+        )
+        if not takes_up or route.semantics != model.STREAMING:
             return None
         origin = await self._streams.find(request, match)
-        if origin.service not in match.route.weights:
+        if origin.service not in route.weights:
             raise errors.StreamUnknown(
                 f'the stream began at {origin.service}, which {match.name} no '
                 'longer leads to',
@@ -167,5 +172,6 @@
                 exchange.service,
                 exchange.attempt_version,
                 request.deadline,
-            )
+            ),
+            exchange.match.route.timeout_ms / 1000,
         )
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -4,9 +4,10 @@
 gone. While several versions of a service may have streams, the gateway that
 passes on a first event tells two others, which are chosen by rendezvous
 hashing of the request's id. The gateway that takes a stream up asks these
-first. Without a record, the only version that the list has shown for as long
-as a stream lasts began it (:mod:`honeyport.policy.versions`); else the request
-is refused.
+first. Without a record, the only version that can have begun it did: the only
+one that control has on record (:mod:`honeyport.policy.version_records`), or
+that the list has shown for as long as a stream lasts
+(:mod:`honeyport.policy.versions`). Else the request is refused.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 from honeyport.gateway import routes
 from honeyport.gateway import stream_copies
 from honeyport.policy import begun_streams
+from honeyport.policy import version_records
 from honeyport.policy import versions
 from honeyport.router import fleetstate
 from honeyport.router import relay
@@ -27,7 +29,7 @@
 from honeyport.telemetry import metrics
 from honeyport.wire import honeyport_pb2 as pb
 
-# Streams with a longer time limit are always told to other gateways.
+# Streams that may last longer are always told to other gateways.
 _MAX_STREAM_S = 20.0
 # Gateways asked first: those with copies, also if the ranking has changed by
 # the one that told them or by one that is gone.
@@ -40,8 +42,10 @@
 _MAX_SILENCE_S = 0.6
 # A record is kept for this time at most.
 _MAX_RECORD_S = 600.0
-# Retry-After of a stream whose version is not known, in seconds.
+# Retry-After while another gateway may still know a version, in seconds.
 _RETRY_AFTER_S = 0.3
+# Within this time after the start, others may not be back either.
+_STARTING_S = 3.0
 
 
 @attrs.frozen
@@ -81,6 +85,9 @@
         self._own = begun_streams.Records()
         self._held = begun_streams.Records()
         self._shared_services: set[str] = set()
+        # The only version on record by service, and the list with the record.
+        self._on_record: dict[str, str | None] = {}
+        self._record_number = 0
         self._is_leaving = False
         counters.gauge('streams_recorded', lambda: len(self._own))
         counters.gauge('streams_held', lambda: len(self._held))
@@ -100,7 +107,7 @@
         shared = {
             service
             for service in self._history.services
-            if self._history.only_version(service, now) is None
+            if self._only_possible(service, now) is None
         }
         newly_shared = shared - self._shared_services
         self._shared_services = shared
@@ -117,13 +124,20 @@
         for records in (self._own, self._held):
             self._copies.send(records.live(_now()))
 
-    def record(self, stream: begun_streams.BegunStream) -> None:
-        """Record a stream whose first event is passed on."""
+    def record(
+        self, stream: begun_streams.BegunStream, timeout_s: float
+    ) -> None:
+        """Record a stream whose first event is passed on.
+
+        :param timeout_s: the longest time that its route allows for it
+        """
         now = _now()
         lifetime_s = min(_MAX_RECORD_S, stream.expires_at - now)
         stream = attrs.evolve(stream, expires_at=now + lifetime_s)
         self._own.add(stream, now)
-        only_version = self._only_version(stream.service, lifetime_s)
+        only_version = self._only_version(
+            stream.service, max(lifetime_s, timeout_s)
+        )
         if self._is_leaving or only_version is None:
             self._copies.send([stream])
 
@@ -139,7 +153,10 @@
         services = list(match.route.weights)
         service = services[0] if len(services) == 1 else ''
         search = _Search(pb.StreamLookup(request_id=began_as, service=service))
-        origin = await self._search(search, request.deadline - started_at)
+        # It may have begun long before this request.
+        timeout_s = match.route.timeout_ms / 1000
+        longest_s = max(timeout_s, request.deadline - started_at)
+        origin = await self._search(search, longest_s)
         fields: dict[str, typing.Any] = {
             'request': request.request_id,
             'began_as': began_as,
@@ -158,8 +175,8 @@
             )
             raise errors.StreamUnknown(
                 f'none of {search.asked} gateways knows the version of the '
-                f'stream that {began_as} began',
-                retry_after=_RETRY_AFTER_S,
+                f'stream that {began_as or "an unnamed request"} began',
+                retry_after=self._retry_after_s(search),
             )
         logs.emit(
             events.STREAM_TAKEN_UP,
@@ -168,11 +185,13 @@
             known_by=origin.known_by,
             **fields,
         )
-        self.record(
-            begun_streams.BegunStream(
-                began_as, origin.service, origin.version, request.deadline
+        if began_as:
+            self.record(
+                begun_streams.BegunStream(
+                    began_as, origin.service, origin.version, request.deadline
+                ),
+                timeout_s,
             )
-        )
         return origin
 
     async def _search(
@@ -185,44 +204,47 @@
         only_version = self._only_version(lookup.service, lifetime_s)
         is_current = self._history.silence_s(_now()) <= _MAX_SILENCE_S
         ranked = self._copies.rank(lookup.request_id, _MAX_ASKED)
-        origin = await self._ask(
-            search,
-            ranked[:_FIRST_ASKED],
-            is_one_enough=is_current and bool(only_version),
-        )
+        origin = await self._ask(search, ranked[:_FIRST_ASKED])
         if origin is not None:
             return origin
-        # Without control, another gateway must have no newer list.
-        is_latest = (
-            search.answered > 0
-            and search.newest_list <= self._state.instances.number
-        )
-        if only_version and (is_current or is_latest):
+        # Control is also heard while a large list waits to be sent.
+        has_newest = search.newest_list <= self._state.instances.number
+        if only_version and has_newest and (is_current or search.answered):
             return Origin(lookup.service, only_version, 'list')
         origin = await self._ask(search, ranked[_FIRST_ASKED:_MAX_ASKED])
         if origin is not None or lifetime_s > _MAX_STREAM_S:
             return origin
         return self._accept_only_origin(search)
 
+    def _retry_after_s(self, search: '_Search') -> float:
+        """Return when the version of a stream may be known, in seconds."""
+        now = _now()
+        may_be_known_elsewhere = (
+            search.unanswered > 0
+            or self._history.known_for_s(now) < _STARTING_S
+            or self._history.silence_s(now) > _MAX_SILENCE_S
+        )
+        if may_be_known_elsewhere:
+            return _RETRY_AFTER_S
+        service = search.lookup.service
+        return max(_RETRY_AFTER_S, self._history.settled_in_s(service, now))
+
     def _accept_only_origin(self, search: '_Search') -> Origin | None:
-        """Return what another gateway's list says, unless the own differs."""
+        """Return what the newest list says, unless the own one differs.
+
+        A gateway with an older list does not know what others have begun.
+        """
         origin = search.only_origin
-        if origin is None:
+        newest_list = max(search.newest_list, self._state.instances.number)
+        if origin is None or search.origin_list < newest_list:
             return None
         own_versions = self._history.versions(origin.service)
         return origin if own_versions <= {origin.version} else None
 
     async def _ask(
-        self,
-        search: '_Search',
-        members: list[pb.Member],
-        *,
-        is_one_enough: bool = False,
+        self, search: '_Search', members: list[pb.Member]
     ) -> Origin | None:
-        """Ask gateways at once; return the first record of the stream.
-
-        :param is_one_enough: whether to wait for one answer only
-        """
+        """Ask gateways at once; return the first record of the stream."""
         if not members:
             return None
         tasks = [
@@ -234,7 +256,7 @@
             async with asyncio.timeout(_ASK_TIMEOUT_S):
                 for task in asyncio.as_completed(tasks):
                     origin = await task
-                    if origin or (is_one_enough and search.answered):
+                    if origin:
                         return origin
         except TimeoutError:
             # The line about the whole search has this number.
@@ -258,7 +280,9 @@
         if found.HasField('stream'):
             stream = found.stream
             return Origin(stream.service, stream.version, member.router)
-        if found.HasField('only_version'):
+        is_newer = found.list_number > search.origin_list
+        if found.HasField('only_version') and is_newer:
+            search.origin_list = found.list_number
             search.only_origin = Origin(
                 search.lookup.service, found.only_version, member.router
             )
@@ -268,7 +292,22 @@
         """Return the only version that can have begun a stream."""
         if lifetime_s > _MAX_STREAM_S:
             return None
-        return self._history.only_version(service, _now())
+        return self._only_possible(service, _now())
+
+    def _only_possible(self, service: str, now: float) -> str | None:
+        """Return the only version that can have begun streams.
+
+        This gateway may have started after they began, and asks the record.
+        """
+        instance_list = self._state.instances
+        if instance_list.number != self._record_number:
+            self._record_number = instance_list.number
+            self._on_record = {
+                message.service: version_records.only_version(message.versions)
+                for message in instance_list.versions
+            }
+        on_record = self._on_record.get(service)
+        return on_record or self._history.only_version(service, now)
 
     def _find(self, request_id: str) -> begun_streams.BegunStream | None:
         now = _now()
@@ -293,7 +332,7 @@
         now = _now()
         version = None
         if self._history.silence_s(now) <= _MAX_SILENCE_S:
-            version = self._history.only_version(lookup.service, now)
+            version = self._only_possible(lookup.service, now)
         return pb.StreamFound(only_version=version, list_number=list_number)
 
 
@@ -306,6 +345,7 @@
     :ivar unanswered: number of those that did not
     :ivar newest_list: number of the newest list that one of them has
     :ivar only_origin: the only version that another gateway's list has shown
+    :ivar origin_list: number of that list
     """
 
     lookup: pb.StreamLookup
@@ -314,6 +354,7 @@
     unanswered: int = 0
     newest_list: int = 0
     only_origin: Origin | None = None
+    origin_list: int = 0
 
 
 def _now() -> float:
