Soak: instances that are silent beside signals and changes

The soak cut instances off and made them mute, but nothing compared a cut with the reason: a stream that breaks is allowed beside most of its faults.

An instance records during its silence whether its gateway or a fault closes the connection.

The check silence_cuts_no_request: a request whose last run was left by its gateway while the instance was silent has a whole answer, or its time limit had passed. A gateway that was killed or stopped by SIGSTOP is excused, one that got SIGTERM is not.

--- a/features/promises/soak.feature
+++ b/features/promises/soak.feature
@@ -12,3 +12,4 @@
       | 1018 |
       | 9001 |
       | 10054 |
+      | 40271 |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -105,11 +105,16 @@
     served = sum(result.status == 200 for result in records.results)
     peak_mb = max(records.peak_memory_mb.values(), default=0.0)
     granted = len(checks.held_under_grants(records))
+    left = sum(
+        checks.find_left_silence(records, result) is not None
+        for result in records.results
+    )
     went_on = sum(stream.went_on for stream in records.streams)
     print(
         f'seed {seed}: {len(records.results)} requests, {served} served, '
         f'{went_on} of {len(records.streams)} streams taken up went on, '
         f'{len(records.accepted)} changes, {len(violations)} violations'
+        f'; {len(records.silences)} requests met silence, {left} ended in it'
         f'; {len(records.held_by_instances)} requests to few slots, '
         f'{granted} of them under grants, {peak_mb:.0f} MB',
         flush=True,
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -16,6 +16,7 @@
 _SERVICE_TIME_S = 0.03
 SMALL_SERVICE_TIME_S = 0.2  # of the service with few slots
 _LARGE_REPEATS = 100_000
+_SILENCE_CHECK_S = 0.01
 _SLOWDOWN = 10.0  # factor of the failure mode 'slow'
 _SHUTDOWN_HEADER = 'Server-Leaving: 1\r\n'
 # From a response until its Retry-After has to be respected.
@@ -83,6 +84,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._unframed_streams: set[str] = set()
+        self._closings = 0  # of its connections, by faults
         self._running = asyncio.Semaphore(slots)
         # Requests to the deadline by which their gateway leaves them.
         self._held: dict[str, float] = {}
@@ -191,6 +193,7 @@
 
     def _record_closing(self) -> None:
         """Record the streams whose end cannot be told from this closing."""
+        self._closings += 1
         self._records.closed_without_framing |= self._unframed_streams
         self._unframed_streams.clear()
 
@@ -214,6 +217,7 @@
         request_id = headers['Attempt-Id']
         slowdown = _SLOWDOWN if self.failure_mode == 'slow' else 1.0
         await asyncio.sleep(_SERVICE_TIME_S * slowdown)
+        await self._await_sending(request_id, reader)
         if self.failure_mode == 'mute':
             await reader.read(1)
             return False
@@ -237,7 +241,7 @@
         if '/chat/' in request_line or '/talk/' in request_line:
             first_event = int(headers.get('Last-Event-Id', 0)) + 1
             return await self._stream(
-                request_id, first_event, slowdown, writer
+                request_id, first_event, slowdown, reader, writer
             )
         response = self._format_response(request_id, '200 OK', True)
         if self.failure_mode == 'cut':
@@ -248,6 +252,24 @@
         writer.write(response)
         return True
 
+    async def _await_sending(
+        self, request_id: str, reader: asyncio.StreamReader
+    ) -> None:
+        """Wait while the instance is silent; record who ends the wait."""
+        if self.failure_mode != 'silent':
+            return
+        loop = asyncio.get_running_loop()
+        silence = soak_records.Silence(self.name, loop.time())
+        closings = self._closings
+        if not reader.at_eof():
+            self._records.silences[request_id].append(silence)
+        while self.failure_mode == 'silent':
+            is_closed_by_fault = self._closings != closings
+            if reader.at_eof() or is_closed_by_fault:
+                silence.left_at = None if is_closed_by_fault else loop.time()
+                raise ConnectionResetError
+            await asyncio.sleep(_SILENCE_CHECK_S)
+
     async def _run_in_slot(
         self,
         request_id: str,
@@ -292,6 +314,7 @@
         request_id: str,
         first_event: int,
         slowdown: float,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         is_unframed = self.failure_mode == 'unframed'
@@ -312,6 +335,7 @@
         if self.failure_mode in ('cut', 'unframed'):
             cut_event = self._random.randint(1, EVENTS)
         for number in range(first_event, EVENTS + 1):
+            await self._await_sending(request_id, reader)
             event = event_of(request_id, number, self.version)
             size = 5 if number == cut_event else len(event)
             if is_unframed:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -165,6 +165,7 @@
             sent_at,
             loop.time() - sent_at,
             response.status,
+            response.complete,
             _find_problem(
                 kind,
                 request_id,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -25,6 +25,7 @@
 _PART_CRASHES_BEFORE_BLOCK = 5
 _PART_BLOCK_DELAY_S = 3.0
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+_CUT_STATUSES = (0, 502, 504)
 # Fewer streams that were taken up say nothing.
 _MIN_TAKEN_UP = 12
 _MIN_TAKEN_UP_RATIO = 0.5  # of the share of new streams that begin
@@ -155,6 +156,46 @@
             yield f'{result.request_id} took {result.duration_s:.1f} s'
 
 
+@invariant
+def silence_cuts_no_request(
+    records: soak_records.Records,
+) -> collections.abc.Iterator[str]:
+    for result in records.results:
+        silence = find_left_silence(records, result)
+        ended_at = result.sent_at + result.duration_s
+        limit_s = min(_deadline_s(result), soak_site.ROUTE_TIMEOUT_MS / 1000)
+        if (
+            silence
+            and result.duration_s < limit_s
+            and not records.is_disturbed(
+                result.sent_at, ended_at, result.node, by_planned=False
+            )
+        ):
+            yield (
+                f'{result.request_id} got {result.status} and no whole '
+                f'answer from {result.node} after {result.duration_s:.2f} s, '
+                f'left at {silence.instance}, which was silent'
+            )
+
+
+def find_left_silence(
+    records: soak_records.Records, result: soak_records.RequestResult
+) -> soak_records.Silence | None:
+    """Return the silence in which the last run of a request was left.
+
+    :returns: ``None`` if its answer is whole, or it ended elsewhere
+    """
+    is_answered = result.is_whole and result.status not in _CUT_STATUSES
+    silences = records.silences.get(result.request_id, ())
+    executions = records.executions_of(result.request_id)
+    if is_answered or not silences or silences[-1].left_at is None:
+        return None
+    # Another attempt followed.
+    if executions[-1].instance != silences[-1].instance:
+        return None
+    return silences[-1]
+
+
 def _deadline_s(result: soak_records.RequestResult) -> float:
     return float(result.request_id.rpartition('-')[2]) / 1000
 
--- a/soak/crowd.py
+++ b/soak/crowd.py
@@ -115,6 +115,7 @@
                 sent_at,
                 loop.time() - sent_at,
                 response.status,
+                response.complete,
                 _find_problem(kind, request_id, response),
             )
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -28,12 +28,14 @@
 FAULTS: dict[str, Fault] = {}
 # The first seed that draws each fault; lower seeds keep their plans.
 _FIRST_SEEDS: dict[str, int] = {}
+_WEIGHTS: dict[str, int] = {}
 _SEED_NODES = 3  # named in the settings of each node
 _RETRY_AFTER_CHOICES_S = (0.5, 2.0, 4.0)
 # Ranges of the interval and the total time of requests that crash instances.
 _FATAL_REQUEST_INTERVAL_S = (0.1, 0.5)
 _FATAL_REQUESTS_DURATION_S = (4.0, 9.0)
 _FATAL_PARTS_DURATION_S = (10.0, 14.0)
+_SILENT_SERVICES = ('plain', 'model')
 # From the crash of an instance until it is replaced.
 _REPLACEMENT_DELAY_S = 1.0
 
@@ -43,29 +45,44 @@
     return fault_from_seed(0)(function)
 
 
-def fault_from_seed(seed: int) -> collections.abc.Callable[[Fault], Fault]:
-    """Register a fault that only this and higher seeds may draw."""
+def fault_from_seed(
+    seed: int, weight: int = 1
+) -> collections.abc.Callable[[Fault], Fault]:
+    """Register a fault that only this and higher seeds may draw.
+
+    :param weight: how many times as often as a fault of weight 1 it is drawn
+    """
 
     def register(function: Fault) -> Fault:
         FAULTS[function.__name__] = function
         _FIRST_SEEDS[function.__name__] = seed
+        _WEIGHTS[function.__name__] = weight
         return function
 
     return register
 
 
 def faults_for_seed(seed: int) -> list[str]:
-    """Return the sorted names of the faults that a seed may draw."""
-    return [name for name in sorted(FAULTS) if seed >= _FIRST_SEEDS[name]]
+    """Return the sorted names of the faults that a seed may draw.
+
+    Each name is repeated by its weight.
+    """
+    return [
+        name
+        for name in sorted(FAULTS)
+        if seed >= _FIRST_SEEDS[name]
+        for _ in range(_WEIGHTS[name])
+    ]
 
 
 @contextlib.contextmanager
 def _disturbing(
-    site: soak_site.Site, *names: str
+    site: soak_site.Site, *names: str, is_planned: bool = False
 ) -> collections.abc.Iterator[None]:
     loop = asyncio.get_running_loop()
     disturbances = [
-        soak_records.Disturbance(name, loop.time()) for name in names
+        soak_records.Disturbance(name, loop.time(), is_planned=is_planned)
+        for name in names
     ]
     site.records.disturbances += disturbances
     try:
@@ -91,13 +108,14 @@
 
 @contextlib.contextmanager
 def _reserved(
-    site: soak_site.Site, *nodes: platform.Node
+    site: soak_site.Site, *nodes: platform.Node, is_planned: bool = False
 ) -> collections.abc.Iterator[None]:
     """Reserve nodes for one fault and record them as disturbed."""
     for node in nodes:
         site.reserved[node.name] = True
+    names = [node.name for node in nodes]
     try:
-        with _disturbing(site, *(node.name for node in nodes)):
+        with _disturbing(site, *names, is_planned=is_planned):
             yield
     finally:
         for node in nodes:
@@ -222,7 +240,7 @@
     node = _choose_free_node(site, site.nodes, rng)
     if node is None:
         return
-    with _reserved(site, node):
+    with _reserved(site, node, is_planned=True):
         await site.terminate(node)
         site.restart(node)
 
@@ -331,6 +349,69 @@
     instance.failure_mode = ''
 
 
+@fault_from_seed(40000, weight=6)
+async def silent_instances(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    rng: random.Random,
+) -> None:
+    """Let the instances of a service be silent beside planned work."""
+    service = rng.choice(_SILENT_SERVICES)
+    fall_silent = rng.choice((_all_silent, _silent_in_turn, _silent_for_good))
+    beside = rng.choice((terminate, reload, storm))
+    instances = [
+        instance for instance in site.instances if instance.service == service
+    ]
+    await asyncio.gather(
+        fall_silent(site, instances, rng), beside(site, operator, rng)
+    )
+
+
+async def _all_silent(
+    site: soak_site.Site,
+    instances: list[backend.Instance],
+    rng: random.Random,
+) -> None:
+    """Make instances silent together, some times."""
+    for _ in range(rng.randint(1, 3)):
+        await _silence(instances, rng)
+
+
+async def _silent_in_turn(
+    site: soak_site.Site,
+    instances: list[backend.Instance],
+    rng: random.Random,
+) -> None:
+    """Make instances silent one by one."""
+    for instance in instances:
+        await _silence([instance], rng)
+
+
+async def _silent_for_good(
+    site: soak_site.Site,
+    instances: list[backend.Instance],
+    rng: random.Random,
+) -> None:
+    """Make some instances silent until they are replaced."""
+    chosen = rng.sample(instances, rng.randint(1, len(instances)))
+    for instance in chosen:
+        instance.failure_mode = 'silent'
+    await _sleep_random(rng, 1.0, 4.0)
+    for instance in chosen:
+        await _replace(site, instance)
+
+
+async def _silence(
+    instances: list[backend.Instance], rng: random.Random
+) -> None:
+    await _sleep_random(rng, 0.0, 0.5)
+    for instance in instances:
+        instance.failure_mode = 'silent'
+    await _sleep_random(rng, 0.8, 1.8)
+    for instance in instances:
+        instance.failure_mode = ''
+
+
 @fault
 async def replace_instance(
     site: soak_site.Site,
@@ -497,14 +578,13 @@
             group.create_task(site.send_fatal_request(node, part))
             await _sleep_random(rng, *_FATAL_REQUEST_INTERVAL_S)
             for instance in site.take_crashed():
-                group.create_task(_replace_crashed(site, instance))
+                group.create_task(_replace(site, instance))
     for instance in site.take_crashed():
-        await _replace_crashed(site, instance)
+        await _replace(site, instance)
 
 
-async def _replace_crashed(
-    site: soak_site.Site, instance: backend.Instance
-) -> None:
+async def _replace(site: soak_site.Site, instance: backend.Instance) -> None:
+    """Replace an instance some time after it failed."""
     await asyncio.sleep(_REPLACEMENT_DELAY_S)
     await site.remove_instance(instance)
     await site.add_instance(instance.service)
--- a/soak/records.py
+++ b/soak/records.py
@@ -49,12 +49,25 @@
     end_s: float
 
 
+@attrs.define
+class Silence:
+    """The time that an instance sent nothing for a request that it ran.
+
+    :ivar left_at: when the gateway closed the connection meanwhile
+    """
+
+    instance: str
+    start: float
+    left_at: float | None = None
+
+
 @attrs.frozen
 class RequestResult:
     """The result of a caller's request.
 
     :ivar sent_at: time of sending
     :ivar status: 0 if the connection ended without a response
+    :ivar is_whole: whether all of the response arrived
     :ivar problem: the defect of the response, or ``''``
     """
 
@@ -65,6 +78,7 @@
     sent_at: float
     duration_s: float
     status: int
+    is_whole: bool
     problem: str
 
 
@@ -100,11 +114,15 @@
 
 @attrs.define
 class Disturbance:
-    """A period in which a fault affected a node or an instance."""
+    """A period in which a fault affected a node or an instance.
+
+    :ivar is_planned: whether it is no reason to cut a request that runs
+    """
 
     name: str
     start: float
     end: float = float('inf')
+    is_planned: bool = False
 
 
 class Records:
@@ -120,6 +138,7 @@
         self.queues_expected_at = 0.0  # from then on, if not disturbed
         self.peak_memory_mb: dict[str, float] = {}
         self.sent_request_ids: set[str] = set()
+        self.silences: dict[str, list[Silence]] = collections.defaultdict(list)
         self.results: list[RequestResult] = []
         self.streams: list[StreamResult] = []
         # Requests whose stream had no framing and was closed by a fault after
@@ -146,16 +165,23 @@
         self.recovery_deadline = 0.0
 
     def is_disturbed(
-        self, start: float, end: float, name: str | None = None
+        self,
+        start: float,
+        end: float,
+        name: str | None = None,
+        *,
+        by_planned: bool = True,
     ) -> bool:
         """Return whether a fault overlapped a period.
 
         :param name: of a node or an instance; ``None`` means any
+        :param by_planned: whether planned ones count
         """
         return any(
             disturbance.start < end and disturbance.end > start
             for disturbance in self.disturbances
             if name is None or disturbance.name == name
+            if by_planned or not disturbance.is_planned
         )
 
     def record_memory(self, name: str, used_mb: float) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -19,6 +19,7 @@
 _SLOTS = {'desk': 2}
 _MANY_SLOTS = 64
 _SMALL_INSTANCES = 2
+ROUTE_TIMEOUT_MS = 3000
 MEMORY_MB = 100  # of each machine, if there are slow readers
 SMALL_SLOTS = _SLOTS['desk'] * _SMALL_INSTANCES
 # Above the shutdown timeout of a node; a longer shutdown is a violation.
@@ -232,7 +233,7 @@
                     'host': HOST,
                     'path_prefix': f'/{kind}/',
                     'route_kind': route_kind,
-                    'timeout_ms': 3000 + salt,
+                    'timeout_ms': ROUTE_TIMEOUT_MS + salt,
                     'target_latency_ms': 400,
                     'priority': 0,
                     'service': service,
