Keep a connection while its instance reads a large body late

Its machine and its kernel answered all the while.

Cause: TCP_USER_TIMEOUT also counts while the peer's window is full and it acknowledges every probe. Class: an attempt is ended for silence alone.

The silence of the instance (for requests that may run again) and the deadline bound the wait. An instance that is gone is noticed by keep-alive probes once the body is acknowledged; while it is not, only the deadline ends the request.

--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -276,6 +276,8 @@
                 )
                 http = self._new_http()
                 if number == 0:
+                    if len(request.body) > _MAX_COPIED_BYTES:
+                        self._connection.allow_unread()
                     _write_request(http, request, headers)
                 http.finish()
                 await http.read_response(reader)
--- a/src/honeyport/gateway/pool.py
+++ b/src/honeyport/gateway/pool.py
@@ -41,6 +41,7 @@
     :ivar reused: whether it was taken from the pool
     :ivar released_at: loop time at which its last request ended
     :ivar expires_at: loop time after which it is not reused
+    :ivar may_be_unread: whether the instance may read nothing for a while
     """
 
     instance: placement.Instance
@@ -48,6 +49,17 @@
     reused: bool = False
     released_at: float = 0.0
     expires_at: float = 0.0
+    may_be_unread: bool = False
+
+    def allow_unread(self) -> None:
+        """Keep the connection while the instance does not read.
+
+        ``TCP_USER_TIMEOUT`` also counts while an instance acknowledges probes
+        but has no room for more bytes. Keep-alive probes detect one that is
+        gone once all bytes are acknowledged.
+        """
+        self.may_be_unread = True
+        _set_user_timeout(self.stream.socket, 0)
 
     def close(self) -> None:
         """Close the connection, which cancels its request on the instance."""
@@ -116,6 +128,9 @@
             idle_timeout_s = min(
                 idle_timeout_s, keep_alive_s * _PEER_TIMEOUT_RATIO
             )
+        if connection.may_be_unread:
+            connection.may_be_unread = False
+            _set_user_timeout(connection.stream.socket, _TCP_USER_TIMEOUT_MS)
         connection.released_at = asyncio.get_running_loop().time()
         connection.expires_at = connection.released_at + idle_timeout_s
         idle.append(connection)
@@ -198,13 +213,17 @@
     """Make the kernel detect a peer that is gone without closing."""
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEP_ALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
     )
     for level, option, value in options:
         sock.setsockopt(level, option, value)
+    _set_user_timeout(sock, _TCP_USER_TIMEOUT_MS)
+
+
+def _set_user_timeout(sock: socket.socket, timeout_ms: int) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 def _is_reusable(connection: Connection) -> bool:
