Drop two parameters of the forwarder that nothing reads

Retries without a budget are logged and counted by the log of requests since silent requests do so, too. No change of behaviour; gateway/silence passes.

--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -192,7 +192,6 @@
             log,
         )
         return forward.Forwarder(
-            self._state,
             self._gate,
             names,
             factory,
@@ -202,7 +201,6 @@
             preparation,
             self._detours,
             log,
-            self._metrics,
         )
 
     @property
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -25,9 +25,7 @@
 from honeyport.gateway import responses
 from honeyport.policy import obstacles
 from honeyport.policy import repeats
-from honeyport.router import fleetstate
 from honeyport.telemetry import events
-from honeyport.telemetry import metrics
 
 # Retry-After for refusals without a specific time, in seconds.
 _RETRY_AFTER_S = 0.3
@@ -49,7 +47,6 @@
 class Forwarder:
     """Forwards requests of callers to instances.
 
-    :param state: this instance's view of the fleet
     :param gate: admits requests while the lease is valid
     :param factory: creates the exchanges of admitted requests
     :param attempts: sends requests to instances
@@ -61,7 +58,6 @@
 
     def __init__(
         self,
-        state: fleetstate.FleetState,
         gate: lease_gate.LeaseGate,
         names: gateway_headers.HeaderNames,
         factory: exchange_factory.ExchangeFactory,
@@ -71,9 +67,7 @@
         preparation: next_attempts.NextAttempts,
         peer_detours: detours.Detours,
         log: request_log.RequestLog,
-        counters: metrics.Metrics,
     ) -> None:
-        self._state = state
         self._gate = gate
         self._names = names
         self._exchanges = factory
@@ -83,7 +77,6 @@
         self._next_attempts = preparation
         self._detours = peer_detours
         self._request_log = log
-        self._metrics = counters
         self._running = 0
 
     @property
