Do not begin the stream of a plain service again

What callers saw: at the product's own routers, the event stream of a plain service broke off after some events. The router sent the request again, up to five times, and the service began its stream each time: the caller got events 1 to 3, then 1 to 6, and the mark of a whole stream (ORDER).

Cause: the dispatcher resumes all event streams. An engine is asked for the events after a number; a plain service is not told that the request is a resumption, and has no way to go on.

Evidence: before, router/cut_heads, "the stream of a service is not begun again after it broke off", fails at the owner and through another router (events 1 to 3 five times); found by a trial that also showed the false mark. After: 2 of 2, and the other 5 scenarios about resumptions.

Change: the client of plain services refuses a resumption within a request as a cut answer, without sending it. The caller gets the error event and no mark, and may send the request again itself.

--- a/features/router/cut_heads.feature
+++ b/features/router/cut_heads.feature
@@ -28,3 +28,15 @@
       | 1      | an error     |
       | 1      | not found    |
       | 1      | no content   |
+
+  # Guards against streams whose first events come twice.
+  Scenario Outline: the stream of a service is not begun again after it broke off
+    Given two routers, of which the second one owns all backend servers
+    When the stream of a service behind router <number> breaks off, and the service would begin it again
+    Then the caller of the router gets no event twice
+    And the caller of the router does not take the stream for whole
+
+    Examples:
+      | number |
+      | 1      |
+      | 2      |
--- a/src/honeyport/backend/plain.py
+++ b/src/honeyport/backend/plain.py
@@ -31,6 +31,9 @@
         self._pool = http.Pool(address)
 
     async def answer(self, call: exchange.Call) -> exchange.Answer:
+        if call.is_resumption and call.attempt > 1:
+            # The service would begin its stream again.
+            raise errors.AnswerCut(f'{self._name} cannot resume a stream')
         request = http.Request(
             method=call.method,
             path=call.path,
