--- a/features/router/cut_heads.feature
+++ b/features/router/cut_heads.feature
@@ -13,6 +13,7 @@
       | 2      | with a length               |
       | 1      | without framing             |
       | 2      | without content             |
+      | 1      | not modified                |
       | 1      | after three interim answers |
 
   # Guards against streams that end as whole with the body of another answer.
@@ -28,3 +29,15 @@
       | 1      | an error     |
       | 1      | not found    |
       | 1      | no content   |
+
+  # Guards against streams whose first events come twice.
+  Scenario Outline: the stream of a service is not begun again after it broke off
+    Given two routers, of which the second one owns all backend servers
+    When the stream of a service behind router <number> breaks off, and the service would begin it again
+    Then the caller of the router gets no event twice
+    And the caller of the router does not take the stream for whole
+
+    Examples:
+      | number |
+      | 1      |
+      | 2      |
