Do not ask callers of streams that no list can settle back soon

A stream of a route with several services, or with a time of more than 20 s, is never taken up by a list. Callers were asked to come back when the lists would have shown one version for 20 s, which could be at once, and tried in vain. They are told 20 s now.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -276,6 +276,14 @@
     When a caller takes up a stream that no gateway knows at g-2
     Then it is refused as not run within 500 ms, with a time to come back
 
+  Scenario: a caller of a long stream that no list can settle
+    Given a fleet of 3 gateways for streaming resumable requests whose instances stream
+    And the route allows 25 s for a stream
+    And control has been heard for 19 s
+    When a caller takes up a stream that no gateway knows at g-2
+    Then it is refused as not run within 500 ms, with a time to come back
+    And the time to come back is 20 s
+
   Scenario: streams of a route that allows more time than versions are remembered
     Given a fleet of 5 gateways for streaming resumable requests whose instances stream cut later
     And the route allows 25 s for a stream
--- a/src/honeyport/gateway/stream_directory.py
+++ b/src/honeyport/gateway/stream_directory.py
@@ -176,7 +176,7 @@
             raise errors.StreamUnknown(
                 f'none of {search.asked} gateways knows the version of the '
                 f'stream that {began_as or "an unnamed request"} began',
-                retry_after=self._retry_after_s(search),
+                retry_after=self._retry_after_s(search, longest_s),
             )
         logs.emit(
             events.STREAM_TAKEN_UP,
@@ -216,7 +216,7 @@
             return origin
         return self._accept_only_origin(search)
 
-    def _retry_after_s(self, search: '_Search') -> float:
+    def _retry_after_s(self, search: '_Search', longest_s: float) -> float:
         """Return when the version of a stream may be known, in seconds."""
         now = _now()
         may_be_known_elsewhere = (
@@ -227,6 +227,8 @@
         if may_be_known_elsewhere:
             return _RETRY_AFTER_S
         service = search.lookup.service
+        if not service or longest_s > _MAX_STREAM_S:
+            return _MAX_STREAM_S  # No list can settle it.
         return max(_RETRY_AFTER_S, self._history.settled_in_s(service, now))
 
     def _accept_only_origin(self, search: '_Search') -> Origin | None:
