Check the reason of each awaited answer, and that no silent instance is chosen

The outline of missing conditions asks for the code of each now, and a new scenario that no stream moves to an instance that is silent itself: it fails without the exclusion (see the run of a trial: 2 of 2), and passes with it (4 of 4).

--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -24,15 +24,15 @@
     When a caller sends a request, and meanwhile <event>
     Then it gets 200, and 1 requests arrived
     And the caller has every event once, in order
-    And the lines tell that the answer was awaited, as <reason>
+    And the lines tell that the answer was awaited, as cannot_be_prepared for <code>
 
     Examples:
-      | event                              | reason             |
-      | the other instances refuse connections | cannot_be_prepared |
-      | the other instances are leaving    | cannot_be_prepared |
-      | its route is removed               | cannot_be_prepared |
-      | its key is revoked                 | cannot_be_prepared |
-      | the lease ends                     | cannot_be_prepared |
+      | event                                  | code    |
+      | the other instances refuse connections | HP-3015 |
+      | the other instances are leaving        | HP-3203 |
+      | its route is removed                   | HP-3201 |
+      | its key is revoked                     | HP-3202 |
+      | the lease ends                         | HP-3005 |
 
   Scenario: an instance with a free slot is preferred for the next attempt
     Given a gateway for streaming resumable requests whose instances stream and wait; stream
@@ -59,6 +59,13 @@
     Then all are answered completely
     And only the silent instance was avoided
 
+  Scenario: no stream moves to another instance that is silent
+    Given a gateway for streaming resumable requests whose instances stream slowly
+    And two of its instances are silent after their first event
+    When 9 callers send a request at the same time
+    Then all are answered completely
+    And no stream went on at a silent instance
+
   Scenario: an instance that alone is silent is avoided also if its answers go on
     Given a gateway without a retry budget for streaming resumable requests whose instances stream slowly
     And one of its instances pauses after its first event
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -13,6 +13,7 @@
 _KIND = 'streaming resumable'
 _LAST_LINES = ('request_broken', 'request_refused', 'request_served')
 _SILENT_INSTANCE = 'i-1'
+_SILENT_INSTANCES = ('i-1', 'i-2')
 _EVENT_TIMEOUT_S = 0.3
 _NEVER_S = 60.0
 
@@ -23,6 +24,22 @@
     script.step_by_instance[_SILENT_INSTANCE] = 'stream and wait'
 
 
+@behave.given('two of its instances are silent after their first event')
+def step_silent_instances(context):
+    for name in _SILENT_INSTANCES:
+        context.fixture.script.step_by_instance[name] = 'stream and wait'
+
+
+@behave.then('no stream went on at a silent instance')
+def step_none_resumed(context):
+    resumed = [
+        arrival.instance
+        for arrival in context.fixture.script.arrivals
+        if instances.NAMES.last_event in arrival.headers
+    ]
+    assert resumed and not set(resumed) & set(_SILENT_INSTANCES), resumed
+
+
 @behave.given('one of its instances pauses after its first event')
 def step_pausing_instance(context):
     script = context.fixture.script
@@ -260,7 +277,7 @@
     assert avoided == {_SILENT_INSTANCE}, context.lines
 
 
-@behave.then('the lines tell that the answer was awaited, as {reason}')
+@behave.then('the lines tell that the answer was awaited, as {reason:w}')
 def step_awaited(context, reason):
     reasons = [
         fields['no_retry']
@@ -269,6 +286,17 @@
     assert reason in reasons, context.lines
 
 
+@behave.then(
+    'the lines tell that the answer was awaited, as {reason} for {code}'
+)
+def step_awaited_for(context, reason, code):
+    lines = _lines(context, 'silent_answer_awaited')
+    assert any(
+        fields['no_retry'] == reason and fields['detail'].startswith(code)
+        for fields in lines
+    ), lines
+
+
 @behave.then('the budget has {count:d} retries less')
 def step_budget(context, count):
     budgets = context.fixture.gateway._forwarder._budgets
