Leave a silent attempt for an instance that is sending, if there is one

What callers saw: a stream that was left for an instance that was silent, too.

Change: instances from which bytes arrived lately come first, then all that are not silent themselves; in both groups those with a free slot.

--- a/features/policy/silence.feature
+++ b/features/policy/silence.feature
@@ -30,19 +30,20 @@
       | 7      | 6    | 1     | may be left            |
       | 0      | 0    | 0     | may be left            |
 
-  Scenario Outline: which instances are not chosen
+  Scenario Outline: which instances are chosen first
     Given the other instances i-2, i-3, i-4
-    When <mute> are silent and <full> are full
-    Then <excluded> are not chosen
+    When <mute> are silent, <heard> are sending and <full> are full
+    Then they are chosen in this order: <order>
 
     Examples:
-      | mute          | full          | excluded      |
-      | none          | none          | none          |
-      | i-2           | none          | i-2           |
-      | i-2           | i-3           | i-2, i-3      |
-      | i-2           | i-3, i-4      | i-2           |
-      | none          | i-2, i-3, i-4 | none          |
-      | i-2, i-3, i-4 | none          | i-2, i-3, i-4 |
+      | mute          | heard    | full          | order             |
+      | none          | none     | none          | i-2 i-3 i-4       |
+      | i-2           | none     | none          | i-3 i-4           |
+      | none          | i-3      | none          | i-3, i-2 i-3 i-4  |
+      | i-2           | i-3      | none          | i-3, i-3 i-4      |
+      | i-2           | i-3      | i-3           | i-3, i-4, i-3 i-4 |
+      | none          | i-3, i-4 | i-3           | i-4, i-3 i-4, i-2 i-4, i-2 i-3 i-4 |
+      | i-2, i-3, i-4 | none     | none          | none              |
 
   Scenario: an attempt is left only in a situation without obstacles
     Then in every situation an attempt is left only if the next one can follow
--- a/features/steps/silence_policy_steps.py
+++ b/features/steps/silence_policy_steps.py
@@ -119,16 +119,23 @@
     context.others = names.split(', ')
 
 
-@behave.when('{mute} are silent and {full} are full')
-def step_excluded(context, mute, full):
-    context.excluded = silence.find_excluded(
-        context.others, _names(mute), _names(full)
-    )
+@behave.when('{mute} are silent, {heard} are sending and {full} are full')
+def step_states_of_others(context, mute, heard, full):
+    others = set(context.others)
+    left = [
+        ' '.join(sorted(others - excluded))
+        for excluded in silence.iter_excluded(
+            others, _names(mute), _names(heard), _names(full)
+        )
+    ]
+    # Sets that leave none are passed over, and so are repeated ones.
+    context.order = list(dict.fromkeys(filter(None, left)))
 
 
-@behave.then('{names} are not chosen')
-def step_not_chosen(context, names):
-    assert context.excluded == _names(names), context.excluded
+@behave.then('they are chosen in this order: {order}')
+def step_order(context, order):
+    expected = [] if order == 'none' else order.split(', ')
+    assert context.order == expected, context.order
 
 
 def _names(text):
--- a/src/honeyport/gateway/instance_attempts.py
+++ b/src/honeyport/gateway/instance_attempts.py
@@ -105,10 +105,17 @@
         )
         return available & {choice.instance.id} if choice else available
 
-    def count_available(self, exchange: exchanges.Exchange) -> int:
-        """Return the number of instances that it may be sent to now."""
+    def count_available(
+        self,
+        exchange: exchanges.Exchange,
+        excluded: frozenset[str] = frozenset(),
+    ) -> int:
+        """Return the number of instances that it may be sent to now.
+
+        :param excluded: ids of instances that are not counted
+        """
         try:
-            return len(self._find_allowed(exchange))
+            return len(self._find_allowed(exchange, excluded=excluded))
         except errors.NoInstance:
             return 0
 
--- a/src/honeyport/gateway/next_attempts.py
+++ b/src/honeyport/gateway/next_attempts.py
@@ -157,6 +157,16 @@
         mute = self._activity.mute(exchange.service, now)
         return mute - {exchange.current_instance_id}
 
+    def _find_heard(
+        self, exchange: exchanges.Exchange, state: silence_watch.Silence
+    ) -> frozenset[str]:
+        """Return the other instances of the service that are sending."""
+        now = asyncio.get_running_loop().time()
+        heard = self._activity.heard(
+            exchange.service, now, silence.recent_s(state.limit_s)
+        )
+        return heard - {exchange.current_instance_id}
+
     def _observe(
         self,
         exchange: exchanges.Exchange,
@@ -165,9 +175,6 @@
     ) -> silence.Situation:
         """Return what is known while an attempt is silent."""
         now = asyncio.get_running_loop().time()
-        heard = self._activity.heard(
-            exchange.service, now, silence.recent_s(state.limit_s)
-        ) - {exchange.current_instance_id}
         listed = self._balancer.listed(exchange.service)
         return silence.Situation(
             may_repeat=exchange.may_repeat,
@@ -180,21 +187,25 @@
             objective_s=exchange.match.route.objective_ms / 1000,
             others=max(0, len(listed) - 1),
             mute=len(self._find_mute(exchange)),
-            heard=len(heard),
+            heard=len(self._find_heard(exchange, state)),
             was_shared=now - state.shared_at < state.limit_s,
         )
 
-    def _find_excluded(self, exchange: exchanges.Exchange) -> frozenset[str]:
+    def _find_excluded(
+        self, exchange: exchanges.Exchange, state: silence_watch.Silence
+    ) -> frozenset[str]:
         """Return the instances that are not chosen for the next attempt."""
         listed = self._balancer.listed(exchange.service)
-        others = {instance.id for instance in listed} - {
-            exchange.current_instance_id
-        }
-        return silence.find_excluded(
-            others,
+        excluded: frozenset[str] = frozenset()
+        for excluded in silence.iter_excluded(
+            {instance.id for instance in listed},
             self._find_mute(exchange),
+            self._find_heard(exchange, state),
             self._balancer.find_full(exchange.service),
-        )
+        ):
+            if self._attempts.count_available(exchange, excluded):
+                break
+        return excluded
 
     async def _reserve(
         self, exchange: exchanges.Exchange, state: silence_watch.Silence
@@ -204,7 +215,9 @@
         :returns: what has come in between, if anything
         :raises errors.HoneyportError: if it cannot be made
         """
-        attempt = await self.prepare(exchange, self._find_excluded(exchange))
+        attempt = await self.prepare(
+            exchange, self._find_excluded(exchange, state)
+        )
         if attempt is None:
             self._detours.check_available(exchange)
         obstacle = silence.find_obstacle(
--- a/src/honeyport/policy/silence.py
+++ b/src/honeyport/policy/silence.py
@@ -127,19 +127,23 @@
     return next((obstacle for applies, obstacle in checks if applies), None)
 
 
-def find_excluded(
-    others: collections.abc.Collection[str],
+def iter_excluded(
+    others: collections.abc.Set[str],
     mute: collections.abc.Set[str],
+    heard: collections.abc.Set[str],
     full: collections.abc.Set[str],
-) -> frozenset[str]:
-    """Return the instances that a silent attempt is not left for.
+) -> collections.abc.Iterator[frozenset[str]]:
+    """Yield which instances not to leave a silent attempt for.
 
-    A full instance may queue a request or reject it, so that one with a free
-    slot is preferred.
+    The first set that leaves an instance to choose applies. Instances that are
+    sending come first, then all that are not silent, too; in both groups those
+    with a free slot, since a full one may queue a request or reject it.
 
     :param others: the other instances of the service
     :param mute: those that are silent, too
+    :param heard: those that are sending
     :param full: those whose slots are likely taken
     """
-    free = set(others) - mute - full
-    return frozenset(mute | full if free else mute)
+    for group in (heard, others):
+        for unwanted in (mute | full, mute):
+            yield frozenset(others - group | unwanted)
