Pass on an empty reason as an empty reason

What callers saw: the answer of an instance whose status line has no reason ("HTTP/1.1 200 ") arrived as "HTTP/1.1 200 None".

Cause: the parser returns None for it, and the status line is formatted with what it returns.

Evidence: before, gateway/answers, "an answer without a reason", fails with reason='None'.

--- a/features/gateway/answers.feature
+++ b/features/gateway/answers.feature
@@ -69,6 +69,13 @@
       | busy     |
       | not run  |
 
+  # Guards against a reason that the instance did not give.
+  Scenario: an answer without a reason
+    Given a gateway for non_idempotent requests whose instances answer without a reason
+    When a caller sends a request
+    Then the answer is the complete answer of an instance
+    And its status has no reason
+
   Scenario: after an attempt that may have run, the error does not say "not run"
     Given a gateway for idempotent requests whose instances close; not run
     When a caller sends a request
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -307,6 +307,11 @@
     assert context.response.headers[_NAMES.digest] == 'd1'
 
 
+@behave.then('its status has no reason')
+def step_no_reason(context):
+    assert not context.response.reason, context.response
+
+
 @behave.then("it contains nothing of an instance's answer")
 def step_nothing_of_instance(context):
     assert _NAMES.digest not in context.response.headers, context.response
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -19,12 +19,14 @@
     """The response of a gateway.
 
     :ivar is_complete: whether the whole body arrived
+    :ivar reason: text after the status
     """
 
     status: int
     headers: dict[str, str]
     body: bytes
     is_complete: bool
+    reason: str = ''
 
 
 def request(
@@ -54,9 +56,10 @@
 async def read(reader: asyncio.StreamReader) -> Response:
     """Read a response until its body is complete or the connection breaks."""
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
-    status_line, *header_lines = head.strip().split('\r\n')
+    status_line, *header_lines = head.removesuffix('\r\n\r\n').split('\r\n')
     headers = dict(line.split(': ', 1) for line in header_lines)
     response = Response(int(status_line.split()[1]), headers, b'', True)
+    response.reason = status_line.split(' ', 2)[2]
     if response.status in _WITHOUT_BODY:
         return response
     try:
--- a/features/support/instances.py
+++ b/features/support/instances.py
@@ -405,6 +405,7 @@
     'no content': lambda arrival: _answer(
         arrival, '204 No Content', b'', Content_Length=''
     ),
+    'answer without a reason': lambda arrival: _answer(arrival, '200 '),
     'not found': lambda arrival: _answer(arrival, '404 Not Found'),
     'not run': lambda arrival: _answer(
         arrival, '503 Service Unavailable', **{NAMES.not_run: '1'}
--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -161,7 +161,7 @@
         self._relay.on_activity()
         if start_line.code < 200:
             return None  # tornado calls again with the final response
-        head = Head(start_line.code, start_line.reason, headers)
+        head = Head(start_line.code, start_line.reason or '', headers)
         self._on_head(head)
         response_request_id = headers.get(
             self._header_names.request_id, self._request_id
