Do not go on with a begun stream with a large answer while memory is short

A resumed stream whose next answer is no event stream, but large, was passed on unfinished while memory was short: a second head inside the body of the first answer (MIXED).

Change: an answer is passed on unfinished only if none has begun. It is then collected, and fails as any other answer that is no stream.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -157,6 +157,13 @@
     When a caller sends a request
     Then the caller sees that the answer is incomplete
 
+  # Guards against the head of another answer inside a stream.
+  Scenario: a begun stream does not go on with a large answer while memory is short
+    Given a gateway that holds little, for streaming resumable requests whose instances stream cut; large answer
+    When a caller sends a request
+    Then the caller sees that the answer is incomplete
+    And the caller has only whole events
+
   Scenario Outline: the disconnect of a caller reaches its instance at once
     Given a gateway for <kind> requests whose instances <steps>
     When a caller disconnects while its request runs
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -323,10 +323,14 @@
     def on_collected(self, size: int) -> bool:
         """Count the bytes of a response that is collected.
 
-        :returns: whether it is to be passed on before it is complete
+        :returns: whether it is to be passed on before it is complete; never
+            if a stream has begun, which it cannot go on with
         """
         self.reply.holding.update(held_bytes.ANSWER, size)
-        return self.reply.holding.passes_on_unfinished(size)
+        return (
+            not self.reply.is_started
+            and self.reply.holding.passes_on_unfinished(size)
+        )
 
     def on_reading(self, cut_off: held_bytes.CutOff | None) -> None:
         """Have the response cut off if it takes too much memory."""
