Move the account of held bytes to a package of its own

It counts bodies of a gateway's callers. The addresses beside the callers' and the product's router need the same account for what clients send them. No change of behaviour.

--- a/src/honeyport/gateway/attempt.py
+++ b/src/honeyport/gateway/attempt.py
@@ -12,8 +12,8 @@
 from honeyport.backend import connection_errors
 from honeyport import errors
 from honeyport.gateway import headers as gateway_headers
-from honeyport.gateway import held_bytes
 from honeyport.gateway import pool
+from honeyport.ingress import held_bytes
 
 _MAX_HEADER_BYTES = 64 * 1024
 _MAX_STREAM_BYTES = 64 * 1024 * 1024
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -17,7 +17,6 @@
 from honeyport.gateway import forward
 from honeyport.gateway import forwarded
 from honeyport.gateway import headers as gateway_headers
-from honeyport.gateway import held_bytes
 from honeyport.gateway import instance_attempts
 from honeyport.gateway import instance_signals
 from honeyport.gateway import lease_gate
@@ -30,6 +29,7 @@
 from honeyport.gateway import slot_session
 from honeyport.gateway import stream_directory
 from honeyport.gateway import withdrawals
+from honeyport.ingress import held_bytes
 from honeyport.policy import activity
 from honeyport.policy import addresses
 from honeyport.policy import cold
--- a/src/honeyport/gateway/exchanges.py
+++ b/src/honeyport/gateway/exchanges.py
@@ -12,10 +12,10 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import event_timing
 from honeyport.gateway import headers as gateway_headers
-from honeyport.gateway import held_bytes
 from honeyport.gateway import prepared
 from honeyport.gateway import routes
 from honeyport.gateway import silence_watch
+from honeyport.ingress import held_bytes
 from honeyport.policy import obstacles
 from honeyport.policy import placement
 from honeyport.policy import prefixes
--- a/src/honeyport/gateway/forwarded.py
+++ b/src/honeyport/gateway/forwarded.py
@@ -11,7 +11,7 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import exchanges
 from honeyport.gateway import headers as gateway_headers
-from honeyport.gateway import held_bytes
+from honeyport.ingress import held_bytes
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -20,7 +20,7 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import forward
 from honeyport.gateway import headers as gateway_headers
-from honeyport.gateway import held_bytes
+from honeyport.ingress import held_bytes
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 
--- /dev/null
+++ b/src/honeyport/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Servers that bound what connections of clients take."""
--- a/src/honeyport/gateway/held_bytes.py
+++ b/src/honeyport/ingress/held_bytes.py
@@ -1,4 +1,4 @@
-"""The account of the bytes that a gateway holds for callers and instances."""
+"""The account of the bytes that are held for callers and instances."""
 
 import asyncio
 import collections
