Bound the connections of a gateway's callers

Callers got no answer from a gateway at which a crowd stood still: each connection holds a file descriptor until its idle timeout, or for ever in the middle of a body, and accept() failed for everybody else (EMFILE). The time limit for heads was the longer one of header_timeout_ms and the idle timeout.

Change: the server keeps a record for each connection. At its limit it closes idle connections, the longest first, then bodies without progress; one whose request is served is never closed, and one is left alone for its first second. If none can go, the new one is closed: nothing was read of it, so its caller may repeat. Heads have a timer of their own; after a time in which the process did not run it starts again, as heads may have arrived meanwhile.

Why it works: half of the descriptors remain for instances, gateways and files whatever callers do, and a new caller always replaces one that stands still. Log lines are sampled (one a second); counter connections_closed by reason.

--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -30,9 +30,11 @@
 from honeyport.gateway import stream_directory
 from honeyport.gateway import withdrawals
 from honeyport.ingress import held_bytes
+from honeyport import machine
 from honeyport.policy import activity
 from honeyport.policy import addresses
 from honeyport.policy import cold
+from honeyport.policy import connection_room
 from honeyport.policy import draining
 from honeyport.policy import placement
 from honeyport.policy import repeats
@@ -129,13 +131,21 @@
         )
         self._activity = activity.ActivityTracker()
         self._forwarder = self._create_forwarder(names, allowance)
+        resources = machine.read_resources()
         self._held_bytes = held_bytes.HeldBytes(
             settings.held_max_mb * _BYTES_PER_MB or math.inf,
             counters,
             settings.responses_max_mb * _BYTES_PER_MB,
         )
         self._caller_server = server.CallerServer(
-            self._forwarder, names, self._held_bytes
+            self._forwarder,
+            names,
+            self._held_bytes,
+            settings.max_connections
+            or connection_room.max_for_callers(
+                resources.file_descriptors, resources.memory_bytes
+            ),
+            counters,
         )
         self._forwarded = forwarded.ForwardedRequests(
             self._forwarder,
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -11,7 +11,6 @@
 import typing
 
 from tornado import http1connection
-from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
 
@@ -21,8 +20,10 @@
 from honeyport.gateway import forward
 from honeyport.gateway import headers as gateway_headers
 from honeyport.ingress import held_bytes
+from honeyport.ingress import servers
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
+from honeyport.telemetry import metrics
 
 # Deadline for callers that name none.
 _DEFAULT_DEADLINE_S = 600.0
@@ -43,6 +44,7 @@
     :param forwarder: serves the requests
     :param names: header names
     :param account: counts the bytes that are held
+    :param max_connections: number of connections that may be open
     """
 
     def __init__(
@@ -50,16 +52,25 @@
         forwarder: forward.Forwarder,
         names: gateway_headers.HeaderNames,
         account: held_bytes.HeldBytes,
+        max_connections: int,
+        counters: metrics.Metrics,
     ) -> None:
         self._forwarder = forwarder
         self._names = names
         self._held_bytes = account
-        self._server = httpserver.HTTPServer(
-            typing.cast(typing.Any, self), chunk_size=_CHUNK_BYTES
+        limits = model.RequestLimits()
+        self._server = servers.Server(
+            typing.cast(typing.Any, self),
+            max_connections=max_connections,
+            header_timeout_s=limits.header_ms / 1000,
+            counters=counters,
+            chunk_size=_CHUNK_BYTES,
         )
         self._closing = False
         self._refusing = False
-        self.set_limits(model.RequestLimits())
+        self.set_limits(limits)
+        counters.gauge('caller_connections', lambda: self._server.connections)
+        counters.gauge('caller_connections_max', lambda: max_connections)
 
     @property
     def names(self) -> gateway_headers.HeaderNames:
@@ -99,9 +110,11 @@
         parameters = self._server.conn_params
         parameters.max_header_size = limits.header_bytes
         parameters.max_body_size = limits.body_bytes
+        # It begins before the head does, while the connection is idle.
         parameters.header_timeout = (
             max(limits.header_ms, limits.idle_ms) / 1000
         )
+        self._server.set_header_timeout(limits.header_ms / 1000)
 
     def start_closing(self) -> None:
         """Ask callers to reconnect elsewhere, and continue to serve."""
--- a/src/honeyport/platform/boot.py
+++ b/src/honeyport/platform/boot.py
@@ -21,6 +21,7 @@
 _TTL_S = 5.0
 _BANDWIDTH_MBPS = 1000.0
 _MEMORY_MB = 0.0  # unknown
+_FILE_DESCRIPTORS = 0.0  # unknown
 _COLD_MULTIPLE = 1.0  # of the rate that a cold instance is designed for
 _COLD_EXTRA = 0.0  # requests in a second
 _UNEVEN_LOAD_CONTRACT = 'pressure'
@@ -63,6 +64,7 @@
     :ivar regions: the region of each failure domain
     :ivar bandwidth_mbps: bandwidth of the machine's link, in Mbit/s
     :ivar memory_mb: memory of the machine, in megabytes; 0 if it is unknown
+    :ivar file_descriptors: that a process may have; 0 if it is unknown
     :ivar cold_multiple: the multiple of a service's cold rate that a cold
         instance tolerates within one second
     :ivar cold_extra: further requests that it tolerates
@@ -93,6 +95,7 @@
     regions: dict[str, str]
     bandwidth_mbps: float
     memory_mb: float
+    file_descriptors: int
     cold_multiple: float
     cold_extra: float
     uneven_load: bool
@@ -199,6 +202,9 @@
             regions=self._regions(),
             bandwidth_mbps=self._number('limits.link_mbps', _BANDWIDTH_MBPS),
             memory_mb=self._number('limits.memory_mb', _MEMORY_MB),
+            file_descriptors=int(
+                self._number('limits.file_descriptors', _FILE_DESCRIPTORS)
+            ),
             cold_multiple=self._number('bounds.cold_overage', _COLD_MULTIPLE),
             cold_extra=self._number('bounds.cold_tolerance', _COLD_EXTRA),
             uneven_load=_UNEVEN_LOAD_CONTRACT
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -13,10 +13,12 @@
 
 from honeyport import errors
 from honeyport.gateway import daemon as gateway_daemon
+from honeyport import machine
 from honeyport.platform import boot
 from honeyport.platform import early
 from honeyport.platform import names
 from honeyport.platform import pages
+from honeyport.policy import connection_room
 from honeyport.policy import draining
 from honeyport.policy import repeats
 from honeyport import process
@@ -31,6 +33,7 @@
 # and its minimum. The process itself takes most of the rest.
 _HELD_SHARE = 1 / 8
 _MIN_HELD_MB = 8.0
+_BYTES_PER_MB = 1_000_000
 
 
 def main() -> None:
@@ -77,6 +80,10 @@
             cold_multiple=self._boot_settings.cold_multiple,
             cold_extra=self._boot_settings.cold_extra,
             shared_queues=self._boot_settings.uneven_load,
+            max_connections=connection_room.max_for_callers(
+                self._resources.file_descriptors,
+                self._resources.memory_bytes,
+            ),
             **self._memory_settings(),
         )
 
@@ -90,6 +97,18 @@
             return {'responses_max_mb': held_mb}
         return {'responses_max_mb': held_mb, 'held_max_mb': held_mb}
 
+    @property
+    def _resources(self) -> machine.Resources:
+        """What the machine grants this process."""
+        settings = self._boot_settings
+        found = machine.read_resources()
+        return machine.Resources(
+            memory_bytes=settings.memory_mb * _BYTES_PER_MB
+            or found.memory_bytes,
+            file_descriptors=settings.file_descriptors
+            or found.file_descriptors,
+        )
+
     async def start(
         self, settings: roles.Router, tree: supervisor.Supervisor
     ) -> None:
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -74,6 +74,13 @@
         0.0,
         check=fields.at_least(0),
     )
+    max_connections: int = fields.field(
+        'number of connections of callers; above it those that stand still '
+        'are closed, idle ones first; 0: half of the file descriptors, and '
+        "at most what fits into an eighth of the machine's memory",
+        0,
+        check=fields.at_least(0),
+    )
     responses_max_mb: float = fields.field(
         'memory for responses that are read but not complete, all together, '
         'in megabytes; above it the largest is cut off',
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -739,6 +739,15 @@
     'A caller read nothing of its answer for too long; its connection was '
     'closed.',
 )
+CONNECTIONS_CLOSED = define(
+    3253,
+    'connections_closed',
+    'warning',
+    'Connections of clients were closed: to make room for new ones '
+    '(made_room), because there are too many whose requests are served '
+    '(too_many), or because a head took too long (head_late). One line a '
+    'second at most.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
