Bound the bodies that a gateway receives, and give up those that stop short

Callers lost a gateway: it ran out of memory when a crowd sent bodies of legal size and stopped just short, with or without a key. Where a limit was set (uneven load), those bodies held all of it as long as their connections were open, and each large body of an ordinary caller got 429.

Cause: the account had no limit on most machines; a body had no end in time; key and route were looked at after the whole body; a refused body was answered and its connection closed at once, so that callers met a reset instead.

Change: the limit is an eighth of the memory everywhere. ingress/intake.py receives one body: from 64 KB on it checks first whether the request would be allowed, refuses above the size limit with 413, and reads a refused body on for a bounded time and length, after the answer, so that the answer is seen. If there is no room, bodies that stand still or cannot be whole by their deadline go first (policy/incoming.py, without I/O, walked by a test); if that does not make room, none goes and the new one is refused. A body has until the caller's deadline or the route's timeout, whichever is first; later no answer is of use. The answer is 408, and the request was never passed on.

Why it works: what is held is bounded by the account, whoever sends; a body that gets on is never behind, so the ordinary caller keeps its room, and one that does not costs it only while nobody else asks for it.

--- a/src/honeyport/errors.py
+++ b/src/honeyport/errors.py
@@ -197,6 +197,23 @@
     hint = 'No capacity before the deadline; it was not run. Retry later.'
 
 
+@register('HP-3021')
+class BodyTooLarge(HoneyportError):
+    status = 413
+    ran = False
+    hint = 'The body is larger than the limit; it was not run.'
+
+
+@register('HP-3022')
+class BodyIncomplete(HoneyportError):
+    status = 408
+    ran = False
+    hint = (
+        'The body did not arrive in time, or stood still while others needed '
+        'its memory; it was not run.'
+    )
+
+
 @register('HP-3005')
 class NotReady(HoneyportError):
     status = 503
--- a/src/honeyport/gateway/daemon.py
+++ b/src/honeyport/gateway/daemon.py
@@ -1,7 +1,6 @@
 """Assembly, start and shutdown of a gateway."""
 
 import asyncio
-import math
 import socket
 import uuid
 
@@ -36,6 +35,7 @@
 from honeyport.policy import cold
 from honeyport.policy import connection_room
 from honeyport.policy import draining
+from honeyport.policy import held_bytes as held_bytes_policy
 from honeyport.policy import placement
 from honeyport.policy import repeats
 from honeyport.policy import traits
@@ -133,7 +133,8 @@
         self._forwarder = self._create_forwarder(names, allowance)
         resources = machine.read_resources()
         self._held_bytes = held_bytes.HeldBytes(
-            settings.held_max_mb * _BYTES_PER_MB or math.inf,
+            settings.held_max_mb * _BYTES_PER_MB
+            or held_bytes_policy.max_held_bytes(resources.memory_bytes),
             counters,
             settings.responses_max_mb * _BYTES_PER_MB,
         )
--- a/src/honeyport/gateway/exchange_factory.py
+++ b/src/honeyport/gateway/exchange_factory.py
@@ -1,5 +1,7 @@
 """Creates the exchange of a request that the configuration admits."""
 
+import math
+
 from honeyport.bundle import model
 from honeyport import errors
 from honeyport.gateway import exchanges
@@ -39,6 +41,19 @@
         self._streams = streams
         self._table: routes.Table | None = None
 
+    def find_timeout_s(self, host: str, path: str, api_key: str) -> float:
+        """Return the timeout of a request's route, in seconds.
+
+        :returns: ``inf`` as long as there is no configuration
+        :raises errors.UnknownRoute: if no route matches
+        :raises errors.UnknownKey: if no client account holds the API key
+        """
+        try:
+            table = self._current_table()
+        except errors.NotReady:
+            return math.inf  # there may be one by the end of the body
+        return table.find(host, path, api_key).route.timeout_ms / 1000
+
     async def create(
         self, request: gateway_headers.Request, reply: exchanges.Reply
     ) -> exchanges.Exchange:
--- a/src/honeyport/gateway/forward.py
+++ b/src/honeyport/gateway/forward.py
@@ -84,6 +84,15 @@
         """Number of requests in flight."""
         return self._running
 
+    def find_timeout_s(self, host: str, path: str, api_key: str) -> float:
+        """Return the timeout of a request's route, in seconds.
+
+        :returns: ``inf`` as long as there is no configuration
+        :raises errors.UnknownRoute: if no route matches
+        :raises errors.UnknownKey: if no client account holds the API key
+        """
+        return self._exchanges.find_timeout_s(host, path, api_key)
+
     async def serve(
         self, request: gateway_headers.Request, reply: exchanges.Reply
     ) -> None:
--- a/src/honeyport/gateway/headers.py
+++ b/src/honeyport/gateway/headers.py
@@ -135,6 +135,30 @@
     )
 
 
+def read_timeout_s(
+    headers: httputil.HTTPHeaders, names: HeaderNames, default: float
+) -> float:
+    """Return how long a caller waits, in seconds.
+
+    :param default: used if the caller names no time, or none that is readable
+    """
+    try:
+        return _parse_deadline_s(headers.get(names.deadline_ms, ''), default)
+    except errors.BadRequest:
+        return default  # the request is refused when it is decoded
+
+
+def read_destination(
+    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> tuple[str, str, str]:
+    """Return the host, the path and the API key of a request."""
+    return (
+        headers.get('Host', '').lower(),
+        start_line.path.partition('?')[0],
+        _parse_api_key(headers),
+    )
+
+
 def decode_forwarded(
     call: exchange.Call, headers: httputil.HTTPHeaders, names: HeaderNames
 ) -> Request:
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -20,6 +20,7 @@
 from honeyport.gateway import forward
 from honeyport.gateway import headers as gateway_headers
 from honeyport.ingress import held_bytes
+from honeyport.ingress import intake
 from honeyport.ingress import servers
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
@@ -27,10 +28,11 @@
 
 # Deadline for callers that name none.
 _DEFAULT_DEADLINE_S = 600.0
+# Retry-After of a gateway that shuts down; the others are ready.
+_DRAINING_RETRY_AFTER_S = 0.1
 _CHUNK_BYTES = 64 * 1024
 # Larger bodies are written apart from the head; together, they are copied.
 _MAX_COPIED_BYTES = 64 * 1024
-_MAX_LENGTH_DIGITS = 18
 # Values of SO_LINGER: closing resets the connection, or ends it regularly.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _END_ON_CLOSE = struct.pack('ii', 0, 0)
@@ -58,17 +60,18 @@
         self._forwarder = forwarder
         self._names = names
         self._held_bytes = account
-        limits = model.RequestLimits()
+        self._limits = model.RequestLimits()
         self._server = servers.Server(
             typing.cast(typing.Any, self),
             max_connections=max_connections,
-            header_timeout_s=limits.header_ms / 1000,
+            header_timeout_s=self._limits.header_ms / 1000,
             counters=counters,
             chunk_size=_CHUNK_BYTES,
+            max_body_size=intake.MAX_PARSED_BYTES,
         )
         self._closing = False
         self._refusing = False
-        self.set_limits(limits)
+        self.set_limits(self._limits)
         counters.gauge('caller_connections', lambda: self._server.connections)
         counters.gauge('caller_connections_max', lambda: max_connections)
 
@@ -87,6 +90,11 @@
         """Counts the bytes that are held."""
         return self._held_bytes
 
+    @property
+    def limits(self) -> model.RequestLimits:
+        """The limits on requests."""
+        return self._limits
+
     @property
     def closing(self) -> bool:
         """Whether responses carry ``Connection: close``."""
@@ -107,9 +115,9 @@
 
     def set_limits(self, limits: model.RequestLimits) -> None:
         """Set the limits on request sizes and idle time."""
+        self._limits = limits
         parameters = self._server.conn_params
         parameters.max_header_size = limits.header_bytes
-        parameters.max_body_size = limits.body_bytes
         # It begins before the head does, while the connection is idle.
         parameters.header_timeout = (
             max(limits.header_ms, limits.idle_ms) / 1000
@@ -153,8 +161,13 @@
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
         self._is_started = False
-        self._is_refused = False
-        self._holding = held_bytes.Holding(caller_server.held_bytes)
+        self._intake = intake.Intake(
+            caller_server.held_bytes,
+            connection,
+            self._write_refusal,
+            self._check_allowed,
+        )
+        self._holding = self._intake.holding
 
     @property
     def is_started(self) -> bool:
@@ -190,38 +203,40 @@
     ) -> None:
         self._start_line = start_line
         self._headers = headers
-        self._check_room(_content_length(headers))
+        names = self._caller_server.names
+        self._intake.start(
+            headers,
+            self.request_id,
+            self._caller_server.limits.body_bytes,
+            min(
+                gateway_headers.read_timeout_s(
+                    headers, names, _DEFAULT_DEADLINE_S
+                ),
+                _DEFAULT_DEADLINE_S,
+            ),
+        )
 
     def data_received(self, chunk: bytes) -> None:
-        if self._is_refused:
-            return
-        # The length was counted when it was announced.
-        if 'Content-Length' not in self._headers:
-            self._check_room(len(self._body) + len(chunk))
-        if not self._is_refused:
+        if self._intake.receive(len(chunk)):
             self._body += chunk
-
-    def _check_room(self, body_bytes: int) -> None:
-        """Count a body, or refuse the request before it is read."""
-        try:
-            self._caller_server.held_bytes.check_body(
-                self.request_id, body_bytes, self._holding
-            )
-        except errors.Overloaded as error:
-            self._is_refused = True
+        else:
             self._body.clear()
-            self._holding.release()
-            self._task = asyncio.create_task(self._refuse_unread(error))
-            return
-        self._holding.update(held_bytes.REQUEST, body_bytes)
 
-    async def _refuse_unread(self, error: errors.Overloaded) -> None:
-        """Refuse a request; the parser discards its body."""
-        with contextlib.suppress(iostream.StreamClosedError):
-            await self.refuse(error)
+    def _check_allowed(self) -> float:
+        """Check that the configuration allows the request, before its body.
+
+        :returns: the longest time that it may take, in seconds
+        :raises errors.HoneyportError: if it does not
+        """
+        assert self._start_line is not None
+        if self._caller_server.refusing:
+            raise errors.Draining(retry_after=_DRAINING_RETRY_AFTER_S)
+        return self._caller_server.forwarder.find_timeout_s(
+            *gateway_headers.read_destination(self._start_line, self._headers)
+        )
 
     def finish(self) -> None:
-        if self._is_refused:
+        if not self._intake.finish():
             return  # its answer is being written
         self._connection.set_close_callback(self._on_closed)
         self._task = asyncio.create_task(self._handle_request())
@@ -229,7 +244,7 @@
     def on_connection_close(self) -> None:
         self._on_closed()
         if self._task is None:
-            self._holding.release()
+            self._intake.close()
 
     def _on_closed(self) -> None:
         if self._task is not None:
@@ -252,7 +267,7 @@
         self._body.clear()
         try:
             if self._caller_server.refusing:
-                raise errors.Draining(retry_after=0.1)
+                raise errors.Draining(retry_after=_DRAINING_RETRY_AFTER_S)
             request = gateway_headers.decode(
                 self._start_line,
                 self._headers,
@@ -309,13 +324,18 @@
         if self._is_started:
             self._stream.close()
             return
+        await self._write_refusal(error)
+        self._connection.finish()
+
+    async def _write_refusal(self, error: errors.HoneyportError) -> None:
+        self._body.clear()
         body = json.dumps({'error': error.to_dict()}).encode()
         headers = httputil.HTTPHeaders({'Content-Type': 'application/json'})
         headers['Content-Length'] = str(len(body))
         request_id = self._headers.get(self._caller_server.names.request_id)
         if request_id:
             headers[self._caller_server.names.request_id] = request_id
-        if isinstance(error, errors.NotReady) or self._is_refused:
+        if isinstance(error, errors.NotReady) or self._intake.is_refused:
             # Further requests of this caller should go to another gateway.
             # A connection with an unread body cannot be kept.
             headers['Connection'] = 'close'
@@ -323,7 +343,6 @@
             headers['Retry-After'] = f'{error.retry_after:.2f}'
         reason = http.HTTPStatus(error.status).phrase
         await self._write_head(error.status, reason, headers, body)
-        self._connection.finish()
 
     def _watch(self) -> contextlib.AbstractContextManager[None]:
         """Watch whether the caller reads."""
@@ -371,11 +390,3 @@
     except OSError:
         return 0  # progress is seen as the kernel takes further bytes
     return int(_C_INT.unpack(data)[0])
-
-
-def _content_length(headers: httputil.HTTPHeaders) -> int:
-    """Return the length of a body that its head names, or 0."""
-    # The parser accepts a length that is repeated, and refuses longer ones.
-    text = headers.get('Content-Length', '').partition(',')[0].strip()
-    is_length = text.isascii() and text.isdigit()
-    return int(text) if is_length and len(text) <= _MAX_LENGTH_DIGITS else 0
--- a/src/honeyport/ingress/held_bytes.py
+++ b/src/honeyport/ingress/held_bytes.py
@@ -9,9 +9,11 @@
 
 from honeyport import errors
 from honeyport.policy import held_bytes
+from honeyport.policy import incoming
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
+from honeyport.telemetry import sampling
 
 # Parts of a request that take memory.
 REQUEST = 'request'  # its body
@@ -42,6 +44,21 @@
         """Close its connection."""
 
 
+class Sender(typing.Protocol):
+    """A client that sends the body of a request."""
+
+    @property
+    def request_id(self) -> str:
+        """Id of its request."""
+
+    @property
+    def holding(self) -> 'Holding':
+        """The bytes that are held for its request."""
+
+    def refuse(self, error: errors.HoneyportError) -> None:
+        """Refuse its request, and hold nothing of it any more."""
+
+
 class Holding:
     """The bytes that are held for one request."""
 
@@ -112,6 +129,7 @@
     :param max_bytes: that should be held at most; ``inf`` for no limit
     :param responses_max_bytes: that responses may take while they are read,
         all together; ``inf`` for no limit
+    :param name: of the account, for its metrics
     """
 
     def __init__(
@@ -119,6 +137,7 @@
         max_bytes: float,
         counters: metrics.Metrics,
         responses_max_bytes: float = math.inf,
+        name: str = 'held_bytes',
     ) -> None:
         self._responses_max_bytes = responses_max_bytes
         self._responses_total = 0
@@ -130,8 +149,10 @@
         # Caller to its request's holding, the bytes that it had taken, and
         # when it last took any.
         self._reading: dict[Reader, tuple[Holding, int, float]] = {}
-        counters.gauge('held_bytes', lambda: self._total)
-        counters.gauge('held_bytes_max', lambda: max_bytes)
+        self._bodies: dict[Sender, incoming.Body] = {}
+        self._sampler = sampling.Sampler()
+        counters.gauge(name, lambda: self._total)
+        counters.gauge(f'{name}_max', lambda: max_bytes)
 
     @property
     def total(self) -> int:
@@ -165,33 +186,102 @@
                 f'and {self._responses_total} of all'
             )
 
+    def start_body(
+        self, sender: Sender, announced: int, now: float, deadline: float
+    ) -> None:
+        """Record that a body is received from now on.
+
+        :param announced: its length in bytes; 0 if it is not known
+        :param deadline: loop time after which its request is refused
+        """
+        self._bodies[sender] = incoming.Body(sender, announced, now, deadline)
+
+    def limit_body_time(self, sender: Sender, timeout_s: float) -> None:
+        """Limit the time that a body may take from its start."""
+        body = self._bodies[sender]
+        body.deadline = min(body.deadline, body.started_at + timeout_s)
+
+    def record_body(self, sender: Sender, received: int) -> None:
+        """Record how much of a body has been received."""
+        now = asyncio.get_running_loop().time()
+        self._bodies[sender].record(received, now)
+
+    def end_body(self, sender: Sender) -> None:
+        """Record that a body is whole, or that it was given up."""
+        self._bodies.pop(sender, None)
+
     def check_body(
         self, request_id: str, body_bytes: int, holding: Holding
     ) -> None:
         """Check that there is room for a body that was not read yet.
 
+        Bodies that stand still make room for it.
+
         :param holding: counts what has been read of it
         :raises errors.Overloaded: if there is no room
         """
-        held = self._total - holding.total
-        if self._limits.admits(held, body_bytes):
+        if self._admits(body_bytes, holding):
             return
-        rate = self._rate.per_second(asyncio.get_running_loop().time())
-        back_s = self._limits.back_s(held, rate)
-        logs.emit(
-            events.BODY_REFUSED,
-            request=request_id,
-            body_bytes=body_bytes,
-            held_bytes=self._total,
-            back_s=round(back_s, 2),
+        now = asyncio.get_running_loop().time()
+        held = self._total - holding.total
+        others = [
+            body
+            for sender, body in self._bodies.items()
+            if sender.holding is not holding
+        ]
+        needed = self._limits.excess(held, body_bytes)
+        self._give_up(
+            incoming.select_evicted(others, needed, now), 'stalled', now
         )
-        self._metrics.count('bodies_refused')
+        if self._admits(body_bytes, holding):
+            return
+        back_s = self._limits.back_s(held, self._rate.per_second(now))
         raise errors.Overloaded(
             f'no memory for a body of {body_bytes} bytes: {self._total} are '
             'held',
             retry_after=back_s,
         )
 
+    def _admits(self, body_bytes: int, holding: Holding) -> bool:
+        return self._limits.admits(self._total - holding.total, body_bytes)
+
+    def count_refused(
+        self, request_id: str, error: errors.HoneyportError
+    ) -> None:
+        """Count and log a request that was refused before its body."""
+        self._metrics.count('bodies_refused', code=error.code)
+        self._sampler.emit(
+            events.BODY_REFUSED,
+            asyncio.get_running_loop().time(),
+            request=request_id,
+            code=error.code,
+            detail=error.detail,
+            held_bytes=self._total,
+        )
+
+    def _give_up(
+        self,
+        bodies: collections.abc.Sequence[incoming.Body],
+        reason: str,
+        now: float,
+    ) -> None:
+        """Refuse requests whose bodies are incomplete."""
+        if not bodies:
+            return
+        held = self._total
+        for body in bodies:
+            sender = typing.cast(Sender, body.key)
+            sender.refuse(errors.BodyIncomplete())
+        self._metrics.count('bodies_given_up', len(bodies), reason=reason)
+        self._sampler.emit(
+            events.BODIES_GIVEN_UP,
+            now,
+            reason=reason,
+            bodies=len(bodies),
+            freed_bytes=held - self._total,
+            held_bytes=self._total,
+        )
+
     def passes_on_unfinished(self, answer_bytes: int) -> bool:
         """Whether an answer is passed on before it is complete."""
         return self._limits.passes_on_unfinished(self._total, answer_bytes)
@@ -209,10 +299,13 @@
             del self._reading[reader]
 
     async def run(self) -> None:
-        """Cut off callers that read nothing, until cancelled."""
+        """Cut off callers that make no progress, until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
-            self.cut_off_stalled(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self.cut_off_stalled(now)
+            late = incoming.select_late(self._bodies.values(), now)
+            self._give_up(late, 'late', now)
 
     def cut_off_stalled(self, now: float) -> None:
         """Cut off callers that have read nothing for too long."""
--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -20,6 +20,7 @@
 from honeyport.platform import pages
 from honeyport.policy import connection_room
 from honeyport.policy import draining
+from honeyport.policy import held_bytes
 from honeyport.policy import repeats
 from honeyport import process
 from honeyport.settings import roles
@@ -29,10 +30,6 @@
 from honeyport.telemetry import metrics
 
 _POLL_INTERVAL_S = 2.0  # between checks of the settings file
-# Share of the machine's memory for requests and answers that are not read yet,
-# and its minimum. The process itself takes most of the rest.
-_HELD_SHARE = 1 / 8
-_MIN_HELD_MB = 8.0
 _BYTES_PER_MB = 1_000_000
 
 
@@ -89,12 +86,10 @@
 
     def _memory_settings(self) -> dict[str, float]:
         """Return the settings that the machine's memory calls for."""
-        memory_mb = self._boot_settings.memory_mb
-        if not memory_mb:
-            return {}
-        held_mb = max(_MIN_HELD_MB, memory_mb * _HELD_SHARE)
-        if not self._boot_settings.uneven_load:
-            return {'responses_max_mb': held_mb}
+        held_mb = (
+            held_bytes.max_held_bytes(self._resources.memory_bytes)
+            / _BYTES_PER_MB
+        )
         return {'responses_max_mb': held_mb, 'held_max_mb': held_mb}
 
     @property
--- a/src/honeyport/policy/held_bytes.py
+++ b/src/honeyport/policy/held_bytes.py
@@ -26,6 +26,10 @@
 _STALL_S = 30.0
 # The same under pressure. Several retransmissions of a lost packet fit.
 _STALL_UNDER_PRESSURE_S = 5.0
+# Share of the machine's memory that should be held at most, and its minimum.
+# The process itself takes most of the rest.
+_MEMORY_SHARE = 1 / 8
+_MIN_BYTES = 8_000_000
 # Time constant of the rate of releases, in seconds.
 _RATE_WINDOW_S = 1.0
 # The shortest time to come back, in seconds.
@@ -51,6 +55,11 @@
     return rates.DecayingRate(_RATE_WINDOW_S)
 
 
+def max_held_bytes(memory_bytes: float) -> float:
+    """Return how many bytes a machine should hold at most."""
+    return max(_MIN_BYTES, memory_bytes * _MEMORY_SHARE)
+
+
 @attrs.frozen
 class Limits:
     """Decides who is refused or cut off as memory gets short.
@@ -71,6 +80,14 @@
             return True
         return held + body_bytes <= self._limit_for(body_bytes)
 
+    def excess(self, held: int, body_bytes: int) -> int:
+        """Return how many bytes too many would be held with a body.
+
+        At most all that are held, as one body alone is always admitted.
+        """
+        allowed = max(0.0, self._limit_for(body_bytes) - body_bytes)
+        return math.ceil(max(0.0, held - allowed))
+
     def back_s(self, held: int, rate: float) -> float:
         """Return when a refused caller should come back, in seconds.
 
--- a/src/honeyport/settings/roles.py
+++ b/src/honeyport/settings/roles.py
@@ -69,8 +69,9 @@
     )
     held_max_mb: float = fields.field(
         'memory for requests and answers that callers and instances have not '
-        'read yet, in megabytes; as it runs out, requests with large bodies '
-        'are refused first; 0: no limit',
+        'read yet, in megabytes; as it runs out, bodies that stand still are '
+        'given up, and requests with large bodies are refused first; 0: an '
+        "eighth of the machine's memory",
         0.0,
         check=fields.at_least(0),
     )
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -729,15 +729,17 @@
     3250,
     'body_refused',
     'warning',
-    'A request was refused before its body was read, as the gateway holds too '
-    'many bytes for callers and instances; it was not run.',
+    'A request was refused before its body was read: there is no memory for '
+    'it, it is too large, or the request would not be allowed; it was not '
+    'run. One line a second at most; omitted tells how many others there '
+    'were.',
 )
-CALLER_CUT_OFF = define(
-    3251,
-    'caller_cut_off',
+BODIES_GIVEN_UP = define(
+    3252,
+    'bodies_given_up',
     'warning',
-    'A caller read nothing of its answer for too long; its connection was '
-    'closed.',
+    'Bodies that stood still had to make room for others, or did not arrive '
+    'in time; their requests were not run. One line a second at most.',
 )
 CONNECTIONS_CLOSED = define(
     3253,
@@ -748,6 +750,13 @@
     '(too_many), or because a head took too long (head_late). One line a '
     'second at most.',
 )
+CALLER_CUT_OFF = define(
+    3251,
+    'caller_cut_off',
+    'warning',
+    'A caller read nothing of its answer for too long; its connection was '
+    'closed.',
+)
 LINES_DROPPED = define(
     3901,
     'lines_dropped',
