Check the room for a body that another gateway forwards

A gateway that forwards for others took up to 64 bodies of any legal size at once (64 x 4 MB) without asking its account, and could run out of memory.

Evidence: features/gateway/detours.feature, the other gateway holds all that it may: 200 and one run before, now refused as not run and served once there is room.

Change: the account is asked before the request begins. The refusal is an Overloaded error, after which the first gateway asks another one.

--- a/features/gateway/detours.feature
+++ b/features/gateway/detours.feature
@@ -198,3 +198,14 @@
     When the other gateway gets the configuration
     And a caller sends a request
     Then it gets 200, and 1 requests arrived
+
+  # Bodies for other gateways were received without a limit.
+  Scenario: the other gateway has no memory for a body
+    Given a gateway for idempotent requests that reaches no instance, and another one whose instances answer
+    When the other gateway holds all that it may
+    And a caller sends a body of 200000 bytes
+    Then it gets 503, and 0 requests arrived
+    And its error has "ran" set to False
+    When it holds nothing any more
+    And a caller sends a body of 200000 bytes
+    Then it gets 200, and 1 requests arrived
--- a/features/steps/detour_steps.py
+++ b/features/steps/detour_steps.py
@@ -6,12 +6,15 @@
 import behave
 
 from features.steps import gateway_steps
+from honeyport.ingress import held_bytes
 from honeyport import local
 from honeyport.wire import honeyport_pb2 as pb
 
 _TIMEOUT_S = 3.0
 # Less than the time limit of the route.
 _AT_ONCE_S = 1.0
+_MORE_THAN_ALL_BYTES = 10**15
+_GATEWAY_PAUSE_S = 0.6
 
 
 class CutOffFixture(gateway_steps.GatewayFixture):
@@ -77,6 +80,26 @@
         await self.other.stop()
 
 
+@behave.when('the other gateway holds all that it may')
+def step_hold_all(context):
+    async def hold():
+        account = context.fixture.other.gateway._held_bytes
+        context.holding = held_bytes.Holding(account)
+        context.holding.update(held_bytes.REQUEST, _MORE_THAN_ALL_BYTES)
+
+    context.run(hold())
+
+
+@behave.when('it holds nothing any more')
+def step_hold_nothing(context):
+    async def release():
+        context.holding.release()
+        # The first gateway does not ask it again for a while.
+        await asyncio.sleep(_GATEWAY_PAUSE_S)
+
+    context.run(release())
+
+
 @behave.given(
     'a gateway for {kind} requests that reaches no instance, and another one '
     'whose instances {steps}'
--- a/src/honeyport/gateway/forwarded.py
+++ b/src/honeyport/gateway/forwarded.py
@@ -147,7 +147,7 @@
         """Serve a request; yield the frames of its answer.
 
         :param backend: not used, since this gateway chooses the instance
-        :raises errors.HoneyportError: if it failed
+        :raises errors.HoneyportError: if it failed, or was refused
         """
         if self._is_refusing():
             raise errors.Draining()
@@ -157,6 +157,7 @@
                 retry_after=_RETRY_AFTER_S,
             )
         holding = held_bytes.Holding(self._held_bytes)
+        self._held_bytes.check_body(call.request_id, len(call.body), holding)
         reply = PeerReply(call, lambda: self._forwarder.running, holding)
         holding.update(held_bytes.REQUEST, len(call.body))
         self._running += 1
