Bound bodies and connections at the addresses beside the callers'

Clients of the directory could end a process: its four listeners (readiness, directory, operators, metrics) took 32 MiB for any request, also for a GET, from anyone, for any time, and any number of connections. An order that had been redirected before its body was kept in memory, too.

Evidence: features/platform/crowds.feature on, 20 callers with 10 MB: peaks of 244 to 395 MB on a machine of 160 in eight scenarios; 500 idle connections and 300 descriptors: no answer.

Change: ingress/guard.py puts an intake before an HTTP application. An endpoint takes 64 KB unless it says otherwise (a configuration: 32 MiB); all bodies of these listeners have an account of their own, so that callers do not take operators' room; each listener has its own number of connections. The body of an order that was answered is not kept; its checksum for the log is computed as it arrives.

Why it works: as at the gateway, what is held is bounded by the account, and a body that stands still gives way to one that comes.

--- a/src/honeyport/platform/node.py
+++ b/src/honeyport/platform/node.py
@@ -133,7 +133,7 @@
             counters=self._counters,
             operator_services=operator_services,
         )
-        for server in pages.serve(components):
+        for server in pages.serve(components, self._resources, tree):
             tree.on_stop('pages', supervisor.close_hook(server))
         await gateway.start(
             tree, early.take_socket(self._boot_settings.caller_address)
--- a/src/honeyport/platform/operator_log.py
+++ b/src/honeyport/platform/operator_log.py
@@ -31,6 +31,8 @@
     def __init__(self, request: httputil.HTTPServerRequest) -> None:
         self._request = request
         self._checksum = ''
+        self._crc = 0
+        self._received_bytes = 0
         self._started_at = _now()
         self._early_answer: dict[str, typing.Any] | None = None
 
@@ -41,17 +43,21 @@
         """
         self._early_answer = self._fields(answer) | {'before_body': True}
 
+    def record_data(self, chunk: bytes) -> None:
+        """Record a part of the body."""
+        self._crc = zlib.crc32(chunk, self._crc)
+        self._received_bytes += len(chunk)
+
     def record_received(self) -> None:
         """Record that the request was received completely."""
-        body = self._request.body
         # The same wherever the order is sent again.
-        self._checksum = f'{zlib.crc32(body):08x}'
+        self._checksum = f'{self._crc:08x}'
         self._started_at = _now()
         logs.emit(
             events.OPERATOR_RECEIVED,
             path=self._request.path,
             order=self._checksum,
-            bytes=len(body),
+            bytes=self._received_bytes,
             body_ms=self._request_ms(),
             peer=self._request.remote_ip,
         )
--- a/src/honeyport/platform/pages.py
+++ b/src/honeyport/platform/pages.py
@@ -21,11 +21,17 @@
 from honeyport.control import leader_wait
 from honeyport import errors
 from honeyport.gateway import daemon as gateway_daemon
+from honeyport.ingress import guard
+from honeyport.ingress import held_bytes
+from honeyport import machine
 from honeyport.platform import boot
 from honeyport.platform import configuration
 from honeyport.platform import operator_log
 from honeyport.platform import request_reader
+from honeyport.policy import connection_room
+from honeyport.policy import held_bytes as held_bytes_policy
 from honeyport.settings import roles
+from honeyport import supervisor
 from honeyport.telemetry import events
 from honeyport.telemetry import log as logs
 from honeyport.telemetry import metrics
@@ -33,7 +39,14 @@
 if typing.TYPE_CHECKING:  # imported only where there is a replica
     from honeyport.platform import replica
 
-_MAX_BODY_BYTES = 32 * 1024 * 1024
+# The body of a request, unless its endpoint takes larger ones.
+_MAX_BODY_BYTES = 64 * 1024
+_MAX_CONFIGURATION_BYTES = 32 * 1024 * 1024
+_MAX_HEADER_BYTES = 16 * 1024
+_HEADER_TIMEOUT_S = 10.0
+# A large configuration over a slow link.
+_BODY_TIMEOUT_S = 120.0
+_IDLE_TIMEOUT_S = 120.0
 # The paths of operators' requests: only the leader serves them.
 _OPERATOR_PATHS = ('/api/configuration/', '/api/evacuations/')
 
@@ -67,19 +80,25 @@
 # Takes the components, the request, and the path's parameters as keywords.
 Handler = collections.abc.Callable[..., collections.abc.Awaitable[Response]]
 _ENDPOINTS: dict[re.Pattern[str], dict[str, Handler]] = {}
+# Method and path of the endpoints that take large bodies, and their maximum.
+_LARGE_BODIES: dict[tuple[str, str], int] = {}
 # A parameter in the path of an endpoint.
 _PARAMETER = re.compile(r'{(\w+)}')
 _DIGITS = re.compile(r'[0-9]{1,18}')
 
 
 def endpoint(
-    method: str, path: str
+    method: str, path: str, max_body_bytes: int = _MAX_BODY_BYTES
 ) -> collections.abc.Callable[[Handler], Handler]:
     """Register the decorated function as the handler of an endpoint.
 
     :param path: its path; a segment ``{name}`` is passed as that keyword
+    :param max_body_bytes: maximum length of a request's body; other than the
+        default only if the path has no parameters
     """
     pattern = re.compile(_PARAMETER.sub(r'(?P<\1>[^/]+)', path))
+    if max_body_bytes != _MAX_BODY_BYTES:
+        _LARGE_BODIES[method, path] = max_body_bytes
 
     def decorate(handler: Handler) -> Handler:
         _ENDPOINTS.setdefault(pattern, {})[method] = handler
@@ -117,7 +136,7 @@
     return _json({'addresses': addresses, 'ttl_s': ttl_s})
 
 
-@endpoint('POST', '/api/configuration/replace')
+@endpoint('POST', '/api/configuration/replace', _MAX_CONFIGURATION_BYTES)
 async def _replace_configuration(
     components: Components, request: httputil.HTTPServerRequest
 ) -> Response:
@@ -182,8 +201,15 @@
     return components.operator_services
 
 
-def serve(components: Components) -> list[httpserver.HTTPServer]:
-    """Start an HTTP server on each address; return the servers."""
+def serve(
+    components: Components,
+    resources: machine.Resources,
+    tree: supervisor.Supervisor,
+) -> list[httpserver.HTTPServer]:
+    """Start an HTTP server on each address; return the servers.
+
+    :param tree: runs the account of the bodies that they receive
+    """
     settings = components.settings
     addresses = {
         settings.readiness_address,
@@ -194,19 +220,40 @@
     readers = request_reader.RequestReaders(
         lambda request: _Exchange(components, request)
     )
-    servers = []
+    account = held_bytes.HeldBytes(
+        held_bytes_policy.max_held_bytes(resources.memory_bytes),
+        components.counters,
+        name='operator_held_bytes',
+    )
+    tree.start_task('operator-held-bytes', account.run)
+    servers: list[httpserver.HTTPServer] = []
     for address in sorted(addresses):
         host, port = roles.split_address(address)
-        server = httpserver.HTTPServer(
+        server = guard.create_server(
             readers,
-            max_body_size=_MAX_BODY_BYTES,
-            max_buffer_size=_MAX_BODY_BYTES,
+            account,
+            max_bytes=_max_body_bytes,
+            body_timeout_s=_BODY_TIMEOUT_S,
+            header_timeout_s=_HEADER_TIMEOUT_S,
+            idle_timeout_s=_IDLE_TIMEOUT_S,
+            max_header_bytes=_MAX_HEADER_BYTES,
+            parser_max_bytes=_MAX_CONFIGURATION_BYTES,
+            max_connections=connection_room.max_for_page(
+                resources.file_descriptors
+            ),
+            counters=components.counters,
         )
         server.listen(port, host)
         servers.append(server)
     return servers
 
 
+def _max_body_bytes(start_line: httputil.RequestStartLine) -> int:
+    """Return how many bytes the body of a request may have."""
+    path = start_line.path.partition('?')[0]
+    return _LARGE_BODIES.get((start_line.method, path), _MAX_BODY_BYTES)
+
+
 class _Exchange:
     """One request and its response."""
 
@@ -230,6 +277,12 @@
             self._log.record_early_answer(_to_answer(response))
         _write(self._request, response)
 
+    def on_data(self, chunk: bytes) -> bool:
+        """Record a part of the body; return whether to keep it."""
+        if self._log is not None:
+            self._log.record_data(chunk)
+        return not self._has_responded
+
     def on_request(self) -> None:
         """Start to handle the complete request."""
         if self._log is not None:
@@ -313,7 +366,7 @@
     length = request.headers.get('Content-Length', '0')
     return (
         _DIGITS.fullmatch(length) is not None
-        and int(length) <= _MAX_BODY_BYTES
+        and int(length) <= _MAX_CONFIGURATION_BYTES
     )
 
 
--- a/src/honeyport/platform/request_reader.py
+++ b/src/honeyport/platform/request_reader.py
@@ -12,6 +12,9 @@
     async def on_headers(self) -> None:
         """Handle the headers; the body is not read until this returns."""
 
+    def on_data(self, chunk: bytes) -> bool:
+        """Handle a part of the body; return whether to keep it."""
+
     def on_request(self) -> None:
         """Handle the complete request."""
 
@@ -49,6 +52,7 @@
         self._request: httputil.HTTPServerRequest | None = None
         self._exchange: Exchange | None = None
         self._body = bytearray()
+        self._received_bytes = 0
 
     async def headers_received(
         self,
@@ -64,7 +68,9 @@
         await self._exchange.on_headers()
 
     def data_received(self, chunk: bytes) -> None:
-        self._body += chunk
+        self._received_bytes += len(chunk)
+        if self._exchange is not None and self._exchange.on_data(chunk):
+            self._body += chunk
 
     def finish(self) -> None:
         if self._request is not None and self._exchange is not None:
@@ -72,5 +78,6 @@
             self._exchange.on_request()
 
     def on_connection_close(self) -> None:
+        self._body = bytearray()
         if self._exchange is not None:
-            self._exchange.on_incomplete(len(self._body))
+            self._exchange.on_incomplete(self._received_bytes)
