Bound bodies and connections at the product's own router and status pages

A client of a router could end its process: each request might have 16 MiB, for any time, whether or not its account existed, and connections had no limit. The status addresses of control replicas took 100 MB.

Evidence: features/router/crowds.feature on: peaks of 358 to 379 MB with 20 callers of 15 MB, no answer where 500 idle connections met 300 descriptors.

Change: both listen behind ingress/guard.py; the router's account has the limit held_max_mb, as the gateway's.

--- a/src/honeyport/router/daemon.py
+++ b/src/honeyport/router/daemon.py
@@ -9,6 +9,11 @@
 from honeyport.backend import engine
 from honeyport.backend import plain
 from honeyport import exchange
+from honeyport.ingress import guard
+from honeyport.ingress import held_bytes
+from honeyport import machine
+from honeyport.policy import connection_room
+from honeyport.policy import held_bytes as held_bytes_policy
 from honeyport.router import chat
 from honeyport.router import claims
 from honeyport.router import discovery
@@ -33,6 +38,11 @@
 REGISTERED = (engine, plain, chat, discovery, services)
 
 _MAX_REQUEST_BYTES = 16 * 1024 * 1024
+_MAX_HEADER_BYTES = 64 * 1024
+_HEADER_TIMEOUT_S = 30.0
+_BODY_TIMEOUT_S = 600.0
+_IDLE_TIMEOUT_S = 3600.0
+_BYTES_PER_MB = 1_000_000
 _STOP_GRACE_S = 0.2
 _DRAIN_POLL_S = 0.02
 
@@ -74,6 +84,12 @@
         self._idempotency_guard = claims.IdempotencyGuard(
             settings.name, self._state, self._session
         )
+        resources = machine.read_resources()
+        self._held_bytes = held_bytes.HeldBytes(
+            settings.held_max_mb * _BYTES_PER_MB
+            or held_bytes_policy.max_held_bytes(resources.memory_bytes),
+            self._counters,
+        )
         self._backends_revision = 0
 
     @property
@@ -101,6 +117,7 @@
         tree.on_stop('steward', self._close_steward)
         tree.start_task('settle', self._admission.run_admission)
         tree.start_task('probes', self._admission.run_probes)
+        tree.start_task('held-bytes', self._held_bytes.run)
         server = self._listen()
         tree.on_stop('http', supervisor.close_hook(server))
         tree.on_stop('drain', self._drain)
@@ -124,7 +141,24 @@
             log_function=lambda _: None,
         )
         host, port = roles.split_address(self._settings.listen)
-        return application.listen(port, host, max_body_size=_MAX_REQUEST_BYTES)
+        resources = machine.read_resources()
+        server = guard.create_server(
+            application,
+            self._held_bytes,
+            max_bytes=lambda start_line: _MAX_REQUEST_BYTES,
+            body_timeout_s=_BODY_TIMEOUT_S,
+            header_timeout_s=_HEADER_TIMEOUT_S,
+            idle_timeout_s=_IDLE_TIMEOUT_S,
+            max_header_bytes=_MAX_HEADER_BYTES,
+            parser_max_bytes=_MAX_REQUEST_BYTES,
+            max_connections=self._settings.max_connections
+            or connection_room.max_for_callers(
+                resources.file_descriptors, resources.memory_bytes
+            ),
+            counters=self._counters,
+        )
+        server.listen(port, host)
+        return server
 
     async def _drain(self) -> None:
         """Refuse new requests, finish the others, hand over backend servers.
--- a/src/honeyport/telemetry/status.py
+++ b/src/honeyport/telemetry/status.py
@@ -5,9 +5,20 @@
 from tornado import httpserver
 from tornado import web
 
+from honeyport.ingress import guard
+from honeyport.ingress import held_bytes
+from honeyport import machine
+from honeyport.policy import connection_room
 from honeyport.settings import roles
 from honeyport.telemetry import metrics
 
+# No request has a body here.
+_MAX_BODY_BYTES = 16 * 1024
+_MAX_HELD_BYTES = 1024 * 1024
+_MAX_HEADER_BYTES = 16 * 1024
+_REQUEST_TIMEOUT_S = 10.0
+_IDLE_TIMEOUT_S = 600.0
+
 Ready = typing.Callable[[], str]
 
 
@@ -56,4 +67,19 @@
     application = web.Application(
         routes(counters, ready), log_function=lambda _: None
     )
-    return application.listen(port, host)
+    server = guard.create_server(
+        application,
+        held_bytes.HeldBytes(_MAX_HELD_BYTES, counters, name='status_bytes'),
+        max_bytes=lambda start_line: _MAX_BODY_BYTES,
+        body_timeout_s=_REQUEST_TIMEOUT_S,
+        header_timeout_s=_REQUEST_TIMEOUT_S,
+        idle_timeout_s=_IDLE_TIMEOUT_S,
+        max_header_bytes=_MAX_HEADER_BYTES,
+        parser_max_bytes=_MAX_BODY_BYTES,
+        max_connections=connection_room.max_for_page(
+            machine.read_resources().file_descriptors
+        ),
+        counters=counters,
+    )
+    server.listen(port, host)
+    return server
