Name one of the clients in the sampled lines about them

An operator could see that a crowd is there and not who it is. The lines for refused bodies, bodies that were given up and closed connections name the address of one client; by one line a second the log stays bounded.

The reader for chunks is set up only for requests that have them, and the intake has slots: what an idle connection costs counts here.

--- a/src/honeyport/ingress/held_bytes.py
+++ b/src/honeyport/ingress/held_bytes.py
@@ -51,6 +51,10 @@
     def request_id(self) -> str:
         """Id of its request."""
 
+    @property
+    def peer(self) -> str:
+        """IP address of the client."""
+
     @property
     def holding(self) -> 'Holding':
         """The bytes that are held for its request."""
@@ -246,14 +250,15 @@
         return self._limits.admits(self._total - holding.total, body_bytes)
 
     def count_refused(
-        self, request_id: str, error: errors.HoneyportError
+        self, sender: Sender, error: errors.HoneyportError
     ) -> None:
         """Count and log a request that was refused before its body."""
         self._metrics.count('bodies_refused', code=error.code)
         self._sampler.emit(
             events.BODY_REFUSED,
             asyncio.get_running_loop().time(),
-            request=request_id,
+            request=sender.request_id,
+            peer=sender.peer,
             code=error.code,
             detail=error.detail,
             held_bytes=self._total,
@@ -269,8 +274,8 @@
         if not bodies:
             return
         held = self._total
-        for body in bodies:
-            sender = typing.cast(Sender, body.key)
+        senders = [typing.cast(Sender, body.key) for body in bodies]
+        for sender in senders:
             sender.refuse(errors.BodyIncomplete())
         self._metrics.count('bodies_given_up', len(bodies), reason=reason)
         self._sampler.emit(
@@ -278,6 +283,8 @@
             now,
             reason=reason,
             bodies=len(bodies),
+            peer=senders[0].peer,
+            request=senders[0].request_id,
             freed_bytes=held - self._total,
             held_bytes=self._total,
         )
--- a/src/honeyport/ingress/intake.py
+++ b/src/honeyport/ingress/intake.py
@@ -52,6 +52,23 @@
     :ivar holding: the bytes that are held for the request
     """
 
+    __slots__ = (
+        'holding',
+        '_account',
+        '_connection',
+        '_write_refusal',
+        '_check',
+        '_request_id',
+        '_max_bytes',
+        '_received',
+        '_has_length',
+        '_is_receiving',
+        '_is_refused',
+        '_discarded',
+        '_discarding_ends',
+        '_task',
+    )
+
     def __init__(
         self,
         account: held_bytes.HeldBytes,
@@ -80,6 +97,11 @@
         """Id that the client gave the request, or ``''``."""
         return self._request_id
 
+    @property
+    def peer(self) -> str:
+        """IP address of the client."""
+        return getattr(self._connection.context, 'remote_ip', '')
+
     @property
     def is_refused(self) -> bool:
         """Whether the request was refused."""
@@ -163,7 +185,7 @@
                 self._request_id, body_bytes, self.holding
             )
         except errors.HoneyportError as error:
-            self._account.count_refused(self._request_id, error)
+            self._account.count_refused(self, error)
             self.refuse(error)
             return
         self.holding.update(held_bytes.REQUEST, body_bytes)
--- a/src/honeyport/ingress/servers.py
+++ b/src/honeyport/ingress/servers.py
@@ -81,7 +81,7 @@
         if len(self._records) >= self._max_connections:
             self._make_room(now)
         if len(self._records) >= self._max_connections:
-            self._count_closed('too_many', now, 1)
+            self._count_closed('too_many', now, 1, _peer_of(stream))
             stream.close()
             return
         self._records[stream] = connection_room.Connection(stream, now)
@@ -93,13 +93,17 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         delegate = super().start_request(server_conn, request_conn)
-        self._read_chunks_in_turns(request_conn)
         record = self._records.get(_stream_of(server_conn))
         if record is None:
             return delegate
         now = asyncio.get_running_loop().time()
         record.enter(connection_room.Phase.IDLE, now)
-        return _Message(delegate, record)
+        return _Message(
+            delegate,
+            record,
+            typing.cast(http1connection.HTTP1Connection, request_conn),
+            self._chunk_reader,
+        )
 
     def on_close(self, server_conn: object) -> None:
         super().on_close(server_conn)
@@ -108,15 +112,6 @@
             httputil.HTTPServerConnectionDelegate, self.request_callback
         ).on_close(server_conn)
 
-    def _read_chunks_in_turns(
-        self, request_conn: httputil.HTTPConnection
-    ) -> None:
-        connection = typing.cast(http1connection.HTTP1Connection, request_conn)
-        # Tornado has no public way to replace it.
-        connection._read_chunked_body = functools.partial(  # type: ignore
-            self._chunk_reader.read, connection
-        )
-
     # -- closing connections -----------------------------------------------
 
     def _make_room(self, now: float) -> None:
@@ -159,20 +154,26 @@
         reason: str,
         now: float,
     ) -> None:
-        for record in closed:
-            stream = typing.cast(iostream.IOStream, record.key)
+        if not closed:
+            return
+        streams = [
+            typing.cast(iostream.IOStream, record.key) for record in closed
+        ]
+        self._count_closed(reason, now, len(streams), _peer_of(streams[0]))
+        for stream in streams:
             del self._records[stream]
             stream.close()
-        if closed:
-            self._count_closed(reason, now, len(closed))
 
-    def _count_closed(self, reason: str, now: float, count: int) -> None:
+    def _count_closed(
+        self, reason: str, now: float, count: int, peer: str
+    ) -> None:
         self._metrics.count('connections_closed', count, reason=reason)
         self._sampler.emit(
             events.CONNECTIONS_CLOSED,
             now,
             reason=reason,
             closed=count,
+            peer=peer,
             open=len(self._records),
         )
 
@@ -180,13 +181,19 @@
 class _Message(httputil.HTTPMessageDelegate):
     """Records what happens on a connection while a request is read."""
 
+    __slots__ = ('_delegate', '_record', '_connection', '_chunk_reader')
+
     def __init__(
         self,
         delegate: httputil.HTTPMessageDelegate,
         record: connection_room.Connection,
+        connection: http1connection.HTTP1Connection,
+        chunk_reader: chunked.Reader,
     ) -> None:
         self._delegate = delegate
         self._record = record
+        self._connection = connection
+        self._chunk_reader = chunk_reader
 
     def headers_received(
         self,
@@ -194,6 +201,11 @@
         headers: httputil.HTTPHeaders,
     ) -> collections.abc.Awaitable[None] | None:
         self._record.enter(connection_room.Phase.RECEIVING, _now())
+        if 'Transfer-Encoding' in headers:
+            # Tornado has no public way to replace it.
+            self._connection._read_chunked_body = functools.partial(
+                self._chunk_reader.read, self._connection
+            )
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(
@@ -220,6 +232,14 @@
     ).stream
 
 
+def _peer_of(stream: iostream.IOStream) -> str:
+    """Return the IP address of a client, or ``''`` if it has left."""
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError:
+        return ''
+
+
 def _has_incomplete_head(
     stream: iostream.IOStream, record: connection_room.Connection
 ) -> bool:
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -739,7 +739,8 @@
     'bodies_given_up',
     'warning',
     'Bodies that stood still had to make room for others, or did not arrive '
-    'in time; their requests were not run. One line a second at most.',
+    'in time; their requests were not run. One line a second at most; peer '
+    'and request are of one of them.',
 )
 CONNECTIONS_CLOSED = define(
     3253,
@@ -748,7 +749,7 @@
     'Connections of clients were closed: to make room for new ones '
     '(made_room), because there are too many whose requests are served '
     '(too_many), or because a head took too long (head_late). One line a '
-    'second at most.',
+    'second at most; peer is the address of one of them.',
 )
 CALLER_CUT_OFF = define(
     3251,
