--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 import random
 import signal
 
+from features.support import crowd
 from features.support import platform
 from honeyport.policy import queue_keepers
 from soak import backend
@@ -36,6 +37,18 @@
 _FATAL_REQUESTS_DURATION_S = (4.0, 9.0)
 _FATAL_PARTS_DURATION_S = (10.0, 14.0)
 _SILENT_SERVICES = ('plain', 'model')
+# Callers that do not behave: how many at once, the length of a legal body, and
+# what they do. None of their requests is ever whole.
+_MISBEHAVING_CALLERS = 20
+_MISBEHAVING_BODY_BYTES = 1_000_000
+_MISBEHAVIOURS = (
+    'bodies that stop short',
+    'heads that stop short',
+    'large chunks that stop short',
+    'nothing',
+    'small bodies that stop short',
+)
+_MISBEHAVING_DURATION_S = (1.0, 6.0)
 # From the crash of an instance until it is replaced.
 _REPLACEMENT_DELAY_S = 1.0
 
@@ -620,3 +633,39 @@
     instance.announces_shutdown = True
     await _sleep_random(rng, 3.5, 6.0)
     await site.remove_instance(instance)
+
+
+@fault_from_seed(77000)
+async def misbehaving_callers(
+    site: soak_site.Site,
+    operator: soak_operator.Operator,
+    rng: random.Random,
+) -> None:
+    """Let callers send incomplete requests to a node, stand still and leave.
+
+    The node is not reserved, so that signals and restarts may hit it
+    meanwhile.
+    """
+    node = rng.choice(site.nodes)
+    key = rng.choice((soak_site.MAIN_KEY, 'unknown'))
+    target = crowd.Target(
+        host=node.ip,
+        port=site.ports[0],
+        path='/app/x',
+        body_bytes=_MISBEHAVING_BODY_BYTES,
+        headers={
+            'Host': soak_site.HOST,
+            'Authorization': f'Bearer {key}',
+            'Attempt-Id': 'misbehaving-{id}',
+            'Deadline-Ms': '60000',
+        },
+    )
+    callers = crowd.Crowd(
+        rng.choice(_MISBEHAVIOURS), target, _MISBEHAVING_CALLERS
+    )
+    with _disturbing(site, node.name):
+        try:
+            await callers.come()
+            await _sleep_random(rng, *_MISBEHAVING_DURATION_S)
+        finally:
+            await callers.leave()
