Collect bodies in blocks instead of buffers that grow

A gateway lost its memory bit by bit to crowds that came again and again: the account was back at 0 after each, and the process was larger than before.

Cause: each body was one bytearray that grows; it is moved each time, and what it leaves between the others' fits nothing that is larger.

--- a/features/platform/crowds.feature
+++ b/features/platform/crowds.feature
@@ -63,6 +63,13 @@
       | heads that stop short        |
       | small bodies that stop short |
 
+  # Bodies that grew at the same time fragmented the memory of the process.
+  Scenario: a gateway outlives crowds that come again and again
+    Given a platform whose machines have 140 MB and 1000 file descriptors
+    When 60 callers with a key send large chunks that stop short to the gateway of instance 1, 8 times
+    Then ordinary requests are answered
+    And the process has stayed within its memory and descriptors
+
   # Each connection took a large buffer at the same time.
   Scenario: a gateway outlives small bodies on all its connections
     Given a platform whose machines have 160 MB and 4100 file descriptors
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -111,6 +111,16 @@
     _come(context, kind, target, count)
 
 
+@behave.when(
+    '{count:d} callers {key} send {kind} to the gateway of instance 1, '
+    '{times:d} times'
+)
+def step_crowds(context, count, key, kind, times):
+    for _ in range(times):
+        step_crowd_at_gateway(context, count, key, kind)
+        context.run(context.crowd.leave())
+
+
 @behave.when(
     '{count:d} callers send {kind} to the {page} address of instance 1'
 )
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -19,6 +19,7 @@
 from honeyport.gateway import attempt
 from honeyport.gateway import forward
 from honeyport.gateway import headers as gateway_headers
+from honeyport.ingress import body_buffer
 from honeyport.ingress import held_bytes
 from honeyport.ingress import intake
 from honeyport.ingress import servers
@@ -159,7 +160,7 @@
         self._stream = connection.stream
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
-        self._body = bytearray()
+        self._body = body_buffer.BodyBuffer()
         self._task: asyncio.Task[None] | None = None
         self._is_started = False
         self._intake = intake.Intake(
@@ -219,7 +220,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         if self._intake.receive(len(chunk)):
-            self._body += chunk
+            self._body.append(chunk)
         else:
             self._body.clear()
 
@@ -264,8 +265,7 @@
 
     async def _forward_request(self) -> None:
         assert self._start_line is not None
-        body = bytes(self._body)
-        self._body.clear()
+        body = self._body.take()
         try:
             if self._caller_server.refusing:
                 raise errors.Draining(retry_after=_DRAINING_RETRY_AFTER_S)
--- a/src/honeyport/platform/request_reader.py
+++ b/src/honeyport/platform/request_reader.py
@@ -5,6 +5,8 @@
 
 from tornado import httputil
 
+from honeyport.ingress import body_buffer
+
 
 class Exchange(typing.Protocol):
     """Handles one request."""
@@ -51,7 +53,7 @@
         self._start = start
         self._request: httputil.HTTPServerRequest | None = None
         self._exchange: Exchange | None = None
-        self._body = bytearray()
+        self._body = body_buffer.BodyBuffer()
         self._received_bytes = 0
 
     async def headers_received(
@@ -70,14 +72,14 @@
     def data_received(self, chunk: bytes) -> None:
         self._received_bytes += len(chunk)
         if self._exchange is not None and self._exchange.on_data(chunk):
-            self._body += chunk
+            self._body.append(chunk)
 
     def finish(self) -> None:
         if self._request is not None and self._exchange is not None:
-            self._request.body = bytes(self._body)
+            self._request.body = self._body.take()
             self._exchange.on_request()
 
     def on_connection_close(self) -> None:
-        self._body = bytearray()
+        self._body.clear()
         if self._exchange is not None:
             self._exchange.on_incomplete(self._received_bytes)
