--- a/features/gateway/bodies.feature
+++ b/features/gateway/bodies.feature
@@ -46,3 +46,10 @@
     And a caller sends a body of 2000000 bytes
     Then it gets 200, and 1 requests arrived
     And 1 of the bodies that stood still got 408
+
+  # A head had as long as an idle connection.
+  Scenario: a head that takes longer than its limit closes the connection
+    Given a gateway with 12 MB for idempotent requests whose instances answer
+    And heads may take 300 ms, and connections may be idle for 60000 ms
+    When a caller sends a part of a head, and another one nothing
+    Then the first connection is closed, and the other one is kept
--- a/features/steps/body_steps.py
+++ b/features/steps/body_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from features.support import caller
+from honeyport.bundle import model
 from honeyport.settings import roles
 
 _TIMEOUT_S = 5.0
@@ -142,3 +143,42 @@
     )
     async with asyncio.timeout(_TIMEOUT_S):
         context.response = await caller.read(context.reader)
+
+
+@behave.given(
+    'heads may take {header:d} ms, and connections may be idle for {idle:d} ms'
+)
+def step_limits(context, header, idle):
+    async def configure():
+        context.fixture.configure(
+            context.fixture.kind,
+            limits=model.RequestLimits(header_ms=header, idle_ms=idle),
+        )
+        context.fixture.gateway.apply_state()
+
+    context.run(configure())
+
+
+@behave.when('a caller sends a part of a head, and another one nothing')
+def step_send_head_part(context):
+    async def send():
+        context.connections = [
+            await _connect(context.fixture) for _ in range(2)
+        ]
+        context.connections[0][1].write(b'POST /r/x HTTP/1.1\r\nHost: ')
+
+    context.run(send())
+
+
+@behave.then('the first connection is closed, and the other one is kept')
+def step_head_late(context):
+    async def check():
+        (first, _), (other, writer) = context.connections
+        async with asyncio.timeout(_TIMEOUT_S):
+            assert await first.read() == b''
+            writer.write(caller.request())
+            assert (await caller.read(other)).status == 200
+        for _, each in context.connections:
+            each.close()
+
+    context.run(check())
--- a/src/honeyport/gateway/forwarded.py
+++ b/src/honeyport/gateway/forwarded.py
@@ -157,7 +157,7 @@
                 retry_after=_RETRY_AFTER_S,
             )
         holding = held_bytes.Holding(self._held_bytes)
-        self._held_bytes.check_body(call.request_id, len(call.body), holding)
+        self._held_bytes.check_body(len(call.body), holding)
         reply = PeerReply(call, lambda: self._forwarder.running, holding)
         holding.update(held_bytes.REQUEST, len(call.body))
         self._running += 1
--- a/src/honeyport/gateway/server.py
+++ b/src/honeyport/gateway/server.py
@@ -31,8 +31,6 @@
 _DEFAULT_DEADLINE_S = 600.0
 # Retry-After of a gateway that shuts down; the others are ready.
 _DRAINING_RETRY_AFTER_S = 0.1
-# Read from a connection at once; all connections may do so at the same time.
-_CHUNK_BYTES = 16 * 1024
 # Larger bodies are written apart from the head; together, they are copied.
 _MAX_COPIED_BYTES = 64 * 1024
 # Values of SO_LINGER: closing resets the connection, or ends it regularly.
@@ -68,7 +66,6 @@
             max_connections=max_connections,
             header_timeout_s=self._limits.header_ms / 1000,
             counters=counters,
-            chunk_size=_CHUNK_BYTES,
             max_body_size=intake.MAX_PARSED_BYTES,
         )
         self._closing = False
--- a/src/honeyport/ingress/guard.py
+++ b/src/honeyport/ingress/guard.py
@@ -14,9 +14,6 @@
 from honeyport.ingress import servers
 from honeyport.telemetry import metrics
 
-# Read from a connection at once; all connections may do so at the same time.
-_CHUNK_BYTES = 16 * 1024
-
 # Returns how many bytes the body of a request may have.
 MaxBytes = collections.abc.Callable[[httputil.RequestStartLine], int]
 
@@ -53,7 +50,6 @@
         idle_connection_timeout=idle_timeout_s,
         max_header_size=max_header_bytes,
         max_body_size=parser_max_bytes,
-        chunk_size=_CHUNK_BYTES,
     )
 
 
--- a/src/honeyport/ingress/held_bytes.py
+++ b/src/honeyport/ingress/held_bytes.py
@@ -214,9 +214,7 @@
         """Record that a body is whole, or that it was given up."""
         self._bodies.pop(sender, None)
 
-    def check_body(
-        self, request_id: str, body_bytes: int, holding: Holding
-    ) -> None:
+    def check_body(self, body_bytes: int, holding: Holding) -> None:
         """Check that there is room for a body that was not read yet.
 
         Bodies that stand still make room for it.
--- a/src/honeyport/ingress/intake.py
+++ b/src/honeyport/ingress/intake.py
@@ -181,9 +181,7 @@
             if body_bytes > _SMALL_BYTES and self._check is not None:
                 check, self._check = self._check, None
                 self._account.limit_body_time(self, check())
-            self._account.check_body(
-                self._request_id, body_bytes, self.holding
-            )
+            self._account.check_body(body_bytes, self.holding)
         except errors.HoneyportError as error:
             self._account.count_refused(self, error)
             self.refuse(error)
--- a/src/honeyport/ingress/servers.py
+++ b/src/honeyport/ingress/servers.py
@@ -16,6 +16,8 @@
 from honeyport.telemetry import metrics
 from honeyport.telemetry import sampling
 
+# Read from a connection at once; all connections may do so at the same time.
+_CHUNK_BYTES = 16 * 1024
 # Interval at which incomplete heads are looked for.
 _CHECK_INTERVAL_S = 1.0
 # Pause after a search that found no connection to close.
@@ -46,7 +48,9 @@
         :param header_timeout_s: how long a client may take to send a head
         :param options: of tornado's server
         """
-        super().initialize(request_callback, **options)
+        super().initialize(
+            request_callback, chunk_size=_CHUNK_BYTES, **options
+        )
         self._max_connections = max_connections
         self._header_timeout_s = header_timeout_s
         self._metrics = counters
--- a/src/honeyport/telemetry/events.py
+++ b/src/honeyport/telemetry/events.py
@@ -747,9 +747,9 @@
     'connections_closed',
     'warning',
     'Connections of clients were closed: to make room for new ones '
-    '(made_room), because there are too many whose requests are served '
-    '(too_many), or because a head took too long (head_late). One line a '
-    'second at most; peer is the address of one of them.',
+    '(made_room), because none of the others could make room (too_many), or '
+    'because a head took too long (head_late). One line a second at most; '
+    'peer is the address of one of them.',
 )
 CALLER_CUT_OFF = define(
     3251,
